Lay out the workspace, the messages and the design page

Cause: the repository was empty; every part needs the same messages, result codes and checks before it can be written. Before: no code. Conclusion: one owner instance per endpoint, polled configuration leases and pulled soft state are the base of the design; docs/design.md gives the reasons.

--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The pistachioloft command line for operators and callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -0,0 +1,121 @@
+"""Encode and decode messages; what cannot be read ends in a numbered error."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import types
+import typing
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from .errors import CodedError, ResultCode
+from .messages import agreement, peer
+
+T = TypeVar('T')
+
+PEER_FORMAT = 1
+
+_PEER_TYPES: dict[str, type] = {
+    kind.__name__: kind
+    for kind in (
+        peer.AttemptBatch,
+        peer.AttemptResults,
+        peer.CancelAttempts,
+        peer.Poll,
+        peer.PollReply,
+        peer.ChangeHint,
+        peer.SoftStatePull,
+        peer.SoftStateReply,
+        peer.RelayAnnouncement,
+        peer.ProposeRequest,
+        peer.ProposeReply,
+        agreement.VoteRequest,
+        agreement.VoteReply,
+        agreement.AppendRequest,
+        agreement.AppendReply,
+        agreement.SnapshotChunk,
+        agreement.SnapshotReply,
+        agreement.TimeoutNow,
+    )
+}
+
+_packer = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(tuple[int, str, str, msgspec.Raw])
+_peer_decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    name: msgspec.msgpack.Decoder(kind) for name, kind in _PEER_TYPES.items()
+}
+
+
+def encode_json(message: Any) -> bytes:
+    """Encode a message as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode_json(data: bytes, kind: type[T]) -> T:
+    """Decode a JSON message and refuse fields that its type does not have."""
+    try:
+        raw = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise CodedError(ResultCode.MALFORMED, f'not valid JSON: {error}') from error
+    _refuse_unknown_fields(raw, kind, kind.__name__)
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        raise CodedError(ResultCode.WRONG_TYPE, str(error)) from error
+
+
+def encode_packed(message: Any) -> bytes:
+    """Encode a message for the disk or for another instance."""
+    return _packer.encode(message)
+
+
+def decode_packed(data: bytes, kind: type[T]) -> T:
+    """Decode a message from the disk or from another instance."""
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise CodedError(ResultCode.MALFORMED, f'not a valid {kind.__name__}: {error}') from error
+
+
+def encode_peer(sender: str, message: Any) -> bytes:
+    """Encode a message to another instance with its sender."""
+    return _packer.encode((PEER_FORMAT, sender, type(message).__name__, message))
+
+
+def decode_peer(data: bytes) -> tuple[str, Any]:
+    """Decode a message of another instance into its sender and content."""
+    try:
+        version, sender, name, raw = _envelope_decoder.decode(data)
+        if version != PEER_FORMAT:
+            raise CodedError(ResultCode.MALFORMED, f'unknown peer format {version}')
+        decoder = _peer_decoders.get(name)
+        if decoder is None:
+            raise CodedError(ResultCode.MALFORMED, f'unknown peer message {name!r}')
+        return sender, decoder.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise CodedError(ResultCode.MALFORMED, f'not a valid peer message: {error}') from error
+
+
+def content_digest(*parts: Any) -> str:
+    """Compute a digest that is equal for equal content."""
+    data = msgspec.json.encode(parts, order='deterministic')
+    return hashlib.sha256(data).hexdigest()[:32]
+
+
+def _refuse_unknown_fields(raw: Any, kind: Any, path: str) -> None:
+    origin = get_origin(kind)
+    if dataclasses.is_dataclass(kind) and isinstance(raw, dict):
+        hints = get_type_hints(kind)
+        for name, value in raw.items():
+            if name not in hints:
+                raise CodedError(ResultCode.UNKNOWN_FIELD, f'{path} has no field {name!r}')
+            _refuse_unknown_fields(value, hints[name], f'{path}.{name}')
+    elif origin is tuple and isinstance(raw, list):
+        for position, value in enumerate(raw):
+            _refuse_unknown_fields(value, get_args(kind)[0], f'{path}[{position}]')
+    elif origin in (typing.Union, types.UnionType):
+        for choice in get_args(kind):
+            if dataclasses.is_dataclass(choice):
+                _refuse_unknown_fields(raw, choice, path)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one connection."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Typed messages of every interface."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/messages/agreement.py
@@ -0,0 +1,133 @@
+"""Messages and records of consensus."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+ENTRY_COMMAND = 'command'
+ENTRY_MEMBERSHIP = 'membership'
+ENTRY_NOOP = 'noop'
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """Hold what a voter must not forget."""
+
+    term: int
+    voted_for: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """List the members of the group."""
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """Hold one entry of the replicated log."""
+
+    term: int
+    index: int
+    kind: str
+    time_ms: int
+    payload: bytes = b''
+    membership: Membership | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotMeta:
+    """Name the log position and membership that a snapshot covers."""
+
+    term: int
+    index: int
+    membership: Membership
+
+
+@dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Ask for a vote, or with `pre_vote` whether one would be given."""
+
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    transfer: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class VoteReply:
+    """Answer a vote request."""
+
+    term: int
+    voter: str
+    granted: bool
+    pre_vote: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRequest:
+    """Replicate entries or send a heartbeat."""
+
+    term: int
+    leader: str
+    previous_index: int
+    previous_term: int
+    entries: tuple[LogEntry, ...]
+    commit_index: int
+    heartbeat_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendReply:
+    """Answer an append request."""
+
+    term: int
+    member: str
+    success: bool
+    match_index: int
+    heartbeat_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """Carry a part of a snapshot."""
+
+    term: int
+    leader: str
+    meta: SnapshotMeta
+    offset_bytes: int
+    total_bytes: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReply:
+    """Confirm the received part of a snapshot."""
+
+    term: int
+    member: str
+    index: int
+    received_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimeoutNow:
+    """Ask the most up-to-date follower to start an election at once."""
+
+    term: int
+    leader: str
+
+
+AgreementMessage = (
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+    | TimeoutNow
+)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/__init__.py
@@ -0,0 +1,3 @@
+"""What lives as long as the process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/agreement/__init__.py
@@ -0,0 +1,3 @@
+"""Consensus among the voters."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/util/__init__.py
@@ -0,0 +1,3 @@
+"""Helpers without state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/version/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one version of the accepted state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The pistachioloft daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/storage/__init__.py
@@ -0,0 +1,3 @@
+"""Durable storage under one data folder."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_codec/test_decoders.py
@@ -0,0 +1,55 @@
+"""Guard against input that ends the process or is read as something else."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.codec import decode_json, decode_peer, encode_json, encode_peer
+from pistachioloft_core.errors import CodedError, ResultCode
+from pistachioloft_core.messages.endpoint import Announcement
+from pistachioloft_core.messages.peer import ChangeHint
+from pistachioloft_core.messages.public import CommandRequest, QueryRequest
+
+PUBLIC_TYPES = (QueryRequest, CommandRequest, Announcement)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=200), st.sampled_from(PUBLIC_TYPES))
+def test_any_bytes_end_in_a_numbered_error(data: bytes, kind: type) -> None:
+    """Guard against a decoder that raises anything but a numbered error."""
+    with pytest.raises(CodedError):
+        decode_json(data, kind)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=200))
+def test_any_peer_bytes_end_in_a_numbered_error(data: bytes) -> None:
+    """Guard against a peer message that ends the receiving process."""
+    with pytest.raises(CodedError):
+        decode_peer(data)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.data())
+def test_truncated_request_is_refused(data: st.DataObject) -> None:
+    """Guard against half a request that is taken for a whole one."""
+    request = QueryRequest('c', 'r', 'catalogue', {'q': 'x'}, 100)
+    encoded = encode_json(request)
+    cut = data.draw(st.integers(0, len(encoded) - 1))
+    with pytest.raises(CodedError):
+        decode_json(encoded[:cut], QueryRequest)
+
+
+def test_unknown_field_is_named() -> None:
+    """Guard against a misspelt field that is silently ignored."""
+    with pytest.raises(CodedError) as caught:
+        decode_json(b'{"caller":"c","prioritty":"urgent"}', QueryRequest)
+    assert caught.value.code is ResultCode.UNKNOWN_FIELD
+    assert 'prioritty' in caught.value.detail
+
+
+def test_peer_message_keeps_its_type_and_sender() -> None:
+    """Guard against a message that is decoded as another type."""
+    assert decode_peer(encode_peer('e1', ChangeHint(7))) == ('e1', ChangeHint(7))
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, measuring scripts and the demo; not shipped."""
