--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -0,0 +1,186 @@
+"""Carry sub-requests to endpoints, one at a time on each connection."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from pistachioloft_core.codec import decode_json, encode_json
+from pistachioloft_core.errors import CodedError
+from pistachioloft_core.messages.endpoint import (
+    KIND_COMMAND,
+    CancelRequest,
+    SubReply,
+    SubRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[endpoint]'
+CONNECT_TIMEOUT_S = 2.0
+# A reply is waited for past its deadline because the endpoint's slot stays taken until then.
+REPLY_GRACE_S = 5.0
+CANCEL_TIMEOUT_S = 1.0
+REPLY_LIMIT_BYTES = 8 * 1024 * 1024
+SEARCH_PATH = '/v1/search'
+EXECUTE_PATH = '/v1/execute'
+CANCEL_PATH = '/v1/cancel'
+PING_PATH = '/v1/ping'
+JSON_HEADERS = {'Content-Type': 'application/json'}
+
+
+@dataclass(frozen=True, slots=True)
+class ClientEvents:
+    """Name the callbacks that a client calls on the loop's thread."""
+
+    opened: Callable[[str], None]
+    closed: Callable[[str, str], None]
+    replied: Callable[[str, SubReply], None]
+    failed: Callable[[str, bool, str], None]
+
+
+class Connection:
+    """Hold one HTTP connection to one endpoint."""
+
+    def __init__(self, connection_id: str, address: str) -> None:
+        self.connection_id = connection_id
+        self.address = address
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=3600.0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+        )
+        self.task: asyncio.Task[None] | None = None
+
+
+class EndpointClient:
+    """Hold the connections to the endpoints that this instance owns."""
+
+    def __init__(self, events: ClientEvents) -> None:
+        self.events = events
+        self.connections: dict[str, Connection] = {}
+        self.background: set[asyncio.Task[Any]] = set()
+        self.control: aiohttp.ClientSession | None = None
+
+    def open(self, connection_id: str, address: str) -> None:
+        """Open a connection ahead of need."""
+        connection = Connection(connection_id, address)
+        self.connections[connection_id] = connection
+        connection.task = self._spawn(self._open(connection))
+
+    def close(self, connection_id: str) -> None:
+        """Close a connection; its exchange in progress ends without an event."""
+        connection = self.connections.pop(connection_id, None)
+        if connection is None:
+            return
+        if connection.task is not None:
+            connection.task.cancel()
+        self._spawn(connection.session.close())
+
+    def send(self, connection_id: str, request: SubRequest) -> None:
+        """Send a sub-request on an idle connection."""
+        connection = self.connections.get(connection_id)
+        if connection is None:
+            self.events.failed(connection_id, False, 'connection is closed')
+            return
+        connection.task = self._spawn(self._exchange(connection, request))
+
+    def send_cancel(self, address: str, identity: str) -> None:
+        """Withdraw a sub-request; its own connection still waits for the reply."""
+        self._spawn(self._cancel(address, identity))
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for connection_id in list(self.connections):
+            self.close(connection_id)
+        if self.control is not None:
+            await self.control.close()
+        await asyncio.gather(*self.background, return_exceptions=True)
+
+    def _spawn(self, work: Any) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        return task
+
+    async def _open(self, connection: Connection) -> None:
+        try:
+            async with (
+                asyncio.timeout(CONNECT_TIMEOUT_S),
+                connection.session.get(f'http://{connection.address}{PING_PATH}') as reply,
+            ):
+                await reply.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self._drop(connection, f'{type(error).__name__}: {error}')
+            return
+        self.events.opened(connection.connection_id)
+
+    async def _exchange(self, connection: Connection, request: SubRequest) -> None:
+        path = EXECUTE_PATH if request.kind == KIND_COMMAND else SEARCH_PATH
+        limit_s = request.time_left_ms / 1000.0 + REPLY_GRACE_S
+        try:
+            async with (
+                asyncio.timeout(limit_s),
+                connection.session.post(
+                    f'http://{connection.address}{path}',
+                    data=encode_json(request),
+                    headers=JSON_HEADERS,
+                ) as reply,
+            ):
+                data = await _read_bounded(reply)
+            answer = decode_json(data, SubReply)
+        except aiohttp.ClientConnectorError as error:
+            self._fail(connection, False, f'{type(error).__name__}: {error}')
+        except (aiohttp.ClientError, OSError, TimeoutError, CodedError) as error:
+            self._fail(connection, True, f'{type(error).__name__}: {error}')
+        else:
+            self.events.replied(connection.connection_id, answer)
+
+    async def _cancel(self, address: str, identity: str) -> None:
+        if self.control is None:
+            self.control = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=32, limit_per_host=1),
+                timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
+            )
+        try:
+            async with self.control.post(
+                f'http://{address}{CANCEL_PATH}',
+                data=encode_json(CancelRequest(identity)),
+                headers=JSON_HEADERS,
+            ) as reply:
+                await reply.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            logger.debug('%s cancel of %s failed: %s', PREFIX, identity, error)
+
+    def _fail(self, connection: Connection, bytes_sent: bool, detail: str) -> None:
+        if self.connections.pop(connection.connection_id, None) is None:
+            return
+        self._spawn(connection.session.close())
+        self.events.failed(connection.connection_id, bytes_sent, detail)
+
+    def _drop(self, connection: Connection, detail: str) -> None:
+        if self.connections.pop(connection.connection_id, None) is None:
+            return
+        self._spawn(connection.session.close())
+        self.events.closed(connection.connection_id, detail)
+
+
+async def _read_bounded(reply: aiohttp.ClientResponse) -> bytes:
+    data = await reply.content.read(REPLY_LIMIT_BYTES + 1)
+    parts = [data]
+    size_bytes = len(data)
+    while data and size_bytes <= REPLY_LIMIT_BYTES:
+        data = await reply.content.read(REPLY_LIMIT_BYTES + 1)
+        parts.append(data)
+        size_bytes += len(data)
+    if size_bytes > REPLY_LIMIT_BYTES:
+        raise aiohttp.ClientPayloadError(f'reply is larger than {REPLY_LIMIT_BYTES} bytes')
+    return b''.join(parts)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/loop_timers.py
@@ -0,0 +1,65 @@
+"""Drive the timer service from the event loop."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.process.timers import (
+    TimerCallback,
+    TimerService,
+    call_at,
+    next_due_ms,
+    run_due,
+    subscribe,
+)
+
+if TYPE_CHECKING:
+    import asyncio
+
+
+def monotonic_ms() -> float:
+    """Return the monotonic time in milliseconds."""
+    return time.monotonic() * 1000.0
+
+
+def wall_clock_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
+class LoopTimers:
+    """Hold the timer service and the loop's handle for its next due time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.service = TimerService()
+        self.handle: asyncio.TimerHandle | None = None
+        self.handle_due_ms = float('inf')
+
+    def every(self, period_ms: float, callback: TimerCallback) -> int:
+        """Subscribe to a periodic call."""
+        number = subscribe(self.service, monotonic_ms(), period_ms, callback)
+        self._arm()
+        return number
+
+    def at(self, due_ms: float, callback: TimerCallback) -> int:
+        """Subscribe to a single call."""
+        number = call_at(self.service, due_ms, callback)
+        self._arm()
+        return number
+
+    def _arm(self) -> None:
+        due_ms = next_due_ms(self.service)
+        if due_ms is None or due_ms >= self.handle_due_ms:
+            return
+        if self.handle is not None:
+            self.handle.cancel()
+        self.handle_due_ms = due_ms
+        self.handle = self.loop.call_at(due_ms / 1000.0, self._fire)
+
+    def _fire(self) -> None:
+        self.handle = None
+        self.handle_due_ms = float('inf')
+        run_due(self.service, monotonic_ms())
+        self._arm()
--- /dev/null
+++ b/tools/cluster/processes.py
@@ -0,0 +1,275 @@
+"""Start, freeze and end the processes of a cluster on loopback."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import urllib3
+
+from pistachioloft_core.codec import encode_json
+from pistachioloft_core.messages.accepted import Configuration, InstanceEntry, SubmitConfiguration
+from tools.searcher.host import HostPlan, Order
+
+from .layout import Site, announcements, configuration
+
+if TYPE_CHECKING:
+    from tools.searcher.behaviour import Behaviour
+
+READY_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 40.0
+REPOSITORY = Path(__file__).resolve().parents[2]
+
+_numbers = itertools.count(1)
+
+
+def free_addresses(count: int) -> tuple[str, ...]:
+    """Let the kernel choose free ports on a loopback address of this process."""
+    number = os.getpid() * 16 + next(_numbers)
+    host = f'127.{1 + number // 62500 % 250}.{1 + number // 250 % 250}.{1 + number % 250}'
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((host, 0))
+    addresses = tuple(f'{host}:{each.getsockname()[1]}' for each in sockets)
+    for each in sockets:
+        each.close()
+    return addresses
+
+
+@dataclass(frozen=True, slots=True)
+class InstancePlan:
+    """Name one instance with its addresses, folder and roles."""
+
+    instance: str
+    failure_domain: str
+    voter: bool
+    caller_address: str
+    operator_address: str
+    peer_address: str
+    folder: Path
+
+
+class Cluster:
+    """Hold the processes of one cluster."""
+
+    def __init__(self, folder: Path, site: Site, instance_count: int, voter_count: int) -> None:
+        self.folder = folder
+        self.site = site
+        self.http = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=64)
+        self.daemons: dict[str, subprocess.Popen[bytes]] = {}
+        self.hosts: list[subprocess.Popen[bytes]] = []
+        self.admin_addresses: list[str] = []
+        self.plans: dict[str, InstancePlan] = {}
+        for number in range(instance_count):
+            name = f'e{number + 1}'
+            domain = site.failure_domains[number % len(site.failure_domains)]
+            caller, operator, peer = free_addresses(3)
+            self.plans[name] = InstancePlan(
+                name, domain, number < voter_count, caller, operator, peer, folder / name
+            )
+        # A test may put a relay between two instances: (from, to) -> address.
+        self.links: dict[tuple[str, str], str] = {}
+
+    def voters(self) -> tuple[str, ...]:
+        """Name the voters."""
+        return tuple(plan.instance for plan in self.plans.values() if plan.voter)
+
+    def initialise(self) -> None:
+        """Create the data folders of the voters."""
+        for plan in self.plans.values():
+            plan.folder.mkdir(parents=True, exist_ok=True)
+            if plan.voter:
+                self._daemon_command(
+                    'init',
+                    str(plan.folder / 'data'),
+                    '--cluster',
+                    self.site.name,
+                    '--instance',
+                    plan.instance,
+                    '--voters',
+                    ','.join(self.voters()),
+                )
+
+    def start(self, name: str) -> None:
+        """Start one daemon."""
+        plan = self.plans[name]
+        plan.folder.mkdir(parents=True, exist_ok=True)
+        settings = plan.folder / 'settings.toml'
+        settings.write_text(self._settings(plan))
+        log = (plan.folder / 'log').open('ab')
+        self.daemons[name] = subprocess.Popen(
+            [sys.executable, '-m', 'pistachioloft_daemon.program', 'run', str(settings)],
+            stdout=log,
+            stderr=log,
+            env=self._environment(),
+        )
+        log.close()
+
+    def start_all(self) -> None:
+        """Start every daemon and wait until it listens."""
+        for name in self.plans:
+            self.start(name)
+        for name in self.plans:
+            self.wait_listening(name)
+
+    def wait_listening(self, name: str) -> None:
+        """Wait until a daemon answers its operator address."""
+        self.wait(lambda: self.status(name) is not None, f'{name} to listen')
+
+    def wait(self, condition: Any, what: str, timeout_s: float = READY_TIMEOUT_S) -> float:
+        """Wait for a condition and return how long it took in seconds."""
+        started = time.monotonic()
+        while not condition():
+            if time.monotonic() - started > timeout_s:
+                raise TimeoutError(f'waited {timeout_s} s for {what}')
+            time.sleep(0.02)
+        return time.monotonic() - started
+
+    def get(self, address: str, path: str, timeout_s: float = 2.0) -> Any:
+        """Get a JSON document, or nothing if the address does not answer."""
+        try:
+            reply = self.http.request('GET', f'http://{address}{path}', timeout=timeout_s)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return msgspec.json.decode(reply.data) if reply.status == 200 else None
+
+    def post(self, address: str, path: str, message: Any, timeout_s: float = 30.0) -> Any:
+        """Post a message and return the JSON reply."""
+        reply = self.http.request(
+            'POST', f'http://{address}{path}', body=encode_json(message), timeout=timeout_s
+        )
+        return msgspec.json.decode(reply.data)
+
+    def status(self, name: str, endpoints: bool = False) -> Any:
+        """Return the status page of a daemon."""
+        suffix = '?endpoints=true' if endpoints else ''
+        return self.get(self.plans[name].operator_address, f'/v1/status{suffix}')
+
+    def instance_entries(self) -> tuple[InstanceEntry, ...]:
+        """List the instances as the inventory has them."""
+        return tuple(
+            InstanceEntry(
+                plan.instance,
+                plan.failure_domain,
+                plan.caller_address,
+                plan.peer_address,
+                plan.voter,
+            )
+            for plan in self.plans.values()
+        )
+
+    def configuration(self, versions: tuple[int, ...] = (1,)) -> Configuration:
+        """Build the configuration of this cluster."""
+        return configuration(self.site, self.instance_entries(), versions)
+
+    def submit(self, name: str, command_id: str, base_index: int, content: Configuration) -> Any:
+        """Submit a configuration through one instance."""
+        message = SubmitConfiguration(command_id, base_index, content, 'test')
+        return self.post(self.plans[name].operator_address, '/v1/config', message)
+
+    def start_searchers(
+        self,
+        behaviour: Behaviour,
+        host_count: int = 1,
+        versions: tuple[int, ...] = (1,),
+        seed: int = 1,
+    ) -> None:
+        """Start the site's stand-in searchers in a few processes."""
+        every = announcements(self.site, versions)
+        entries = tuple(plan.caller_address for plan in self.plans.values())
+        for number in range(host_count):
+            (admin,) = free_addresses(1)
+            plan = HostPlan(entries, every[number::host_count], behaviour, admin, seed + number)
+            path = self.folder / f'searchers-{number}.json'
+            path.write_bytes(msgspec.json.encode(plan))
+            host = subprocess.Popen(
+                [sys.executable, '-m', 'tools.searcher.host', str(path)],
+                stdout=subprocess.PIPE,
+                env=self._environment(),
+                cwd=REPOSITORY,
+            )
+            self.hosts.append(host)
+            self.admin_addresses.append(admin)
+        for host in self.hosts:
+            assert host.stdout is not None
+            host.stdout.readline()
+
+    def order(self, order: Order) -> None:
+        """Give every searcher host an order for those of its searchers that it names."""
+        for admin in self.admin_addresses:
+            names = {row['endpoint'] for row in self.get(admin, '/counters')}
+            wanted = tuple(name for name in order.endpoints if name in names)
+            if order.endpoints and not wanted:
+                continue
+            self.post(admin, '/order', replace(order, endpoints=wanted))
+
+    def counters(self) -> dict[str, Any]:
+        """Return the counters of every searcher by name."""
+        return {
+            row['endpoint']: row
+            for admin in self.admin_addresses
+            for row in self.get(admin, '/counters') or ()
+        }
+
+    def kill(self, name: str) -> None:
+        """End a daemon without notice."""
+        self.daemons[name].kill()
+        self.daemons[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a daemon's execution without closing its sockets."""
+        self.daemons[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen daemon run on."""
+        self.daemons[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Ask a daemon to stop gracefully and return its exit code."""
+        self.daemons[name].terminate()
+        return self.daemons[name].wait(STOP_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """End every process of this cluster."""
+        for process in (*self.daemons.values(), *self.hosts):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+
+    def _settings(self, plan: InstancePlan) -> str:
+        roles = ['entry', 'voter'] if plan.voter else ['entry']
+        peers = '\n'.join(
+            f'{other.instance} = "{self.links.get((plan.instance, name), other.peer_address)}"'
+            for name, other in self.plans.items()
+            if other.instance != plan.instance
+        )
+        data = f'[data]\nfolder = "{plan.folder / "data"}"\n' if plan.voter else ''
+        return (
+            f'[instance]\nid = "{plan.instance}"\nfailure_domain = "{plan.failure_domain}"\n'
+            f'roles = {roles}\n[listen]\ncaller_address = "{plan.caller_address}"\n'
+            f'operator_address = "{plan.operator_address}"\n'
+            f'peer_address = "{plan.peer_address}"\n[peers]\n{peers}\n{data}'
+        )
+
+    def _daemon_command(self, *arguments: str) -> None:
+        subprocess.run(
+            [sys.executable, '-m', 'pistachioloft_daemon.program', *arguments],
+            check=True,
+            env=self._environment(),
+        )
+
+    def _environment(self) -> dict[str, str]:
+        source = [str(REPOSITORY / f'packages/{name}/src') for name in ('core', 'daemon', 'cli')]
+        return {**os.environ, 'PYTHONPATH': os.pathsep.join([*source, str(REPOSITORY)])}
--- /dev/null
+++ b/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring scripts; each prints the figures that a page quotes."""
--- /dev/null
+++ b/tools/searcher/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in searcher for tests, the demo and the bench."""
