--- /dev/null
+++ b/tests/test_settings/test_logs.py
@@ -0,0 +1,82 @@
+"""Guard against logs that block the event loop or lose their form."""
+
+from __future__ import annotations
+
+import io
+import logging
+import re
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pistachioloft_daemon.logs import configure_logs, part_logger, part_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@pytest.fixture(autouse=True)
+def _restore_root() -> Iterator[None]:
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
+class BlockedStream(io.StringIO):
+    """Block writers until released, as a full pipe does."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.released.wait()
+        return super().write(text)
+
+
+def test_blocked_output_drops_and_counts() -> None:
+    """Guard against a full pipe on standard error that stops the event loop."""
+    stream = BlockedStream()
+    handle = configure_logs('info', stream, queue_record_count=4)
+    for number in range(20):
+        part_logger('routing').info('Chose endpoint %d.', number)
+    dropped = handle.dropped_count
+    assert 15 <= dropped <= 16
+    stream.released.set()
+    handle.stop()
+    lines = stream.getvalue().splitlines()
+    assert len([line for line in lines if 'Chose endpoint' in line]) == 20 - dropped
+    assert any(f'[process] {dropped} log records did not fit' in line for line in lines)
+
+
+def test_one_line_with_time_level_and_prefix() -> None:
+    """Guard against input that forges a second log line, and against a lost traceback."""
+    stream = io.StringIO()
+    handle = configure_logs('info', stream)
+    logger = logging.getLogger('pistachioloft_daemon.storage.log')
+    logger.debug('not shown')
+    logger.info('[caller] Refused %s.', 'x\r\n2026 info [storage] forged')
+    try:
+        raise OSError('disk full')
+    except OSError:
+        logger.exception('Write failed.')
+    handle.stop()
+    first, second = stream.getvalue().splitlines()
+    head = r'\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z '
+    assert re.match(head + r'info \[caller\] Refused x\\x0d \| 2026', first)
+    assert re.match(head + r'error \[storage\] Write failed\. \| Traceback .*disk full', second)
+
+
+def test_logger_names_map_to_parts() -> None:
+    """Guard against a module whose records carry the prefix of another part."""
+    assert part_of('pistachioloft_core.process.agreement.raft') == 'agreement'
+    assert part_of('pistachioloft_core.process.membership') == 'membership'
+    assert part_of('pistachioloft_core.process.ownership') == 'placement'
+    assert part_of('pistachioloft_core.request.query') == 'routing'
+    assert part_of('pistachioloft_core.process.timers') == 'process'
+    assert part_of('cherrypy.error') == 'process'
+    with pytest.raises(ValueError, match='unknown part'):
+        part_logger('kitchen')
