Add the bench and its plain baseline

Cause: every policy needs a figure beside a plain fan-out in the same run. Before: none. After: load generator, baseline and condition table; the baseline alone runs, the product's side needs the daemon.

--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Run the product beside a plain baseline under load and faults."""
--- /dev/null
+++ b/tools/bench/run.py
@@ -0,0 +1,287 @@
+"""Measure product and baseline side by side and print a table."""
+
+from __future__ import annotations
+
+import argparse
+import math
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pistachioloft_core.messages.public import URGENT
+from tools.cluster.layout import SITES, Site, announcements
+from tools.cluster.processes import Cluster, free_addresses
+from tools.searcher.behaviour import Behaviour
+from tools.searcher.host import Order
+
+from .baseline import BaselinePlan, Replica
+from .load import LoadPlan, Sample
+
+INSTANCE_COUNT = 6
+VOTER_COUNT = 3
+HOST_COUNT = 3
+GENERATOR_COUNT = 2
+SETTLE_S = 5.0
+DEADLINE_MS = 1000
+NORMAL_RATE_HZ = 20.0
+NORMAL_SERVICE_MS = 10.0
+# Four slots of 80 ms serve 50 queries/s at each small service.
+LOADED_SERVICE_MS = 80.0
+CAPACITY_HZ = 50.0
+COMPLETE = 0
+PARTIAL = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """Describe one run: its rate, the searchers' behaviour and the fault."""
+
+    name: str
+    rate_hz: float
+    behaviour: Behaviour
+    fault: str = ''
+
+
+CONDITIONS = (
+    Condition('nothing wrong', NORMAL_RATE_HZ, Behaviour(NORMAL_SERVICE_MS)),
+    Condition('2% stragglers', NORMAL_RATE_HZ, Behaviour(NORMAL_SERVICE_MS, straggle_share=0.02)),
+    Condition('rolling drain', NORMAL_RATE_HZ, Behaviour(NORMAL_SERVICE_MS), 'drain'),
+    Condition('silent connection', NORMAL_RATE_HZ, Behaviour(NORMAL_SERVICE_MS), 'silence'),
+    Condition('failure domain lost', NORMAL_RATE_HZ, Behaviour(NORMAL_SERVICE_MS), 'domain'),
+    Condition('at capacity', CAPACITY_HZ, Behaviour(LOADED_SERVICE_MS)),
+    Condition('twice the capacity', CAPACITY_HZ * 2, Behaviour(LOADED_SERVICE_MS)),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Measures:
+    """Hold the figures of one condition of one system."""
+
+    system: str
+    condition: str
+    query_count: int
+    p50_ms: float
+    p99_ms: float
+    complete_share: float
+    goodput_hz: float
+    urgent_goodput_share: float
+    extra_share: float
+    refusal_p99_ms: float
+    faults: dict[str, int]
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value that `share` of all values do not exceed."""
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, math.ceil(share * len(ordered)) - 1)]
+
+
+def summarise(
+    system: str,
+    condition: str,
+    samples: list[Sample],
+    seconds: float,
+    sub_request_count: int,
+    urgent_callers: tuple[str, ...],
+) -> Measures:
+    """Compute the figures of one run."""
+    answered = [each for each in samples if each.result_code in (COMPLETE, PARTIAL)]
+    complete = [each for each in answered if each.result_code == COMPLETE]
+    urgent = [each for each in samples if each.caller in urgent_callers]
+    urgent_complete = [each for each in urgent if each.result_code == COMPLETE]
+    refused = [each.latency_ms for each in samples if each.result_code >= 100]
+    shard_count = max((each.shard_count for each in answered), default=1)
+    needed = max(1, len(answered) * shard_count)
+    faults: dict[str, int] = {}
+    for each in samples:
+        if each.wrong:
+            faults[each.wrong] = faults.get(each.wrong, 0) + 1
+    return Measures(
+        system,
+        condition,
+        len(samples),
+        percentile([each.latency_ms for each in answered], 0.5),
+        percentile([each.latency_ms for each in answered], 0.99),
+        len(complete) / max(1, len(samples)),
+        len(complete) / seconds,
+        len(urgent_complete) / max(1, len(urgent)),
+        sub_request_count / needed - 1.0,
+        percentile(refused, 0.99),
+        faults,
+    )
+
+
+class System:
+    """Hold the running system under test and how to reach it."""
+
+    def __init__(self, name: str, cluster: Cluster, addresses: tuple[str, ...]) -> None:
+        self.name = name
+        self.cluster = cluster
+        self.addresses = addresses
+
+
+def start_product(folder: Path, site: Site) -> System:
+    """Start daemons and searchers and accept the site's configuration."""
+    cluster = Cluster(folder, site, INSTANCE_COUNT, VOTER_COUNT)
+    cluster.initialise()
+    cluster.start_all()
+    cluster.wait(lambda: _accepted(cluster), 'an accepted configuration')
+    cluster.start_searchers(Behaviour(NORMAL_SERVICE_MS), HOST_COUNT)
+    count = len(announcements(site))
+    for name in cluster.plans:
+        cluster.wait(lambda name=name: _usable_count(cluster, name) == count, 'all endpoints')
+    return System('product', cluster, tuple(p.caller_address for p in cluster.plans.values()))
+
+
+def start_baseline(folder: Path, site: Site) -> System:
+    """Start the plain fan-out as many times as the product has instances."""
+    cluster = Cluster(folder, site, INSTANCE_COUNT, VOTER_COUNT)
+    cluster.start_searchers(Behaviour(NORMAL_SERVICE_MS), HOST_COUNT)
+    addresses = {name: row['address'] for name, row in cluster.counters().items()}
+    shards: dict[str, tuple[Replica, ...]] = {}
+    for each in announcements(site):
+        shard = each.holdings[0].shards[0]
+        replica = Replica(each.endpoint, addresses[each.endpoint])
+        shards[shard] = (*shards.get(shard, ()), replica)
+    listens = []
+    for number in range(INSTANCE_COUNT):
+        (listen,) = free_addresses(1)
+        path = folder / f'baseline-{number}.json'
+        path.write_bytes(msgspec.json.encode(BaselinePlan(listen, site.collection, shards)))
+        process = cluster.spawn('tools.bench.baseline', path)
+        assert process.stdout is not None
+        process.stdout.readline()
+        listens.append(listen)
+    return System('baseline', cluster, tuple(listens))
+
+
+def run_condition(system: System, condition: Condition, site: Site, seconds: float) -> Measures:
+    """Run one condition and compute its figures."""
+    cluster = system.cluster
+    cluster.order(Order('behave', (), condition.behaviour))
+    time.sleep(SETTLE_S)
+    before = sum(row['request_count'] for row in cluster.counters().values())
+    generators = [
+        _start_load(system, condition, site, seconds, number) for number in range(GENERATOR_COUNT)
+    ]
+    restore = _apply_fault(cluster, condition.fault, seconds)
+    samples: list[Sample] = []
+    for process, output in generators:
+        process.wait(seconds + 60)
+        samples.extend(msgspec.json.decode(output.read_bytes(), type=list[Sample]))
+    after = sum(row['request_count'] for row in cluster.counters().values())
+    cluster.order(Order('restart', restore)) if restore else None
+    return summarise(
+        system.name, condition.name, samples, seconds, after - before, site.urgent_callers
+    )
+
+
+def _start_load(
+    system: System, condition: Condition, site: Site, seconds: float, number: int
+) -> tuple[subprocess.Popen[bytes], Path]:
+    folder = system.cluster.folder
+    output = folder / f'samples-{number}.json'
+    plan = LoadPlan(
+        system.addresses,
+        site.collection,
+        site.urgent_callers + site.routine_callers,
+        condition.rate_hz / GENERATOR_COUNT,
+        seconds,
+        DEADLINE_MS,
+        1000 + number,
+        str(output),
+        time.time() + 1.0,
+    )
+    path = folder / f'load-{number}.json'
+    path.write_bytes(msgspec.json.encode(plan))
+    return system.cluster.spawn('tools.bench.load', path), output
+
+
+def _apply_fault(cluster: Cluster, fault: str, seconds: float) -> tuple[str, ...]:
+    """Bring about a fault in mid-run and name the searchers to restart afterwards."""
+    every = announcements(cluster.site)
+    time.sleep(1.0 + seconds / 3)
+    if fault == 'silence':
+        cluster.order(Order('silence', tuple(each.endpoint for each in every[::10])))
+    elif fault == 'domain':
+        domain = cluster.site.failure_domains[0]
+        names = tuple(each.endpoint for each in every if each.failure_domain == domain)
+        cluster.order(Order('kill', names))
+        return names
+    elif fault == 'drain':
+        names = tuple(each.endpoint for each in every[::8])
+        cluster.order(Order('drain', names))
+        return names
+    return ()
+
+
+def _accepted(cluster: Cluster) -> bool:
+    reply = cluster.submit('e1', 'bench-1', 0, cluster.configuration())
+    return bool(reply['result_code'] in (4, 5))
+
+
+def _usable_count(cluster: Cluster, name: str) -> int:
+    status: Any = cluster.status(name, endpoints=True)
+    if status is None or not status['serving']:
+        return -1
+    return sum(1 for each in status['endpoints'] if each['usable'])
+
+
+def print_table(rows: list[Measures], site: Site) -> None:
+    """Print the figures of one site as a table."""
+    print(f'\n### {site.name}: {len(announcements(site))} searchers\n')
+    print(
+        '| condition | system | queries | p50 ms | p99 ms | complete | goodput/s '
+        f'| {URGENT} complete | extra sub-requests | refusal p99 ms | faults |'
+    )
+    print('| --- ' * 11 + '|')
+    for row in rows:
+        faults = ', '.join(f'{name}: {count}' for name, count in row.faults.items()) or '0'
+        print(
+            f'| {row.condition} | {row.system} | {row.query_count} | {row.p50_ms:.1f} '
+            f'| {row.p99_ms:.1f} | {row.complete_share:.1%} | {row.goodput_hz:.1f} '
+            f'| {row.urgent_goodput_share:.1%} | {row.extra_share:+.1%} '
+            f'| {row.refusal_p99_ms:.1f} | {faults} |',
+            flush=True,
+        )
+
+
+def main() -> int:
+    """Run the wanted conditions at the wanted sites."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--site', action='append', choices=tuple(SITES))
+    parser.add_argument('--system', action='append', choices=('product', 'baseline'))
+    parser.add_argument('--condition', action='append')
+    parser.add_argument('--seconds', type=float, default=12.0)
+    options = parser.parse_args()
+    starters = {'baseline': start_baseline, 'product': start_product}
+    for site_name in options.site or SITES:
+        site = SITES[site_name]
+        rows = []
+        for name in options.system or starters:
+            with tempfile.TemporaryDirectory() as folder:
+                system = starters[name](Path(folder), site)
+                try:
+                    for condition in CONDITIONS:
+                        if options.condition is None or condition.name in options.condition:
+                            rows.append(run_condition(system, condition, site, options.seconds))
+                finally:
+                    system.cluster.stop()
+        print_table(sorted(rows, key=lambda row: _order(row.condition)), site)
+    return 0
+
+
+def _order(condition: str) -> int:
+    return [each.name for each in CONDITIONS].index(condition)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -186,23 +186,30 @@
         """Start the site's stand-in searchers in a few processes."""
         every = announcements(self.site, versions)
         entries = tuple(plan.caller_address for plan in self.plans.values())
+        started = []
         for number in range(host_count):
             (admin,) = free_addresses(1)
             plan = HostPlan(entries, every[number::host_count], behaviour, admin, seed + number)
             path = self.folder / f'searchers-{number}.json'
             path.write_bytes(msgspec.json.encode(plan))
-            host = subprocess.Popen(
-                [sys.executable, '-m', 'tools.searcher.host', str(path)],
-                stdout=subprocess.PIPE,
-                env=self._environment(),
-                cwd=REPOSITORY,
-            )
-            self.hosts.append(host)
+            host = self.spawn('tools.searcher.host', path)
+            started.append(host)
             self.admin_addresses.append(admin)
-        for host in self.hosts:
+        for host in started:
             assert host.stdout is not None
             host.stdout.readline()
 
+    def spawn(self, module: str, path: Path) -> subprocess.Popen[bytes]:
+        """Start a helper process that reads its plan from a file."""
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, str(path)],
+            stdout=subprocess.PIPE,
+            env=self._environment(),
+            cwd=REPOSITORY,
+        )
+        self.hosts.append(process)
+        return process
+
     def order(self, order: Order) -> None:
         """Give every searcher host an order for those of its searchers that it names."""
         for admin in self.admin_addresses:
--- a/tools/searcher/searcher.py
+++ b/tools/searcher/searcher.py
@@ -72,7 +72,9 @@
         app.router.add_post('/v1/execute', self._search)
         app.router.add_post('/v1/cancel', self._cancel)
         app.router.add_get('/v1/ping', self._ping)
-        self.runner = web.AppRunner(app, access_log=None, keepalive_timeout=3600)
+        self.runner = web.AppRunner(
+            app, access_log=None, keepalive_timeout=3600, shutdown_timeout=0.1
+        )
         await self.runner.setup()
         host, port = self.announcement.address.rsplit(':', 1)
         site = web.TCPSite(self.runner, host, int(port))
