Add the consensus decisions

Cause: the voters need one agreed log; nothing decided on terms, votes, replication or membership yet.

Vote requests carry the index of the candidate's membership, so that a learner whose promotion is committed but not yet received there can vote.

--- a/packages/core/src/pistachioloft_core/messages/agreement.py
+++ b/packages/core/src/pistachioloft_core/messages/agreement.py
@@ -56,6 +56,7 @@
     last_term: int
     pre_vote: bool
     transfer: bool = False
+    membership_index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/agreement/election.py
@@ -0,0 +1,157 @@
+"""Pre-votes, votes and elections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...messages.agreement import ENTRY_NOOP, LogEntry, VoteReply, VoteRequest
+from .lease import hears_leader
+from .replication import append_as_leader, broadcast, new_progress
+from .state import (
+    ROLE_CANDIDATE,
+    ROLE_LEADER,
+    ROLE_PRE_CANDIDATE,
+    become_follower,
+    is_voter,
+    majority,
+    reset_election_timer,
+    set_term,
+)
+
+if TYPE_CHECKING:
+    from ...messages.agreement import TimeoutNow
+    from .state import AgreementState, Effects
+
+
+def start_pre_vote(state: AgreementState, effects: Effects, now_ms: float) -> None:
+    """Ask whether an election could be won, without disturbing a leader."""
+    reset_election_timer(state, now_ms)
+    state.leader = None
+    if not is_voter(state):
+        return
+    state.role = ROLE_PRE_CANDIDATE
+    state.votes = {state.member_id}
+    if len(state.votes) >= majority(state):
+        start_election(state, effects, now_ms, transfer=False)
+        return
+    _ask_for_votes(state, effects, state.term + 1, pre_vote=True, transfer=False)
+
+
+def start_election(
+    state: AgreementState, effects: Effects, now_ms: float, *, transfer: bool
+) -> None:
+    """Stand for election in a new term."""
+    reset_election_timer(state, now_ms)
+    set_term(state, effects, state.term + 1, state.member_id)
+    state.role, state.leader = ROLE_CANDIDATE, None
+    state.votes = {state.member_id}
+    if len(state.votes) >= majority(state):
+        become_leader(state, effects, now_ms)
+        return
+    _ask_for_votes(state, effects, state.term, pre_vote=False, transfer=transfer)
+
+
+def _ask_for_votes(
+    state: AgreementState, effects: Effects, term: int, *, pre_vote: bool, transfer: bool
+) -> None:
+    """Send a vote request to every other voter."""
+    request = VoteRequest(
+        term=term,
+        candidate=state.member_id,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        pre_vote=pre_vote,
+        transfer=transfer,
+        membership_index=state.membership_index,
+    )
+    for voter in state.membership.voters:
+        if voter != state.member_id:
+            effects.send(voter, request)
+
+
+def become_leader(state: AgreementState, effects: Effects, now_ms: float) -> None:
+    """Lead the current term, starting with an entry of this term."""
+    state.role, state.leader = ROLE_LEADER, state.member_id
+    state.term_start_ms = now_ms
+    state.lease_given_up = False
+    state.transfer_target = None
+    state.heartbeat_sent_ms.clear()
+    state.progress = {}
+    new_progress(state, now_ms)
+    time_ms = state.log.entries[-1].time_ms if state.log.entries else 0
+    state.term_start_index = state.log.last_index + 1
+    noop = LogEntry(state.term, state.term_start_index, ENTRY_NOOP, time_ms)
+    append_as_leader(state, effects, now_ms, (noop,))
+    broadcast(state, effects, now_ms)
+
+
+def on_vote_request(
+    state: AgreementState, effects: Effects, now_ms: float, request: VoteRequest
+) -> None:
+    """Answer a vote or pre-vote request."""
+    if not may_vote(state, request) or (hears_leader(state, now_ms) and not request.transfer):
+        _reply(state, effects, request, granted=False)
+        return
+    if request.term > state.term and not request.pre_vote:
+        become_follower(state, effects, now_ms, request.term, None)
+    granted = request.term >= state.term and _is_up_to_date(state, request)
+    if not request.pre_vote:
+        granted = granted and state.voted_for in (None, request.candidate)
+        if granted and state.voted_for is None:
+            set_term(state, effects, state.term, request.candidate)
+            reset_election_timer(state, now_ms)
+    elif request.term == state.term:
+        granted = granted and state.voted_for in (None, request.candidate)
+    _reply(state, effects, request, granted=granted)
+
+
+def may_vote(state: AgreementState, request: VoteRequest) -> bool:
+    """Tell whether this member is a voter, as far as it or a newer membership says."""
+    if is_voter(state):
+        return True
+    # The entry that promotes a learner can be committed before the learner has it. A candidate
+    # only asks the voters of its own membership, so a newer membership there is that entry.
+    is_learner = state.member_id in state.membership.learners
+    return is_learner and request.membership_index > state.membership_index
+
+
+def _is_up_to_date(state: AgreementState, request: VoteRequest) -> bool:
+    """Tell whether the candidate's log is at least as new as this one."""
+    own = (state.log.last_term, state.log.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+def _reply(state: AgreementState, effects: Effects, request: VoteRequest, *, granted: bool) -> None:
+    """Send a vote reply; a granted pre-vote names the term that was asked for."""
+    term = request.term if granted else state.term
+    reply = VoteReply(term, state.member_id, granted, request.pre_vote)
+    effects.send(request.candidate, reply)
+
+
+def on_vote_reply(state: AgreementState, effects: Effects, now_ms: float, reply: VoteReply) -> None:
+    """Count a vote."""
+    if not reply.granted:
+        if reply.term > state.term:
+            become_follower(state, effects, now_ms, reply.term, None)
+        return
+    asked_term = state.term + 1 if reply.pre_vote else state.term
+    asking_role = ROLE_PRE_CANDIDATE if reply.pre_vote else ROLE_CANDIDATE
+    if state.role != asking_role or reply.term != asked_term:
+        return
+    if reply.voter not in state.membership.voters:
+        return
+    state.votes.add(reply.voter)
+    if len(state.votes) < majority(state):
+        return
+    if reply.pre_vote:
+        start_election(state, effects, now_ms, transfer=False)
+    else:
+        become_leader(state, effects, now_ms)
+
+
+def on_timeout_now(
+    state: AgreementState, effects: Effects, now_ms: float, message: TimeoutNow
+) -> None:
+    """Stand for election because the leader hands over."""
+    if message.term == state.term and state.leader == message.leader and is_voter(state):
+        start_election(state, effects, now_ms, transfer=True)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/agreement/lease.py
@@ -0,0 +1,84 @@
+"""Leader lease and contact with a quorum."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .limits import (
+    ELECTION_TIMEOUT_MAX_MS,
+    ELECTION_TIMEOUT_MIN_MS,
+    LEASE_MS,
+    REMEMBERED_HEARTBEATS,
+)
+from .state import ROLE_LEADER, majority
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .state import AgreementState, Progress
+
+
+def hears_leader(state: AgreementState, now_ms: float) -> bool:
+    """Tell whether this member leads or heard a leader too recently to vote for another."""
+    heard = now_ms - state.leader_heard_ms < ELECTION_TIMEOUT_MIN_MS
+    return state.role == ROLE_LEADER or heard
+
+
+def next_heartbeat(state: AgreementState, now_ms: float) -> None:
+    """Start a heartbeat round and remember when it was sent."""
+    state.heartbeat_id += 1
+    state.heartbeat_sent_ms[state.heartbeat_id] = now_ms
+    while len(state.heartbeat_sent_ms) > REMEMBERED_HEARTBEATS:
+        state.heartbeat_sent_ms.popitem(last=False)
+
+
+def note_answer(
+    state: AgreementState, progress: Progress, heartbeat_id: int, now_ms: float
+) -> None:
+    """Count an answered heartbeat from the time at which it was sent."""
+    progress.heard_ms = now_ms
+    sent_ms = state.heartbeat_sent_ms.get(heartbeat_id)
+    if sent_ms is not None:
+        progress.answered_ms = max(progress.answered_ms, sent_ms)
+
+
+def quorum_time_ms(
+    state: AgreementState, now_ms: float, time_of: Callable[[Progress], float]
+) -> float:
+    """Return the newest time that a quorum of voters has reached; the leader counts as now."""
+    times = [
+        now_ms if voter == state.member_id else time_of(state.progress[voter])
+        for voter in state.membership.voters
+    ]
+    return sorted(times, reverse=True)[majority(state) - 1]
+
+
+def has_lease(state: AgreementState, now_ms: float) -> bool:
+    """Tell whether this member is certain to be the only leader and knows all commits."""
+    if state.role != ROLE_LEADER or state.lease_given_up:
+        return False
+    if state.commit_index < state.term_start_index:
+        return False
+    return now_ms - quorum_time_ms(state, now_ms, lambda peer: peer.answered_ms) < LEASE_MS
+
+
+def lost_quorum(state: AgreementState, now_ms: float) -> bool:
+    """Tell whether no quorum has answered for an election timeout."""
+    heard_ms = quorum_time_ms(state, now_ms, lambda peer: peer.heard_ms)
+    return now_ms - heard_ms >= ELECTION_TIMEOUT_MIN_MS
+
+
+def is_live(state: AgreementState, now_ms: float, member: str) -> bool:
+    """Tell whether the leader heard a member within an election timeout."""
+    if member == state.member_id:
+        return True
+    progress = state.progress.get(member)
+    return progress is not None and now_ms - progress.heard_ms < ELECTION_TIMEOUT_MAX_MS
+
+
+def can_lose(state: AgreementState, now_ms: float) -> int:
+    """Return how many more voters can be lost, 0 where this member cannot know."""
+    if not has_lease(state, now_ms):
+        return 0
+    live_count = sum(is_live(state, now_ms, voter) for voter in state.membership.voters)
+    return max(0, live_count - majority(state))
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/agreement/limits.py
@@ -0,0 +1,24 @@
+"""Times and sizes of consensus."""
+
+from __future__ import annotations
+
+HEARTBEAT_INTERVAL_MS = 100.0
+ELECTION_TIMEOUT_MIN_MS = 600.0
+ELECTION_TIMEOUT_MAX_MS = 1200.0
+# Voters refuse votes for ELECTION_TIMEOUT_MIN_MS after a heartbeat. The lease is shorter by a
+# fifth, so that clocks whose rates differ by up to that much cannot make two leases overlap.
+LEASE_MS = 0.8 * ELECTION_TIMEOUT_MIN_MS
+TRANSFER_TIMEOUT_MS = ELECTION_TIMEOUT_MAX_MS
+SNAPSHOT_RETRY_MS = 10_000.0
+MAX_APPEND_ENTRIES = 256
+MAX_APPEND_BYTES = 256 * 1024
+MAX_IN_FLIGHT_ENTRIES = 2048
+# Entries kept in memory behind a snapshot, so that a follower which is a little behind needs no
+# snapshot transfer. One snapshot interval.
+RETAINED_ENTRIES = 1000
+# A learner this close to the commit index counts as caught up; under load it is never level.
+CAUGHT_UP_LAG_ENTRIES = 64
+# A learner that is silent for this long gives way to a newer member of its instance.
+LEARNER_LOST_MS = 5_000.0
+# Heartbeats older than this many rounds are past the lease; their answers are not counted.
+REMEMBERED_HEARTBEATS = 16
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/agreement/repair.py
@@ -0,0 +1,137 @@
+"""Automatic repair of the membership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .events import ADD_LEARNER, PROMOTE, REMOVE, MembershipChange
+from .lease import has_lease, is_live
+from .limits import CAUGHT_UP_LAG_ENTRIES, ELECTION_TIMEOUT_MAX_MS, LEARNER_LOST_MS
+from .membership import change_allowed, instance_of
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from .state import AgreementState
+
+
+def next_membership_change(
+    state: AgreementState,
+    now_ms: float,
+    wanted_instances: Collection[str],
+    heard_members: Collection[str],
+) -> MembershipChange | None:
+    """Return the next change that brings the voters to the wanted instances, None if none."""
+    if not wanted_instances or not has_lease(state, now_ms) or not change_allowed(state):
+        return None
+    # A new leader counts every member as heard at its election; it waits until it knows better.
+    settled = now_ms - state.term_start_ms >= ELECTION_TIMEOUT_MAX_MS
+    if not settled or state.transfer_target is not None:
+        return None
+    return (
+        _drop_learner(state, now_ms, wanted_instances, heard_members)
+        or _admit_learner(state, now_ms, wanted_instances, heard_members)
+        or _promote_learner(state, now_ms)
+        or _drop_replaced_voter(state, now_ms)
+        or _drop_unwanted_voter(state, now_ms, wanted_instances)
+    )
+
+
+def _drop_learner(
+    state: AgreementState,
+    now_ms: float,
+    wanted_instances: Collection[str],
+    heard_members: Collection[str],
+) -> MembershipChange | None:
+    """Remove a learner that is not wanted, not needed or lost its disk in turn."""
+    for learner in state.membership.learners:
+        instance = instance_of(learner)
+        live_voter = any(
+            instance_of(voter) == instance and is_live(state, now_ms, voter)
+            for voter in state.membership.voters
+        )
+        silent_ms = now_ms - state.progress[learner].heard_ms
+        replaced = silent_ms >= LEARNER_LOST_MS and any(
+            instance_of(member) == instance and member != learner for member in heard_members
+        )
+        if instance not in wanted_instances or live_voter or replaced:
+            return MembershipChange(REMOVE, learner)
+    return None
+
+
+def _admit_learner(
+    state: AgreementState,
+    now_ms: float,
+    wanted_instances: Collection[str],
+    heard_members: Collection[str],
+) -> MembershipChange | None:
+    """Admit a heard member of a wanted instance that has no live member, one at a time."""
+    if state.membership.learners:
+        return None
+    served = {
+        instance_of(voter) for voter in state.membership.voters if is_live(state, now_ms, voter)
+    }
+    for member in sorted(heard_members):
+        instance = instance_of(member)
+        if member in state.membership.voters or instance in served:
+            continue
+        if instance in wanted_instances:
+            return MembershipChange(ADD_LEARNER, member)
+    return None
+
+
+def _ready_learners(state: AgreementState, now_ms: float) -> list[str]:
+    """Return the live learners that hold nearly all committed entries."""
+    needed_index = state.commit_index - CAUGHT_UP_LAG_ENTRIES
+    return [
+        learner
+        for learner in state.membership.learners
+        if is_live(state, now_ms, learner)
+        and state.progress[learner].match_index >= max(1, needed_index)
+    ]
+
+
+def _promote_learner(state: AgreementState, now_ms: float) -> MembershipChange | None:
+    """Promote a learner whose instance has no voter, if the larger quorum can commit."""
+    voters = state.membership.voters
+    instances = {instance_of(voter) for voter in voters}
+    live_count = sum(is_live(state, now_ms, voter) for voter in voters) + 1
+    can_commit = live_count >= (len(voters) + 1) // 2 + 1
+    for learner in _ready_learners(state, now_ms):
+        if instance_of(learner) not in instances and can_commit:
+            return MembershipChange(PROMOTE, learner)
+    return None
+
+
+def _can_commit_without(state: AgreementState, now_ms: float, removed: str) -> bool:
+    """Tell whether the voters left after a removal can commit."""
+    left = [voter for voter in state.membership.voters if voter != removed]
+    live_count = sum(is_live(state, now_ms, voter) for voter in left)
+    return bool(left) and live_count >= len(left) // 2 + 1
+
+
+def _drop_replaced_voter(state: AgreementState, now_ms: float) -> MembershipChange | None:
+    """Remove the silent voter of an instance whose new member has caught up."""
+    ready = {instance_of(learner) for learner in _ready_learners(state, now_ms)}
+    for voter in state.membership.voters:
+        replaced = instance_of(voter) in ready and not is_live(state, now_ms, voter)
+        if replaced and _can_commit_without(state, now_ms, voter):
+            return MembershipChange(REMOVE, voter)
+    return None
+
+
+def _drop_unwanted_voter(
+    state: AgreementState, now_ms: float, wanted_instances: Collection[str]
+) -> MembershipChange | None:
+    """Remove a voter of an unwanted instance, silent ones first and the leader last."""
+    unwanted = [
+        voter for voter in state.membership.voters if instance_of(voter) not in wanted_instances
+    ]
+    # Until its replacement is a voter, an unwanted voter still holds a copy of the log.
+    if len(state.membership.voters) <= len(wanted_instances):
+        return None
+    unwanted.sort(key=lambda voter: (voter == state.member_id, is_live(state, now_ms, voter)))
+    for voter in unwanted:
+        if _can_commit_without(state, now_ms, voter):
+            return MembershipChange(REMOVE, voter)
+    return None
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/agreement/replication.py
@@ -0,0 +1,263 @@
+"""Replication of the log and commitment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...messages.agreement import AppendReply, AppendRequest, TimeoutNow
+from .lease import next_heartbeat, note_answer
+from .limits import (
+    HEARTBEAT_INTERVAL_MS,
+    MAX_IN_FLIGHT_ENTRIES,
+    RETAINED_ENTRIES,
+    SNAPSHOT_RETRY_MS,
+)
+from .state import (
+    ROLE_FOLLOWER,
+    ROLE_LEADER,
+    AgreementError,
+    Progress,
+    append_entries,
+    apply_up_to,
+    become_follower,
+    is_voter,
+    majority,
+    reset_election_timer,
+    truncate_log,
+)
+
+if TYPE_CHECKING:
+    from ...messages.agreement import LogEntry, SnapshotMeta
+    from .state import AgreementState, Effects
+
+
+def new_progress(state: AgreementState, now_ms: float) -> None:
+    """Track exactly the other members of the membership in force."""
+    members = state.membership.voters + state.membership.learners
+    state.progress = {
+        member: state.progress.get(member) or Progress(state.log.last_index + 1, now_ms)
+        for member in members
+        if member != state.member_id
+    }
+
+
+def append_as_leader(
+    state: AgreementState, effects: Effects, now_ms: float, entries: tuple[LogEntry, ...]
+) -> None:
+    """Append entries of this leader; they are durable before anything else is done."""
+    membership_index = state.membership_index
+    append_entries(state, effects, entries)
+    if state.membership_index != membership_index:
+        new_progress(state, now_ms)
+    advance_commit(state, effects, now_ms)
+
+
+def broadcast(state: AgreementState, effects: Effects, now_ms: float) -> None:
+    """Send a heartbeat round, with entries where a member lacks some."""
+    next_heartbeat(state, now_ms)
+    state.heartbeat_due_ms = now_ms + HEARTBEAT_INTERVAL_MS
+    for member in state.progress:
+        send_append(state, effects, now_ms, member)
+
+
+def send_new_entries(state: AgreementState, effects: Effects, now_ms: float) -> None:
+    """Send entries to the members that are ready for more."""
+    for member, progress in state.progress.items():
+        if not progress.probing and progress.next_index <= state.log.last_index:
+            send_append(state, effects, now_ms, member)
+
+
+def send_append(state: AgreementState, effects: Effects, now_ms: float, member: str) -> None:
+    """Send one append message, or start a snapshot transfer where entries are gone."""
+    progress = state.progress[member]
+    if progress.next_index <= state.log.base_index:
+        _offer_snapshot(state, effects, now_ms, member)
+    previous_index = max(progress.next_index - 1, state.log.base_index)
+    entries: tuple[LogEntry, ...] = ()
+    if progress.next_index > state.log.base_index:
+        room = progress.match_index + MAX_IN_FLIGHT_ENTRIES - previous_index
+        entries = state.log.batch(previous_index + 1, max(0, room))
+    request = AppendRequest(
+        term=state.term,
+        leader=state.member_id,
+        previous_index=previous_index,
+        previous_term=state.log.term_at(previous_index) or 0,
+        entries=entries,
+        commit_index=state.commit_index,
+        heartbeat_id=state.heartbeat_id,
+    )
+    if entries and not progress.probing:
+        progress.next_index = entries[-1].index + 1
+    effects.send(member, request)
+
+
+def _offer_snapshot(state: AgreementState, effects: Effects, now_ms: float, member: str) -> None:
+    """Start a snapshot transfer unless one was started recently."""
+    progress = state.progress[member]
+    due = now_ms - progress.snapshot_sent_ms >= SNAPSHOT_RETRY_MS
+    if state.snapshot is not None and due:
+        progress.snapshot_sent_ms = now_ms
+        effects.send_snapshot(member)
+
+
+def on_append_request(
+    state: AgreementState, effects: Effects, now_ms: float, request: AppendRequest
+) -> None:
+    """Follow the leader and take its entries."""
+    if request.term < state.term:
+        _reply(state, effects, request, match_index=0, success=False)
+        return
+    if state.role == ROLE_LEADER and request.term == state.term:
+        raise AgreementError(f'{request.leader} also leads term {request.term}')
+    if request.term > state.term or state.role != ROLE_FOLLOWER:
+        become_follower(state, effects, now_ms, request.term, request.leader)
+    state.leader = request.leader
+    state.leader_heard_ms = now_ms
+    reset_election_timer(state, now_ms)
+    if not state.log.matches(request.previous_index, request.previous_term):
+        hint = max(state.commit_index, state.log.conflict_hint(request.previous_index))
+        _reply(state, effects, request, match_index=hint, success=False)
+        return
+    _take_entries(state, effects, request.entries)
+    match_index = request.previous_index + len(request.entries)
+    apply_up_to(state, effects, min(request.commit_index, match_index))
+    _reply(state, effects, request, match_index=match_index, success=True)
+
+
+def _take_entries(state: AgreementState, effects: Effects, entries: tuple[LogEntry, ...]) -> None:
+    """Append the entries that are new and drop those that contradict them."""
+    for position, entry in enumerate(entries):
+        if state.log.matches(entry.index, entry.term):
+            continue
+        if entry.index <= state.commit_index:
+            raise AgreementError(f'entry {entry.index} is committed and would change')
+        if entry.index <= state.log.last_index:
+            truncate_log(state, entry.index)
+        append_entries(state, effects, entries[position:])
+        return
+
+
+def _reply(
+    state: AgreementState,
+    effects: Effects,
+    request: AppendRequest,
+    *,
+    match_index: int,
+    success: bool,
+) -> None:
+    """Answer the leader, echoing its heartbeat."""
+    reply = AppendReply(state.term, state.member_id, success, match_index, request.heartbeat_id)
+    effects.send(request.leader, reply)
+
+
+def on_append_reply(
+    state: AgreementState, effects: Effects, now_ms: float, reply: AppendReply
+) -> None:
+    """Note how far a member has come, commit and send it more."""
+    progress = state.progress.get(reply.member)
+    if state.role != ROLE_LEADER or progress is None:
+        return
+    if reply.term > state.term:
+        become_follower(state, effects, now_ms, reply.term, None)
+        return
+    if reply.term < state.term:
+        return
+    note_answer(state, progress, reply.heartbeat_id, now_ms)
+    if reply.success:
+        _advance(state, progress, reply.match_index)
+        advance_commit(state, effects, now_ms)
+    else:
+        progress.next_index = max(reply.match_index, progress.match_index) + 1
+        progress.probing = True
+    if state.role != ROLE_LEADER:
+        return
+    if state.log.base_index < progress.next_index <= state.log.last_index:
+        send_append(state, effects, now_ms, reply.member)
+    finish_transfer(state, effects)
+
+
+def _advance(state: AgreementState, progress: Progress, match_index: int) -> None:
+    """Raise the match index; it never goes back within a term."""
+    progress.match_index = max(progress.match_index, match_index)
+    if progress.match_index >= state.log.base_index:
+        progress.probing = False
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+
+
+def advance_commit(state: AgreementState, effects: Effects, now_ms: float) -> None:
+    """Commit what a quorum holds, counted only at entries of the current term."""
+    voters = state.membership.voters
+    matches = sorted(
+        (
+            state.log.last_index if voter == state.member_id else state.progress[voter].match_index
+            for voter in voters
+        ),
+        reverse=True,
+    )
+    index = matches[majority(state) - 1]
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return
+    apply_up_to(state, effects, index)
+    if state.commit_index >= state.membership_index and not is_voter(state):
+        _retire(state, effects, now_ms)
+
+
+def _retire(state: AgreementState, effects: Effects, now_ms: float) -> None:
+    """Hand over after the own removal is committed."""
+    broadcast(state, effects, now_ms)
+    state.lease_given_up = True
+    heir = best_heir(state)
+    if heir is not None:
+        effects.send(heir, TimeoutNow(state.term, state.member_id))
+    become_follower(state, effects, now_ms, state.term, None)
+
+
+def best_heir(state: AgreementState) -> str | None:
+    """Return the most up-to-date other voter."""
+    others = [voter for voter in state.membership.voters if voter in state.progress]
+    return max(others, key=lambda voter: state.progress[voter].match_index, default=None)
+
+
+def finish_transfer(state: AgreementState, effects: Effects) -> None:
+    """Tell the target of a transfer to stand for election once it holds the whole log."""
+    target = state.transfer_target
+    if target is None or state.lease_given_up or target not in state.progress:
+        return
+    if state.progress[target].match_index == state.log.last_index:
+        # Voters accept a transfer vote while they hear this leader, so its lease ends here.
+        state.lease_given_up = True
+        effects.send(target, TimeoutNow(state.term, state.member_id))
+
+
+def on_compacted(state: AgreementState, snapshot: SnapshotMeta) -> None:
+    """Drop entries that a snapshot covers, but the newest of them."""
+    if state.snapshot is not None and snapshot.index <= state.snapshot.index:
+        return
+    if snapshot.index > state.commit_index:
+        raise AgreementError(f'snapshot {snapshot.index} is past commit {state.commit_index}')
+    state.snapshot = snapshot
+    state.log.compact(snapshot.index - RETAINED_ENTRIES)
+    older = [index for index, _ in state.memberships if index <= snapshot.index]
+    if older:
+        del state.memberships[: len(older) - 1]
+
+
+def on_snapshot_installed(state: AgreementState, effects: Effects, snapshot: SnapshotMeta) -> None:
+    """Continue after a snapshot, keeping the entries that follow it."""
+    if snapshot.index <= state.commit_index:
+        return
+    if state.log.term_at(snapshot.index) == snapshot.term:
+        state.log.compact(snapshot.index)
+        state.memberships = [(snapshot.index, snapshot.membership)] + [
+            record for record in state.memberships if record[0] > snapshot.index
+        ]
+    else:
+        state.log.reset(snapshot.index, snapshot.term)
+        state.memberships = [(snapshot.index, snapshot.membership)]
+        effects.truncate_from = snapshot.index + 1
+    state.snapshot = snapshot
+    state.commit_index = snapshot.index
+    state.storage_last_index = max(snapshot.index, state.log.last_index)
+    if state.leader is not None and state.role == ROLE_FOLLOWER:
+        reply = AppendReply(state.term, state.member_id, True, snapshot.index, 0)
+        effects.send(state.leader, reply)
