Add the replicated state machine of the accepted configuration and claims

Cause: operators who submit concurrently, commands whose answers were lost and restarts need one ordered state that every voter computes in the same way. Before: messages only.

--- a/packages/core/src/pistachioloft_core/messages/accepted.py
+++ b/packages/core/src/pistachioloft_core/messages/accepted.py
@@ -77,6 +77,7 @@
     digest: str
     configuration: Configuration
     draining_instances: tuple[str, ...] = ()
+    removed_instances: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +137,10 @@
 CLAIM_EXPIRED = 'expired'
 CLAIM_KEY_REUSED = 'key_reused'
 CLAIM_CLOSED = 'closed'
+CLAIM_RELEASED = 'released'
+CLAIM_NOT_HELD = 'not_held'
+CLAIM_TABLE_FULL = 'table_full'
+CLAIM_TOO_LARGE = 'too_large'
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +153,7 @@
     repeated: bool = False
     claim_result: str = ''
     claim_outcome: Any = None
+    claim_outcome_stored: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/version/accepted.py
@@ -0,0 +1,258 @@
+"""Replicated state machine: configuration, operator commands and claims."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from ..codec import content_digest, decode_packed, encode_packed
+from ..errors import CodedError, ResultCode
+from ..messages.accepted import (
+    AcceptedCommand,
+    AcceptedConfiguration,
+    CloseClaim,
+    CommandOutcome,
+    Configuration,
+    DrainInstance,
+    HistoryEntry,
+    NoOperation,
+    OpenClaim,
+    SubmitConfiguration,
+)
+from .claims import Claim, ClaimTable, close_claim, expire_claims, open_claim
+
+COMMAND_FORMAT = 1
+SNAPSHOT_FORMAT = 1
+OUTCOME_LIMIT_COUNT = 4096
+HISTORY_LIMIT_COUNT = 200
+OPERATOR_TEXT_LIMIT_BYTES = 4096
+CONFIGURATION_LIMIT_BYTES = 8 * 1024 * 1024
+
+# An instance that a submission removed can hold a lease that an earlier leader granted, so a
+# new leader must know these instances to report truthfully where the submission is in force.
+REMOVED_LIMIT_COUNT = 1024
+
+_COMMAND_TYPES: dict[str, type] = {
+    kind.__name__: kind
+    for kind in (SubmitConfiguration, DrainInstance, OpenClaim, CloseClaim, NoOperation)
+}
+_command_decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    name: msgspec.msgpack.Decoder(kind) for name, kind in _COMMAND_TYPES.items()
+}
+_envelope_decoder = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw])
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedOutcome:
+    """Hold the first outcome of an operator command and the digest of its content."""
+
+    command_id: str
+    command_digest: str
+    outcome: CommandOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class _StateSnapshot:
+    format: int
+    applied_term: int
+    applied_index: int
+    log_time_ms: int
+    accepted: AcceptedConfiguration
+    history: tuple[HistoryEntry, ...]
+    outcomes: tuple[RecordedOutcome, ...]
+    claims: tuple[Claim, ...]
+
+
+class AcceptedState:
+    """Hold everything that the voters agreed on."""
+
+    def __init__(self) -> None:
+        self.applied_term = 0
+        self.applied_index = 0
+        self.log_time_ms = 0
+        empty = Configuration()
+        self.accepted = AcceptedConfiguration(0, 0, configuration_digest(empty), empty)
+        self.history: list[HistoryEntry] = []
+        self.outcomes: dict[str, RecordedOutcome] = {}
+        self.claim_table = ClaimTable()
+
+
+def configuration_digest(configuration: Configuration) -> str:
+    """Compute the digest under which a configuration is accepted."""
+    return content_digest(configuration)
+
+
+def accepted_configuration(state: AcceptedState) -> AcceptedConfiguration:
+    """Return the configuration in force with its log position."""
+    return state.accepted
+
+
+def history(state: AcceptedState) -> tuple[HistoryEntry, ...]:
+    """Return the newest accepted submissions, oldest first."""
+    return tuple(state.history)
+
+
+def apply_command(
+    state: AcceptedState, term: int, index: int, time_ms: int, command: AcceptedCommand
+) -> CommandOutcome:
+    """Apply one committed command; every replica computes the same outcome."""
+    if index <= state.applied_index:
+        raise ValueError(f'index {index} is already applied (up to {state.applied_index})')
+    state.applied_term = term
+    state.applied_index = index
+    # A new leader's clock can be behind; going back would revive keys that have expired.
+    state.log_time_ms = max(state.log_time_ms, time_ms)
+    expire_claims(state.claim_table, state.log_time_ms)
+    match command:
+        case OpenClaim():
+            return open_claim(state.claim_table, state.log_time_ms, command)
+        case CloseClaim():
+            return close_claim(state.claim_table, command)
+        case SubmitConfiguration() | DrainInstance():
+            return _apply_operator_command(state, command)
+        case NoOperation():
+            return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.accepted.index)
+
+
+def encode_command(command: AcceptedCommand) -> bytes:
+    """Encode a command for the log with its type."""
+    try:
+        return encode_packed((COMMAND_FORMAT, type(command).__name__, command))
+    except (TypeError, ValueError, OverflowError) as error:
+        # JSON allows integers that the packed form, with 64 bits, does not.
+        raise CodedError(ResultCode.OUT_OF_RANGE, f'command cannot be stored: {error}') from error
+
+
+def decode_command(data: bytes) -> AcceptedCommand:
+    """Decode a command of the log."""
+    try:
+        version, name, raw = _envelope_decoder.decode(data)
+        decoder = _command_decoders.get(name)
+        if version != COMMAND_FORMAT or decoder is None:
+            raise CodedError(ResultCode.MALFORMED, f'unknown command {name!r}, format {version}')
+        return decoder.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise CodedError(ResultCode.MALFORMED, f'not a valid command: {error}') from error
+
+
+def encode_snapshot(state: AcceptedState) -> bytes:
+    """Encode the whole state; equal states give equal bytes."""
+    return encode_packed(
+        _StateSnapshot(
+            SNAPSHOT_FORMAT,
+            state.applied_term,
+            state.applied_index,
+            state.log_time_ms,
+            state.accepted,
+            tuple(state.history),
+            tuple(state.outcomes.values()),
+            tuple(state.claim_table.claims.values()),
+        )
+    )
+
+
+def decode_snapshot(data: bytes) -> AcceptedState:
+    """Decode a snapshot; no data (the start of a new cluster) is the empty state."""
+    state = AcceptedState()
+    if not data:
+        return state
+    snapshot = decode_packed(data, _StateSnapshot)
+    if snapshot.format != SNAPSHOT_FORMAT:
+        raise CodedError(ResultCode.MALFORMED, f'unknown snapshot format {snapshot.format}')
+    state.applied_term = snapshot.applied_term
+    state.applied_index = snapshot.applied_index
+    state.log_time_ms = snapshot.log_time_ms
+    state.accepted = snapshot.accepted
+    state.history = list(snapshot.history)
+    state.outcomes = {recorded.command_id: recorded for recorded in snapshot.outcomes}
+    state.claim_table = ClaimTable(snapshot.claims)
+    return state
+
+
+def _apply_operator_command(
+    state: AcceptedState, command: SubmitConfiguration | DrainInstance
+) -> CommandOutcome:
+    digest = content_digest(type(command).__name__, command)
+    recorded = state.outcomes.get(command.command_id)
+    if recorded is not None:
+        if recorded.command_digest != digest:
+            detail = 'the command id was used for another command'
+            return CommandOutcome(ResultCode.KEY_REUSED, detail, state.accepted.index)
+        first = recorded.outcome
+        accepted = first.result_code is ResultCode.ACCEPTED
+        code = ResultCode.ACCEPTED_REPEATED if accepted else first.result_code
+        return replace(first, result_code=code, repeated=True)
+    refusal = _check_size(command)
+    if refusal is not None:
+        return refusal
+    if isinstance(command, SubmitConfiguration):
+        outcome = _submit(state, command)
+    else:
+        outcome = _drain(state, command)
+    state.outcomes[command.command_id] = RecordedOutcome(command.command_id, digest, outcome)
+    if len(state.outcomes) > OUTCOME_LIMIT_COUNT:
+        del state.outcomes[next(iter(state.outcomes))]
+    return outcome
+
+
+def _check_size(command: SubmitConfiguration | DrainInstance) -> CommandOutcome | None:
+    text = len(command.command_id.encode()) + len(command.operator.encode())
+    if isinstance(command, SubmitConfiguration):
+        text += len(command.note.encode())
+        if len(encode_packed(command.configuration)) > CONFIGURATION_LIMIT_BYTES:
+            detail = f'the configuration exceeds {CONFIGURATION_LIMIT_BYTES} bytes'
+            return CommandOutcome(ResultCode.TOO_LARGE, detail)
+    if text > OPERATOR_TEXT_LIMIT_BYTES:
+        detail = f'command id, operator and note exceed {OPERATOR_TEXT_LIMIT_BYTES} bytes'
+        return CommandOutcome(ResultCode.TOO_LARGE, detail)
+    return None
+
+
+def _submit(state: AcceptedState, command: SubmitConfiguration) -> CommandOutcome:
+    current = state.accepted
+    if command.base_index != current.index:
+        detail = f'based on index {command.base_index}, accepted is index {current.index}'
+        return CommandOutcome(ResultCode.CONFLICT, detail, current.index)
+    kept = {entry.instance for entry in command.configuration.instances}
+    before = (*current.removed_instances, *(e.instance for e in current.configuration.instances))
+    removed = tuple(name for name in dict.fromkeys(before) if name not in kept)
+    state.accepted = AcceptedConfiguration(
+        state.applied_term,
+        state.applied_index,
+        configuration_digest(command.configuration),
+        command.configuration,
+        tuple(name for name in current.draining_instances if name in kept),
+        removed[-REMOVED_LIMIT_COUNT:],
+    )
+    state.history.append(
+        HistoryEntry(
+            state.applied_index,
+            state.applied_term,
+            state.accepted.digest,
+            command.operator,
+            command.note,
+            state.log_time_ms,
+        )
+    )
+    del state.history[:-HISTORY_LIMIT_COUNT]
+    return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.applied_index)
+
+
+def _drain(state: AcceptedState, command: DrainInstance) -> CommandOutcome:
+    current = state.accepted
+    if all(entry.instance != command.instance for entry in current.configuration.instances):
+        detail = f'the inventory has no instance {command.instance!r}'
+        return CommandOutcome(ResultCode.UNKNOWN_INSTANCE, detail, current.index)
+    draining = set(current.draining_instances)
+    if command.draining == (command.instance in draining):
+        return CommandOutcome(ResultCode.ACCEPTED, 'already so', current.index)
+    draining ^= {command.instance}
+    state.accepted = replace(
+        current,
+        term=state.applied_term,
+        index=state.applied_index,
+        draining_instances=tuple(sorted(draining)),
+    )
+    return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.applied_index)
