--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/budget.py
@@ -0,0 +1,72 @@
+"""Budget that hedges and retries share."""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Share of first tries that hedges and retries may add.
+BUDGET_SHARE = 0.05
+# Upper limit of the share in any window, checked when an extra try is sent.
+WINDOW_SHARE = 0.10
+WINDOW_MS = 10_000.0
+# Initial and largest balance. A lost owner instance takes about 15 of 106 endpoints
+# with it; each needs up to 2 retries before its breaker opens, and a query that is in
+# flight meanwhile asks 7 of them: 2 * 15 + 4 * 7 = 58. One lost endpoint needs 2 or 3.
+# In any window the extra tries are at most this figure plus 5% of its first tries.
+ALLOWANCE_COUNT = 64.0
+# Hedges leave this balance to retries: a late answer is still an answer.
+RETRY_RESERVE_COUNT = 32.0
+SLOT_MS = 100.0
+
+
+class BudgetState:
+    """Hold the balance and the counts of the last window."""
+
+    __slots__ = ('_slots', 'balance', 'extra_count', 'first_count')
+
+    def __init__(self) -> None:
+        self.balance = ALLOWANCE_COUNT
+        self.first_count = 0
+        self.extra_count = 0
+        self._slots: deque[list[float]] = deque()
+
+    def slot(self, now_ms: float) -> list[float]:
+        """Return the counts of the present slot and drop slots older than the window."""
+        slots = self._slots
+        while slots and slots[0][0] <= now_ms - WINDOW_MS - SLOT_MS:
+            _, first, extra = slots.popleft()
+            self.first_count -= int(first)
+            self.extra_count -= int(extra)
+        if not slots or now_ms >= slots[-1][0] + SLOT_MS:
+            slots.append([now_ms, 0, 0])
+        return slots[-1]
+
+
+def record_first_tries(state: BudgetState, now_ms: float, count: int) -> None:
+    """Credit the budget for first tries."""
+    state.slot(now_ms)[1] += count
+    state.first_count += count
+    state.balance = min(ALLOWANCE_COUNT, state.balance + count * BUDGET_SHARE)
+
+
+def take_retry(state: BudgetState, now_ms: float, count: int = 1) -> bool:
+    """Take retries from the budget, all or none."""
+    return _take(state, now_ms, count, 0.0)
+
+
+def take_hedge(state: BudgetState, now_ms: float, count: int = 1) -> bool:
+    """Take hedges from the budget, all or none, leaving the reserve to retries."""
+    return _take(state, now_ms, count, RETRY_RESERVE_COUNT)
+
+
+def _take(state: BudgetState, now_ms: float, count: int, reserve: float) -> bool:
+    slot = state.slot(now_ms)
+    if state.balance - count < reserve:
+        return False
+    limit = max(ALLOWANCE_COUNT, WINDOW_SHARE * state.first_count)
+    if state.extra_count + count > limit:
+        return False
+    state.balance -= count
+    state.extra_count += count
+    slot[2] += count
+    return True
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/latency.py
@@ -0,0 +1,72 @@
+"""Learned latency of each service, from a bounded window of samples."""
+
+from __future__ import annotations
+
+# A window of 256 samples moves with a change of load within seconds and sorts in 20 us.
+WINDOW_SIZE = 256
+# Sorting for each sample would cost more than the sample; percentiles move slowly.
+RECOMPUTE_EVERY = 32
+# Below this count a 95th percentile is only the largest sample.
+MIN_SAMPLE_COUNT = 20
+# Used until enough samples are known; the slowest link and service of the platform
+# take about 15 ms, so a hedge sent after 30 ms is for a late sub-request only.
+DEFAULT_P95_MS = 30.0
+DEFAULT_MEDIAN_MS = 10.0
+
+
+class ServiceLatency:
+    """Hold the recent latencies of one service."""
+
+    __slots__ = ('_next', '_samples', '_since_sort', 'median_ms', 'p95_ms')
+
+    def __init__(self) -> None:
+        self._samples: list[float] = []
+        self._next = 0
+        self._since_sort = 0
+        self.median_ms = DEFAULT_MEDIAN_MS
+        self.p95_ms = DEFAULT_P95_MS
+
+    def add(self, latency_ms: float) -> None:
+        """Add one sample, replacing the oldest when the window is full."""
+        if len(self._samples) < WINDOW_SIZE:
+            self._samples.append(latency_ms)
+        else:
+            self._samples[self._next] = latency_ms
+            self._next = (self._next + 1) % WINDOW_SIZE
+        self._since_sort += 1
+        count = len(self._samples)
+        if count == MIN_SAMPLE_COUNT or (
+            self._since_sort >= RECOMPUTE_EVERY and count > MIN_SAMPLE_COUNT
+        ):
+            self._since_sort = 0
+            ordered = sorted(self._samples)
+            self.median_ms = ordered[count // 2]
+            self.p95_ms = ordered[min(count - 1, (count * 95) // 100)]
+
+
+class LatencyState:
+    """Hold the learned latency of every service."""
+
+    __slots__ = ('services',)
+
+    def __init__(self) -> None:
+        self.services: dict[str, ServiceLatency] = {}
+
+
+def record_latency(state: LatencyState, service: str, latency_ms: float) -> None:
+    """Add the latency of one sub-request; of a cancelled one, the time until then."""
+    service_latency(state, service).add(latency_ms)
+
+
+def service_latency(state: LatencyState, service: str) -> ServiceLatency:
+    """Return the learned latency of a service."""
+    found = state.services.get(service)
+    if found is None:
+        found = state.services[service] = ServiceLatency()
+    return found
+
+
+def forget_services(state: LatencyState, known: frozenset[str]) -> None:
+    """Drop services that the inventory no longer has."""
+    for service in [name for name in state.services if name not in known]:
+        del state.services[service]
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/suspects.py
@@ -0,0 +1,134 @@
+"""Requests that were in flight when endpoints crashed."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from ..messages.peer import CrashReport, SuccessReport
+
+# A caller that resends for longer than this meets restarted endpoints; more entries
+# than this would not fit the soft-state exchange.
+FORGET_AFTER_MS = 600_000.0
+MAX_ENTRY_COUNT = 4_096
+CONDEMNING_CRASH_COUNT = 2
+# More crashes of one request than this change nothing about its standing.
+MAX_CRASH_COUNT = 4
+# Successes that follow each other closer than this are passed on as one.
+NEWER_SUCCESS_MS = 100.0
+
+
+class Standing(StrEnum):
+    """State how a request is treated."""
+
+    CLEAR = 'clear'
+    SUSPECTED = 'suspected'
+    CONDEMNED = 'condemned'
+
+
+class SuspectEntry:
+    """Hold the crashes and the newest success of one request."""
+
+    __slots__ = ('changed_at_ms', 'crashes', 'success_at_ms')
+
+    def __init__(self) -> None:
+        self.crashes: dict[tuple[str, int], float] = {}
+        self.success_at_ms: float | None = None
+        self.changed_at_ms = 0.0
+
+
+class SuspectState:
+    """Hold the suspects by caller and content digest, the oldest change first."""
+
+    __slots__ = ('entries',)
+
+    def __init__(self) -> None:
+        self.entries: dict[tuple[str, str], SuspectEntry] = {}
+
+
+def on_crash(state: SuspectState, now_ms: float, report: CrashReport) -> None:
+    """Record a crash reported by an owner or a peer; a known crash adds nothing."""
+    if report.age_ms >= FORGET_AFTER_MS:
+        return
+    entry = state.entries.get((report.caller, report.content_digest))
+    crash = (report.endpoint, report.incarnation)
+    # A known crash must not count as a change, or peers would pass it on to each other
+    # for ever.
+    if entry is not None and crash in entry.crashes:
+        return
+    entry = _touch(state, now_ms, report.caller, report.content_digest)
+    entry.crashes[crash] = now_ms - report.age_ms
+    while len(entry.crashes) > MAX_CRASH_COUNT:
+        del entry.crashes[min(entry.crashes, key=entry.crashes.__getitem__)]
+
+
+def on_success(state: SuspectState, now_ms: float, report: SuccessReport) -> None:
+    """Clear a request of its crashes up to the success, also of those not yet reported."""
+    if report.age_ms >= FORGET_AFTER_MS:
+        return
+    success_at_ms = now_ms - report.age_ms
+    entry = state.entries.get((report.caller, report.content_digest))
+    if entry is not None and entry.success_at_ms is not None:
+        # Ages are only ever overestimated, so a report that comes back is not newer.
+        newer_ms = success_at_ms - entry.success_at_ms
+        clears = newer_ms > 0 and any(
+            time_ms <= success_at_ms for time_ms in _open_crashes(entry, now_ms)
+        )
+        if not clears and newer_ms <= NEWER_SUCCESS_MS:
+            return
+    entry = _touch(state, now_ms, report.caller, report.content_digest)
+    entry.success_at_ms = success_at_ms
+
+
+def standing(state: SuspectState, now_ms: float, caller: str, content_digest: str) -> Standing:
+    """Tell how a request is treated."""
+    entry = state.entries.get((caller, content_digest))
+    if entry is None:
+        return Standing.CLEAR
+    count = len(_open_crashes(entry, now_ms))
+    if count >= CONDEMNING_CRASH_COUNT:
+        return Standing.CONDEMNED
+    return Standing.SUSPECTED if count else Standing.CLEAR
+
+
+def expire_suspects(state: SuspectState, now_ms: float) -> None:
+    """Forget crashes that are older than the keeping time."""
+    for key, entry in list(state.entries.items()):
+        for crash, time_ms in list(entry.crashes.items()):
+            if time_ms <= now_ms - FORGET_AFTER_MS:
+                del entry.crashes[crash]
+        success_ms = entry.success_at_ms
+        if not entry.crashes and (success_ms is None or success_ms <= now_ms - FORGET_AFTER_MS):
+            del state.entries[key]
+
+
+def reports_since(
+    state: SuspectState, now_ms: float, since_ms: float
+) -> tuple[tuple[CrashReport, ...], tuple[SuccessReport, ...]]:
+    """Return the reports of the entries that changed since a time, with their ages."""
+    crashes: list[CrashReport] = []
+    successes: list[SuccessReport] = []
+    for (caller, digest), entry in reversed(state.entries.items()):
+        if entry.changed_at_ms < since_ms:
+            break
+        for (endpoint, incarnation), time_ms in entry.crashes.items():
+            crashes.append(CrashReport(caller, digest, endpoint, incarnation, now_ms - time_ms))
+        if entry.success_at_ms is not None:
+            successes.append(SuccessReport(caller, digest, now_ms - entry.success_at_ms))
+    return tuple(crashes), tuple(successes)
+
+
+def _open_crashes(entry: SuspectEntry, now_ms: float) -> list[float]:
+    floor_ms = now_ms - FORGET_AFTER_MS
+    if entry.success_at_ms is not None and entry.success_at_ms > floor_ms:
+        floor_ms = entry.success_at_ms
+    return [time_ms for time_ms in entry.crashes.values() if time_ms > floor_ms]
+
+
+def _touch(state: SuspectState, now_ms: float, caller: str, digest: str) -> SuspectEntry:
+    key = (caller, digest)
+    entry = state.entries.pop(key, None) or SuspectEntry()
+    state.entries[key] = entry
+    entry.changed_at_ms = now_ms
+    while len(state.entries) > MAX_ENTRY_COUNT:
+        del state.entries[next(iter(state.entries))]
+    return entry
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/query.py
@@ -0,0 +1,283 @@
+"""The course of one query, from its plan to its reply."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..codec import content_digest
+from ..errors import ResultCode
+from ..messages.peer import OUTCOME_NOT_STARTED, OUTCOME_OK, OUTCOME_UNKNOWN, SuccessReport
+from ..process.latency import service_latency
+from ..process.suspects import Standing, on_success, standing
+from ..version.snapshot import find_version
+from .actions import LOG_PLAN, LOG_REFUSAL, Finished, LogDecision, RequestAction, WakeAt
+from .hedge import check_late
+from .merge import accept_results, build_answer, unanswered_shards
+from .plan import plan_query
+from .query_state import (
+    DETAIL_NOT_HELD,
+    QueryState,
+    adopt_version,
+    close_attempt,
+    finish,
+    observe_answer,
+    observe_failure,
+    send_planned,
+    withdraw,
+)
+from .recovery import recover
+from .replies import NO_ENDPOINT_RETRY_MS, OVERLOAD_RETRY_MS, refuse_query
+
+if TYPE_CHECKING:
+    from ..messages.peer import AttemptResult
+    from ..messages.public import QueryReply, QueryRequest
+    from .query_state import AttemptState, Family
+    from .routing import RoutingState
+
+
+def start_query(
+    routing: RoutingState,
+    now_ms: float,
+    request: QueryRequest,
+    query_id: str,
+    deadline_ms: float,
+    urgent: bool,
+) -> tuple[QueryState, list[RequestAction]]:
+    """Plan a query and send its first tries, or refuse it; `deadline_ms` is a time."""
+    digest = content_digest(request.collection, request.query)
+    query = QueryState(request, query_id, now_ms, deadline_ms, urgent, digest)
+    judged = standing(routing.suspects, now_ms, request.caller, digest)
+    if judged is Standing.CONDEMNED:
+        detail = 'the request was in flight at crashes of two endpoints'
+        return query, _refuse(query, ResultCode.CONDEMNED, detail)
+    if now_ms >= query.finish_at_ms:
+        detail = 'the deadline leaves no time to ask an endpoint'
+        return query, _refuse(query, ResultCode.DEADLINE_TOO_SHORT, detail, OVERLOAD_RETRY_MS)
+    if request.collection not in routing.view.collections:
+        detail = f'the inventory has no collection {request.collection!r}'
+        return query, _refuse(query, ResultCode.UNKNOWN_COLLECTION, detail)
+    query.suspected = judged is Standing.SUSPECTED
+    plan = plan_query(routing, now_ms, request, suspected=query.suspected)
+    if plan is None or (not plan.attempts and plan.missing):
+        detail = f'no endpoint can take a query of {request.collection!r}'
+        if query.suspected:
+            detail += '; the request was in flight at a crash and spares the last endpoint'
+        return query, _refuse(query, ResultCode.NO_ENDPOINT, detail, NO_ENDPOINT_RETRY_MS)
+    gathered = adopt_version(query, plan.version)
+    actions = send_planned(routing, query, now_ms, plan.attempts)
+    actions.append(LogDecision(LOG_PLAN, request.request_id, _describe(query, plan.missing)))
+    if gathered.is_complete():
+        actions += finish(routing, query, now_ms, build_answer(request, gathered))
+    else:
+        actions += _schedule(query)
+    return query, actions
+
+
+def on_attempt_result(
+    routing: RoutingState, query: QueryState, now_ms: float, result: AttemptResult
+) -> list[RequestAction]:
+    """Take the result of an attempt; what belongs to no attempt of the query is dropped."""
+    attempt = query.attempts.get(result.attempt_id)
+    if attempt is None or attempt.endpoint.endpoint != result.endpoint or query.finished:
+        return []
+    was_open = attempt.is_open
+    accepted = _is_of_version(query, result)
+    count = _accept(routing, query, now_ms, attempt, result) if accepted else 0
+    if was_open:
+        close_attempt(routing, query, attempt)
+        if not accepted:
+            _note_failure(routing, query, now_ms, attempt, result)
+    elif not count:
+        return []
+    return _proceed(routing, query, now_ms, attempt)
+
+
+def on_timer(routing: RoutingState, query: QueryState, now_ms: float) -> list[RequestAction]:
+    """Hedge what is late; at the deadline, answer with what is there."""
+    if query.finished:
+        return []
+    if now_ms >= query.finish_at_ms:
+        return _conclude(routing, query, now_ms)
+    actions: list[RequestAction] = []
+    for attempt in list(query.attempts.values()):
+        if attempt.is_open and attempt.check_at_ms <= now_ms:
+            actions += check_late(routing, query, now_ms, attempt)
+    if query.waiting:
+        actions += recover(routing, query, now_ms)
+    if query.wake_ms <= now_ms:
+        query.wake_ms = float('inf')
+    return actions + _schedule(query)
+
+
+def cancel_query(routing: RoutingState, query: QueryState, now_ms: float) -> list[RequestAction]:
+    """Withdraw everything after the caller hung up; the reply is for the log only."""
+    if query.finished:
+        return []
+    code = ResultCode.NO_ANSWER if query.may_have_run or query.open_count else ResultCode.CANCELLED
+    return finish(routing, query, now_ms, refuse_query(query.request, code, 'the caller left'))
+
+
+def _is_of_version(query: QueryState, result: AttemptResult) -> bool:
+    version = query.version
+    return (
+        result.outcome == OUTCOME_OK
+        and version is not None
+        and result.version == version.version
+        and result.collection == version.collection
+    )
+
+
+def _accept(
+    routing: RoutingState,
+    query: QueryState,
+    now_ms: float,
+    attempt: AttemptState,
+    result: AttemptResult,
+) -> int:
+    gathered = query.gathered
+    assert gathered is not None
+    query.may_have_run = True
+    observe_answer(routing, attempt, now_ms, result)
+    return accept_results(gathered, attempt.shards, result.results)
+
+
+def _note_failure(
+    routing: RoutingState,
+    query: QueryState,
+    now_ms: float,
+    attempt: AttemptState,
+    result: AttemptResult,
+) -> None:
+    if result.outcome != OUTCOME_NOT_STARTED:
+        query.may_have_run = True
+        attempt.family.troubled = True
+    if result.outcome == OUTCOME_OK or result.detail.startswith(DETAIL_NOT_HELD):
+        query.unheld.add(result.endpoint)
+    if result.outcome != OUTCOME_OK:
+        observe_failure(routing, attempt, now_ms, result)
+    if result.crashed or result.outcome == OUTCOME_UNKNOWN:
+        query.doubted.add(result.endpoint)
+    if result.crashed:
+        query.crash_count += 1
+        attempt.family.crash_count += 1
+    if result.retry_after_ms is not None:
+        query.retry_after_ms = max(query.retry_after_ms or 0, result.retry_after_ms)
+
+
+def _proceed(
+    routing: RoutingState, query: QueryState, now_ms: float, attempt: AttemptState
+) -> list[RequestAction]:
+    gathered = query.gathered
+    assert gathered is not None
+    if gathered.is_complete() or now_ms >= query.finish_at_ms:
+        return _conclude(routing, query, now_ms)
+    actions: list[RequestAction] = []
+    family = attempt.family
+    if len(family.attempts) > 1:
+        actions += _settle_family(routing, query, now_ms, family)
+    if unanswered_shards(gathered, attempt.shards) and family not in query.waiting:
+        query.waiting.append(family)
+    if query.waiting:
+        actions += recover(routing, query, now_ms)
+    if query.open_count == 0:
+        return actions + _conclude(routing, query, now_ms)
+    return actions + _schedule(query) if actions else actions
+
+
+def _settle_family(
+    routing: RoutingState, query: QueryState, now_ms: float, family: Family
+) -> list[RequestAction]:
+    gathered = query.gathered
+    assert gathered is not None
+    losers = []
+    for other in family.attempts:
+        if other.is_open:
+            if unanswered_shards(gathered, other.shards):
+                # Its rival ended without its rows, so it may be hedged once more.
+                other.hedged = False
+            else:
+                losers.append(other)
+    return withdraw(routing, query, now_ms, losers) if losers else []
+
+
+def _conclude(routing: RoutingState, query: QueryState, now_ms: float) -> list[RequestAction]:
+    gathered = query.gathered
+    assert gathered is not None
+    if not gathered.rows and gathered.version.shards:
+        reply = _reply_without_rows(routing, query)
+    else:
+        reply = build_answer(query.request, gathered)
+        _note_success(routing, query, now_ms, reply.result_code is ResultCode.COMPLETE)
+    return finish(routing, query, now_ms, reply)
+
+
+def _note_success(routing: RoutingState, query: QueryState, now_ms: float, complete: bool) -> None:
+    # A request that only crashes the endpoints of one shard must not be cleared by the
+    # other shards: each shard where an attempt was lost has to have its rows.
+    gathered = query.gathered
+    assert gathered is not None
+    troubled = [item.family for item in query.attempts.values() if item.family.troubled]
+    if not complete and query.suspected:
+        return
+    if not (troubled or query.suspected) or any(
+        unanswered_shards(gathered, family.shards) for family in troubled
+    ):
+        return
+    request = query.request
+    on_success(routing.suspects, now_ms, SuccessReport(request.caller, query.content_digest, 0.0))
+
+
+def _reply_without_rows(routing: RoutingState, query: QueryState) -> QueryReply:
+    request = query.request
+    gathered = query.gathered
+    assert gathered is not None
+    if query.may_have_run or query.open_count:
+        return build_answer(request, gathered)
+    if query.retry_after_ms is not None:
+        median_ms = max(
+            service_latency(routing.latencies, group.service).median_ms
+            for group in gathered.version.groups
+        )
+        if query.finish_at_ms - query.started_ms < median_ms:
+            detail = f'the endpoints need {median_ms:.0f} ms as a rule'
+            code = ResultCode.DEADLINE_TOO_SHORT
+            return refuse_query(request, code, detail, query.retry_after_ms)
+        detail = 'every endpoint refused to start the query'
+        return refuse_query(request, ResultCode.OVERLOADED, detail, query.retry_after_ms)
+    if find_version(routing.view, request.collection, gathered.version.version) is None:
+        detail = f'version {gathered.version.version} was retired and no other can be asked'
+    else:
+        detail = 'no endpoint could be reached'
+    return refuse_query(request, ResultCode.NO_ENDPOINT, detail, NO_ENDPOINT_RETRY_MS)
+
+
+def _schedule(query: QueryState) -> list[RequestAction]:
+    due_ms = query.finish_at_ms
+    for attempt in query.attempts.values():
+        if attempt.is_open and attempt.check_at_ms < due_ms:
+            due_ms = attempt.check_at_ms
+    if due_ms >= query.wake_ms:
+        return []
+    query.wake_ms = due_ms
+    return [WakeAt(due_ms)]
+
+
+def _refuse(
+    query: QueryState, code: ResultCode, detail: str, retry_after_ms: int | None = None
+) -> list[RequestAction]:
+    query.finished = True
+    reply = refuse_query(query.request, code, detail, retry_after_ms)
+    text = f'{code.name}: {detail}'
+    return [LogDecision(LOG_REFUSAL, query.request.request_id, text), Finished(reply)]
+
+
+def _describe(query: QueryState, missing: tuple[str, ...]) -> str:
+    version = query.version
+    assert version is not None
+    text = (
+        f'{version.collection} version {version.version}: '
+        f'{len(version.shards)} shards on {query.open_count} endpoints'
+    )
+    if missing:
+        text += f'; no endpoint for {", ".join(missing)}'
+    return text
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/query_state.py
@@ -0,0 +1,300 @@
+"""State of one query in flight and the bookkeeping of its attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages.endpoint import KIND_QUERY
+from ..messages.peer import Attempt
+from ..process.budget import record_first_tries
+from ..process.latency import record_latency, service_latency
+from ..process.observed import (
+    mark_slow,
+    record_answer,
+    record_closed,
+    record_draining,
+    record_lost,
+    record_sent,
+    record_shed,
+    record_unanswered,
+    record_unknown,
+)
+from .actions import CancelAttempts, Finished, RequestAction, SendAttempts
+from .merge import Gathered
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..messages.peer import AttemptResult
+    from ..messages.public import QueryReply, QueryRequest
+    from ..process.endpoint_view import EndpointView
+    from ..version.snapshot import VersionView
+    from .plan import PlannedAttempt
+    from .routing import RoutingState
+
+# An endpoint that no longer holds the version says so with `not_started` and this detail.
+DETAIL_NOT_HELD = 'not_held'
+# The reply has to be merged, encoded and received before the caller's deadline.
+FINISH_BEFORE_MS = 5.0
+
+
+class Family:
+    """Hold the attempts that were made for the shards of one first try."""
+
+    __slots__ = ('attempts', 'crash_count', 'shards', 'tried', 'troubled')
+
+    def __init__(self, shards: tuple[str, ...]) -> None:
+        self.shards = shards
+        self.crash_count = 0
+        self.troubled = False
+        self.attempts: list[AttemptState] = []
+        self.tried: set[str] = set()
+
+
+class AttemptState:
+    """Hold one attempt; it is late at its next check, overdue at the one after."""
+
+    __slots__ = (
+        'attempt_id',
+        'check_at_ms',
+        'endpoint',
+        'family',
+        'hedged',
+        'is_open',
+        'overdue',
+        'sent_ms',
+        'shards',
+    )
+
+    def __init__(
+        self, attempt_id: str, planned: PlannedAttempt, family: Family, sent_ms: float
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.endpoint: EndpointView = planned.endpoint
+        self.shards = planned.shards
+        self.family = family
+        self.sent_ms = sent_ms
+        self.check_at_ms = sent_ms
+        self.is_open = True
+        self.hedged = False
+        self.overdue = False
+
+
+class QueryState:
+    """Hold one query from its plan to its reply."""
+
+    __slots__ = (
+        'attempts',
+        'content_digest',
+        'crash_count',
+        'doubted',
+        'finish_at_ms',
+        'finished',
+        'gathered',
+        'may_have_run',
+        'open_count',
+        'query_id',
+        'replanned',
+        'request',
+        'retry_after_ms',
+        'sequence',
+        'started_ms',
+        'suspected',
+        'unheld',
+        'urgent',
+        'version',
+        'waiting',
+        'wake_ms',
+    )
+
+    def __init__(
+        self,
+        request: QueryRequest,
+        query_id: str,
+        started_ms: float,
+        deadline_ms: float,
+        urgent: bool,
+        content_digest: str,
+    ) -> None:
+        self.request = request
+        self.query_id = query_id
+        self.started_ms = started_ms
+        self.finish_at_ms = deadline_ms - FINISH_BEFORE_MS
+        self.urgent = urgent
+        self.content_digest = content_digest
+        self.version: VersionView | None = None
+        self.gathered: Gathered | None = None
+        self.attempts: dict[str, AttemptState] = {}
+        self.open_count = 0
+        self.sequence = 0
+        self.waiting: list[Family] = []
+        self.unheld: set[str] = set()
+        self.doubted: set[str] = set()
+        self.crash_count = 0
+        self.suspected = False
+        self.replanned = False
+        self.may_have_run = False
+        self.retry_after_ms: int | None = None
+        self.finished = False
+        self.wake_ms = float('inf')
+
+
+def query_id_of(attempt_id: str) -> str:
+    """Return the id of the query or command that an attempt belongs to."""
+    return attempt_id.rpartition('.')[0]
+
+
+def adopt_version(query: QueryState, version: VersionView) -> Gathered:
+    """Start the query over at a version, without rows or attempts of an earlier one."""
+    query.version = version
+    query.gathered = Gathered(version)
+    query.attempts = {}
+    query.open_count = 0
+    query.waiting = []
+    query.unheld = set()
+    return query.gathered
+
+
+def send_planned(
+    routing: RoutingState,
+    query: QueryState,
+    now_ms: float,
+    planned: Iterable[PlannedAttempt],
+    *,
+    family: Family | None = None,
+    hedge: bool = False,
+) -> list[RequestAction]:
+    """Open attempts, joined in one action for each owner; without family, first tries."""
+    batches: dict[str, list[Attempt]] = {}
+    count = 0
+    for item in planned:
+        count += 1
+        attempt = _open_attempt(routing, query, now_ms, item, family or Family(item.shards))
+        batches.setdefault(item.endpoint.owner, []).append(
+            _message(routing, query, now_ms, attempt, hedge)
+        )
+    if family is None:
+        record_first_tries(routing.budget, now_ms, count)
+    return [SendAttempts(owner, tuple(attempts)) for owner, attempts in batches.items()]
+
+
+def close_attempt(routing: RoutingState, query: QueryState, attempt: AttemptState) -> None:
+    """Count an attempt as ended."""
+    attempt.is_open = False
+    query.open_count -= 1
+    record_closed(routing.observed, attempt.endpoint.endpoint)
+
+
+def withdraw(
+    routing: RoutingState, query: QueryState, now_ms: float, attempts: Iterable[AttemptState]
+) -> list[RequestAction]:
+    """Cancel open attempts; what was late by then counts as unanswered."""
+    owners: dict[str, list[str]] = {}
+    for attempt in attempts:
+        if not attempt.is_open:
+            continue
+        close_attempt(routing, query, attempt)
+        endpoint = attempt.endpoint
+        owners.setdefault(endpoint.owner, []).append(attempt.attempt_id)
+        age_ms = now_ms - attempt.sent_ms
+        learned = service_latency(routing.latencies, endpoint.service)
+        if age_ms > learned.p95_ms:
+            # Leaving cancelled attempts out would bias the percentile to fast replies.
+            learned.add(age_ms)
+            if not attempt.overdue:
+                record_unanswered(routing.observed, endpoint.endpoint, endpoint.owner, now_ms)
+    return [CancelAttempts(owner, tuple(ids)) for owner, ids in owners.items()]
+
+
+def finish(
+    routing: RoutingState, query: QueryState, now_ms: float, reply: QueryReply
+) -> list[RequestAction]:
+    """End the query with its one reply and withdraw what is still open."""
+    actions = withdraw(routing, query, now_ms, query.attempts.values()) if query.open_count else []
+    query.finished = True
+    query.waiting = []
+    actions.append(Finished(reply))
+    return actions
+
+
+def observe_answer(
+    routing: RoutingState, attempt: AttemptState, now_ms: float, result: AttemptResult
+) -> None:
+    """Learn from a reply that carries rows."""
+    endpoint = attempt.endpoint
+    latency_ms = now_ms - attempt.sent_ms
+    load = result.in_flight_count + result.queue_length
+    observed = routing.observed
+    record_answer(observed, endpoint.endpoint, endpoint.owner, now_ms, latency_ms, load)
+    if result.draining:
+        record_draining(observed, endpoint.endpoint)
+    if attempt.is_open:
+        learned = service_latency(routing.latencies, endpoint.service)
+        late = latency_ms > learned.p95_ms
+        if late or observed.slow:
+            mark_slow(observed, endpoint.endpoint, late)
+        record_latency(routing.latencies, endpoint.service, latency_ms)
+
+
+def observe_failure(
+    routing: RoutingState, attempt: AttemptState, now_ms: float, result: AttemptResult
+) -> None:
+    """Learn from an attempt that brought no rows."""
+    endpoint = attempt.endpoint
+    name, owner = endpoint.endpoint, endpoint.owner
+    observed = routing.observed
+    if result.draining:
+        record_draining(observed, name)
+    if result.detail.startswith(DETAIL_NOT_HELD):
+        return
+    if result.crashed:
+        record_lost(observed, name, owner, now_ms)
+    elif result.outcome == 'not_started':
+        if result.retry_after_ms is not None:
+            record_shed(observed, name, owner, now_ms, result.retry_after_ms)
+        elif not result.draining:
+            record_lost(observed, name, owner, now_ms)
+    else:
+        record_unknown(observed, name, owner, now_ms)
+
+
+def _open_attempt(
+    routing: RoutingState,
+    query: QueryState,
+    now_ms: float,
+    planned: PlannedAttempt,
+    family: Family,
+) -> AttemptState:
+    query.sequence += 1
+    attempt = AttemptState(f'{query.query_id}.{query.sequence}', planned, family, now_ms)
+    endpoint = planned.endpoint
+    attempt.check_at_ms = now_ms + service_latency(routing.latencies, endpoint.service).p95_ms
+    family.attempts.append(attempt)
+    family.tried.add(endpoint.endpoint)
+    query.attempts[attempt.attempt_id] = attempt
+    query.open_count += 1
+    record_sent(routing.observed, endpoint, now_ms)
+    return attempt
+
+
+def _message(
+    routing: RoutingState, query: QueryState, now_ms: float, attempt: AttemptState, hedge: bool
+) -> Attempt:
+    request = query.request
+    version = query.version
+    assert version is not None
+    return Attempt(
+        attempt.attempt_id,
+        routing.instance,
+        attempt.endpoint.endpoint,
+        KIND_QUERY,
+        request.caller,
+        version.collection,
+        version.version,
+        attempt.shards,
+        request.query,
+        query.content_digest,
+        query.finish_at_ms - now_ms,
+        query.urgent,
+        hedge,
+    )
--- /dev/null
+++ b/tests/test_request/test_query.py
@@ -0,0 +1,174 @@
+"""Guard against wrong answers, lost answers and needless waiting of a single query."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from pistachioloft_core.errors import ResultCode, RunStatus
+from pistachioloft_core.messages.endpoint import ShardRows
+from pistachioloft_core.request.query import cancel_query
+from pistachioloft_core.version.snapshot import build_view
+from tests.test_request.request_support import (
+    COLLECTION,
+    QueryRun,
+    make_accepted,
+    make_cluster,
+    make_endpoint,
+    make_request,
+    make_routing,
+)
+
+
+def test_answer_is_complete_once_all_shards_answered() -> None:
+    """Guard against an answer that is held back after its last shard."""
+    run = QueryRun(make_routing(*make_cluster()))
+    assert len(run.attempts) == 4
+    for attempt in reversed(run.attempts):
+        run.now_ms += 1
+        run.answer(attempt)
+    assert run.reply.result_code is ResultCode.COMPLETE
+    assert [row['shard'] for row in run.reply.rows] == ['h-s00', 'h-s01', 'h-s02', 'h-s03']
+    assert run.reply_ms == 1_004.0
+
+
+def test_unreachable_shard_is_named_at_once() -> None:
+    """Guard against waiting for the deadline when nothing more can be tried."""
+    run = QueryRun(make_routing(*make_cluster(replica_count=1)))
+    for attempt in run.attempts[:3]:
+        run.answer(attempt)
+    run.fail(run.attempts[3], 'not_started')
+    assert run.reply.result_code is ResultCode.PARTIAL
+    assert run.reply.coverage is not None
+    assert run.reply.coverage.missing == (run.attempts[3].shards[0],)
+    assert run.reply_ms == 1_000.0
+
+
+def test_lost_replica_is_retried_on_another() -> None:
+    """Guard against a partial answer while another replica can answer."""
+    run = QueryRun(make_routing(*make_cluster()))
+    first = run.attempts[0]
+    run.fail(first, 'not_started')
+    retry = run.attempts[-1]
+    assert retry.shards == first.shards
+    assert retry.endpoint != first.endpoint
+    for attempt in run.attempts[1:]:
+        run.answer(attempt)
+    assert run.reply.result_code is ResultCode.COMPLETE
+
+
+def test_reply_of_another_version_brings_no_rows() -> None:
+    """Guard against rows of two versions in one answer."""
+    run = QueryRun(make_routing(*make_cluster(version_count=2)))
+    assert {attempt.version for attempt in run.attempts} == {2}
+    run.answer(run.attempts[0], version=1)
+    for attempt in run.attempts[1:]:
+        run.answer(attempt)
+    assert {row['version'] for row in run.reply.rows} == {2}
+
+
+@pytest.mark.parametrize('stray', ['endpoint', 'id', 'shard'])
+def test_crossed_result_is_dropped(stray: str) -> None:
+    """Guard against rows that were meant for another request."""
+    run = QueryRun(make_routing(*make_cluster()))
+    first, second = run.attempts[:2]
+    if stray == 'endpoint':
+        run.answer(first, endpoint=second.endpoint)
+    elif stray == 'id':
+        run.answer(first, attempt_id='e1-2.1')
+    else:
+        run.answer(first, results=(ShardRows(second.shards[0], ({'shard': 'crossed'},)),))
+    for attempt in run.attempts:
+        run.answer(attempt)
+    assert {row['shard'] for row in run.reply.rows} == {f'h-s0{n}' for n in range(4)}
+    assert len(run.reply.rows) == 4
+
+
+def test_query_ends_before_the_deadline_with_true_coverage() -> None:
+    """Guard against a caller that hangs up before the partial answer is sent."""
+    run = QueryRun(make_routing(*make_cluster(replica_count=1)))
+    run.answer(run.attempts[1])
+    run.advance(2_000.0)
+    assert run.reply.result_code is ResultCode.PARTIAL
+    assert run.reply_ms == run.deadline_ms - 5
+    assert run.reply.coverage is not None
+    assert (run.reply.coverage.answered_count, run.reply.coverage.shard_count) == (1, 4)
+    assert len(run.cancelled) == 3
+
+
+def test_all_refusals_are_not_run_with_retry_after() -> None:
+    """Guard against an unknown outcome where every endpoint proved that nothing ran."""
+    run = QueryRun(make_routing(*make_cluster(replica_count=1)))
+    for attempt in run.attempts:
+        run.fail(attempt, 'not_started', retry_after_ms=40)
+    assert run.reply.result_code is ResultCode.OVERLOADED
+    assert run.reply.run_status is RunStatus.NOT_RUN
+    assert run.reply.retry_after_ms == 40
+
+
+def test_silence_is_not_called_not_run() -> None:
+    """Guard against a refusal although an endpoint may have run the query."""
+    run = QueryRun(make_routing(*make_cluster(replica_count=1)))
+    run.advance(2_000.0)
+    assert run.reply.result_code is ResultCode.NO_ANSWER
+    assert run.reply.run_status is RunStatus.UNKNOWN
+
+
+def test_late_sub_request_is_hedged_and_the_loser_cancelled() -> None:
+    """Guard against a straggler that holds back the answer, and against its leftover work."""
+    run = QueryRun(make_routing(*make_cluster()))
+    for attempt in run.attempts[1:4]:
+        run.answer(attempt)
+    run.advance(1_040.0)
+    assert len(run.attempts) == 5
+    assert run.attempts[4].hedge
+    run.answer(run.attempts[4])
+    assert run.reply.result_code is ResultCode.COMPLETE
+    assert run.cancelled == [run.attempts[0].attempt_id]
+
+
+def test_retired_version_is_replanned_once_as_a_whole() -> None:
+    """Guard against an answer that joins a retired version with its successor."""
+    accepted, endpoints = make_cluster()
+    run = QueryRun(make_routing(accepted, endpoints))
+    old = list(run.attempts)
+    run.answer(old[0])
+    shards = {f'n{number}': f's{number:02}' for number in range(4)}
+    renewed = tuple(
+        dataclasses.replace(
+            endpoint,
+            holdings=make_endpoint('x', 'x', {2: (f'n{int(endpoint.service[1:])}',)}).holdings,
+        )
+        for endpoint in endpoints
+    )
+    run.view(build_view(make_accepted({2: shards}, 2), renewed))
+    run.fail(old[1], 'not_started', detail='not_held')
+    fresh = run.attempts[len(old) :]
+    assert {attempt.version for attempt in fresh} == {2}
+    assert len(fresh) == 4
+    assert set(run.cancelled) == {old[2].attempt_id, old[3].attempt_id}
+    for attempt in (*old, *fresh):
+        run.answer(attempt)
+    assert run.reply.result_code is ResultCode.COMPLETE
+    assert {row['version'] for row in run.reply.rows} == {2}
+    assert run.reply.snapshot is not None
+    assert run.reply.snapshot.version == 2
+
+
+def test_hang_up_cancels_everything_once() -> None:
+    """Guard against work for a caller that left."""
+    run = QueryRun(make_routing(*make_cluster()))
+    run.take(cancel_query(run.routing, run.query, run.now_ms))
+    run.take(cancel_query(run.routing, run.query, run.now_ms))
+    assert len(run.replies) == 1
+    assert sorted(run.cancelled) == sorted(attempt.attempt_id for attempt in run.attempts)
+
+
+def test_unknown_collection_and_missing_endpoints_are_refused() -> None:
+    """Guard against a query that waits although nobody can answer it."""
+    accepted, _ = make_cluster()
+    routing = make_routing(accepted, ())
+    assert QueryRun(routing).reply.result_code is ResultCode.NO_ENDPOINT
+    request = dataclasses.replace(make_request(), collection=f'{COLLECTION}-x')
+    assert QueryRun(routing, request).reply.result_code is ResultCode.UNKNOWN_COLLECTION
