--- /dev/null
+++ b/packages/core/src/pistachioloft_core/version/register.py
@@ -0,0 +1,291 @@
+"""Read the operators' asset register and rules from text."""
+
+from __future__ import annotations
+
+import csv
+import io
+import tomllib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from ..messages.accepted import (
+    CallerEntry,
+    CollectionEntry,
+    Configuration,
+    InstanceEntry,
+    ServiceEntry,
+    ShardEntry,
+    VersionEntry,
+)
+from ..messages.public import PRIORITY_CLASSES
+from ..util.describe import count_of, describe_value
+from ..util.names import NAME_RULE, is_name
+from ..util.ranges import expand_range
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+INSTANCES_FILE = 'instances.csv'
+SERVICES_FILE = 'services.csv'
+RULES_FILE = 'rules.toml'
+COLLECTIONS_FILE = 'collections.toml'
+REGISTER_FILES = (INSTANCES_FILE, SERVICES_FILE, RULES_FILE, COLLECTIONS_FILE)
+SAME_AS = 'same_as'
+
+_INSTANCE_COLUMNS = ('instance', 'failure_domain', 'caller_address', 'peer_address', 'voter')
+_SERVICE_COLUMNS = ('service',)
+_YES_NO = {'yes': True, 'true': True, 'no': False, 'false': False, '': False}
+
+
+@dataclass(frozen=True, slots=True)
+class RegisterText:
+    """Hold the text of the four files of a register."""
+
+    instances: str
+    services: str
+    rules: str
+    collections: str
+
+
+class RegisterError(Exception):
+    """Report one mistake in a register with its file and its line or key."""
+
+    def __init__(self, file: str, place: str, detail: str) -> None:
+        super().__init__(f'{file}: {place}: {detail}')
+        self.file = file
+        self.place = place
+        self.detail = detail
+
+
+_Mistakes = list[RegisterError]
+_ShardsByService = dict[str, tuple[str, ...]]
+
+
+def parse_register(text: RegisterText) -> Configuration:
+    """Read a register; all its mistakes are raised as one exception group."""
+    mistakes: _Mistakes = []
+    configuration = Configuration(
+        instances=_parse_instances(text.instances, mistakes),
+        services=_parse_services(text.services, mistakes),
+        callers=_parse_rules(text.rules, mistakes),
+        collections=_parse_collections(text.collections, mistakes),
+    )
+    if mistakes:
+        raise ExceptionGroup(f'the register has {count_of(len(mistakes), "mistake")}', mistakes)
+    return configuration
+
+
+def _rows(
+    file: str, text: str, columns: tuple[str, ...], mistakes: _Mistakes
+) -> Iterator[tuple[int, dict[str, str]]]:
+    """Give the rows of a CSV file by column name; columns may be in any order."""
+    header: list[str] | None = None
+    reader = csv.reader(io.StringIO(text.removeprefix('\ufeff')), strict=True)
+    try:
+        for cells in reader:
+            row = [cell.strip() for cell in cells]
+            if not any(row) or row[0].startswith('#'):
+                continue
+            if header is None:
+                header = row
+                if sorted(header) != sorted(columns):
+                    detail = f'expected the columns {",".join(columns)}, found {",".join(row)}'
+                    mistakes.append(RegisterError(file, f'line {reader.line_num}', detail))
+                    return
+            elif len(row) != len(header):
+                detail = f'expected {len(header)} fields, found {len(row)}'
+                mistakes.append(RegisterError(file, f'line {reader.line_num}', detail))
+            else:
+                yield reader.line_num, dict(zip(header, row, strict=True))
+    except csv.Error as error:
+        mistakes.append(RegisterError(file, f'line {reader.line_num}', str(error)))
+        return
+    if header is None:
+        detail = f'expected the columns {",".join(columns)}, found no line'
+        mistakes.append(RegisterError(file, 'line 1', detail))
+
+
+def _parse_instances(text: str, mistakes: _Mistakes) -> tuple[InstanceEntry, ...]:
+    entries = []
+    lines: dict[str, int] = {}
+    for line, row in _rows(INSTANCES_FILE, text, _INSTANCE_COLUMNS, mistakes):
+        name, voter = row['instance'], _YES_NO.get(row['voter'].lower())
+        _check_row(INSTANCES_FILE, line, 'instance', name, lines, mistakes)
+        if voter is None:
+            detail = f'voter: expected yes or no, found {row["voter"]!r}'
+            mistakes.append(RegisterError(INSTANCES_FILE, f'line {line}', detail))
+        entries.append(
+            InstanceEntry(
+                instance=name,
+                failure_domain=row['failure_domain'],
+                caller_address=row['caller_address'],
+                peer_address=row['peer_address'],
+                voter=bool(voter),
+            )
+        )
+    return tuple(sorted(entries, key=lambda entry: entry.instance))
+
+
+def _parse_services(text: str, mistakes: _Mistakes) -> tuple[ServiceEntry, ...]:
+    names: set[str] = set()
+    lines: dict[str, int] = {}
+    for line, row in _rows(SERVICES_FILE, text, _SERVICE_COLUMNS, mistakes):
+        for name in _expand(SERVICES_FILE, f'line {line}', row['service'], mistakes):
+            _check_row(SERVICES_FILE, line, 'service', name, lines, mistakes)
+            names.add(name)
+    return tuple(ServiceEntry(name) for name in sorted(names))
+
+
+def _check_row(
+    file: str, line: int, kind: str, name: str, lines: dict[str, int], mistakes: _Mistakes
+) -> None:
+    if not is_name(name):
+        detail = f'{kind}: expected {NAME_RULE}, found {name!r}'
+        mistakes.append(RegisterError(file, f'line {line}', detail))
+    elif name in lines:
+        detail = f'{kind} {name!r} is already on line {lines[name]}'
+        mistakes.append(RegisterError(file, f'line {line}', detail))
+    elif kind == 'service' and name == SAME_AS:
+        detail = f'{SAME_AS!r} is a key of {COLLECTIONS_FILE} and cannot name a service'
+        mistakes.append(RegisterError(file, f'line {line}', detail))
+    lines.setdefault(name, line)
+
+
+def _load_toml(file: str, text: str, mistakes: _Mistakes) -> dict[str, Any]:
+    try:
+        return tomllib.loads(text.removeprefix('\ufeff'))
+    except (ValueError, RecursionError) as error:
+        mistakes.append(RegisterError(file, '(file)', f'not valid TOML: {error}'))
+        return {}
+
+
+def _expand(file: str, place: str, text: str, mistakes: _Mistakes) -> tuple[str, ...]:
+    try:
+        return expand_range(text)
+    except ValueError as error:
+        mistakes.append(RegisterError(file, place, str(error)))
+        return ()
+
+
+def _parse_rules(text: str, mistakes: _Mistakes) -> tuple[CallerEntry, ...]:
+    priorities: dict[str, str] = {}
+    tables = _load_toml(RULES_FILE, text, mistakes)
+    for table, content in tables.items():
+        if table != 'callers' or not isinstance(content, dict):
+            mistakes.append(RegisterError(RULES_FILE, table, 'expected the table callers only'))
+            continue
+        for priority, callers in content.items():
+            key = f'callers.{priority}'
+            if priority not in PRIORITY_CLASSES:
+                detail = f'unknown priority; expected one of {", ".join(PRIORITY_CLASSES)}'
+                mistakes.append(RegisterError(RULES_FILE, key, detail))
+                continue
+            for caller in _names(RULES_FILE, key, callers, mistakes):
+                if caller in priorities:
+                    detail = f'caller {caller!r} is already in {priorities[caller]}'
+                    mistakes.append(RegisterError(RULES_FILE, key, detail))
+                priorities[caller] = priority
+    return tuple(CallerEntry(caller, priorities[caller]) for caller in sorted(priorities))
+
+
+def _names(file: str, key: str, value: Any, mistakes: _Mistakes) -> tuple[str, ...]:
+    """Give the names of a text or a list of texts, with ranges expanded."""
+    names: list[str] = []
+    for item in value if isinstance(value, list) else [value]:
+        if not isinstance(item, str):
+            detail = f'expected a name or a list of names, found {describe_value(item)}'
+            mistakes.append(RegisterError(file, key, detail))
+            continue
+        for name in _expand(file, key, item, mistakes):
+            if not is_name(name):
+                detail = f'expected {NAME_RULE}, found {name!r}'
+                mistakes.append(RegisterError(file, key, detail))
+            names.append(name)
+    return tuple(names)
+
+
+def _parse_collections(text: str, mistakes: _Mistakes) -> tuple[CollectionEntry, ...]:
+    collections = []
+    for name, tables in sorted(_load_toml(COLLECTIONS_FILE, text, mistakes).items()):
+        if not is_name(name) or not isinstance(tables, dict):
+            detail = f'expected tables such as [catalogue.12] under {NAME_RULE}'
+            mistakes.append(RegisterError(COLLECTIONS_FILE, name, detail))
+            continue
+        versions = _parse_versions(name, tables, mistakes)
+        collections.append(CollectionEntry(name, versions))
+    return tuple(collections)
+
+
+def _parse_versions(
+    collection: str, tables: dict[str, Any], mistakes: _Mistakes
+) -> tuple[VersionEntry, ...]:
+    own: dict[int, _ShardsByService] = {}
+    bases: dict[int, int] = {}
+    for text, table in tables.items():
+        key = f'{collection}.{text}'
+        # A leading zero would let two keys name one version.
+        if not (text.isascii() and text.isdigit() and len(text) <= 16) or text[0] == '0':
+            detail = 'expected a version number without leading zeros'
+            mistakes.append(RegisterError(COLLECTIONS_FILE, key, detail))
+            continue
+        if not isinstance(table, dict):
+            detail = f'expected a table of services, found {describe_value(table)}'
+            mistakes.append(RegisterError(COLLECTIONS_FILE, key, detail))
+            continue
+        own[int(text)] = _parse_shards(key, table, mistakes)
+        if SAME_AS in table:
+            bases[int(text)] = table[SAME_AS]
+    for version, base in list(bases.items()):
+        if not isinstance(base, int) or base not in own or base == version:
+            key = f'{collection}.{version}.{SAME_AS}'
+            detail = f'expected another version of {collection}, found {describe_value(base)}'
+            mistakes.append(RegisterError(COLLECTIONS_FILE, key, detail))
+            del bases[version]
+    return tuple(
+        VersionEntry(version, _resolve_shards(collection, version, own, bases, mistakes))
+        for version in sorted(own)
+    )
+
+
+def _parse_shards(key: str, table: dict[str, Any], mistakes: _Mistakes) -> _ShardsByService:
+    shards: _ShardsByService = {}
+    for pattern, value in table.items():
+        if pattern == SAME_AS:
+            continue
+        place = f'{key}.{pattern}'
+        services = _names(COLLECTIONS_FILE, place, pattern, mistakes)
+        names = _names(COLLECTIONS_FILE, place, value, mistakes)
+        # A range of services shares the shards out evenly, in the order in which they are given.
+        if services and len(names) % len(services):
+            detail = f'{len(names)} shards cannot be divided among {len(services)} services'
+            mistakes.append(RegisterError(COLLECTIONS_FILE, place, detail))
+            continue
+        size = len(names) // len(services) if services else 0
+        for position, service in enumerate(services):
+            if service in shards:
+                detail = f'service {service!r} is given twice'
+                mistakes.append(RegisterError(COLLECTIONS_FILE, place, detail))
+            shards[service] = names[position * size : (position + 1) * size]
+    return shards
+
+
+def _resolve_shards(
+    collection: str,
+    version: int,
+    own: dict[int, _ShardsByService],
+    bases: dict[int, int],
+    mistakes: _Mistakes,
+) -> tuple[ShardEntry, ...]:
+    chain = [version]
+    while chain[-1] in bases:
+        if bases[chain[-1]] in chain:
+            key = f'{collection}.{version}.{SAME_AS}'
+            detail = f'refers back to version {bases[chain[-1]]}'
+            mistakes.append(RegisterError(COLLECTIONS_FILE, key, detail))
+            break
+        chain.append(bases[chain[-1]])
+    merged: _ShardsByService = {}
+    for step in reversed(chain):
+        merged.update(own.get(step, {}))
+    entries = [ShardEntry(shard, name) for name, shards in merged.items() for shard in shards]
+    return tuple(sorted(entries, key=lambda entry: (entry.shard, entry.service)))
--- a/packages/daemon/src/pistachioloft_daemon/settings.py
+++ b/packages/daemon/src/pistachioloft_daemon/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from pistachioloft_core.util.describe import count_of, describe_value
 from pistachioloft_core.util.names import ADDRESS_RULE, NAME_RULE, is_address, is_name
 
 ROLE_ENTRY = 'entry'
@@ -22,14 +23,6 @@
     'data': ('folder',),
     'log': ('level',),
 }
-_TYPE_NAMES = {
-    str: 'a text',
-    bool: 'a boolean',
-    int: 'an integer',
-    float: 'a number',
-    list: 'a list',
-    dict: 'a table',
-}
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,14 +82,14 @@
         value = self.table(table).get(key, default)
         if isinstance(value, str):
             return value
-        self.refuse(f'{table}.{key}', expected, _describe(value))
+        self.refuse(f'{table}.{key}', expected, describe_value(value))
         return ''
 
     def name(self, table: str, key: str) -> str:
         """Give a name."""
         value = self.text(table, key, NAME_RULE)
         if value and not is_name(value):
-            self.refuse(f'{table}.{key}', NAME_RULE, repr(value))
+            self.refuse(f'{table}.{key}', NAME_RULE, describe_value(value))
         elif value == '' and self.table(table).get(key) == '':
             self.refuse(f'{table}.{key}', NAME_RULE, 'an empty text')
         return value
@@ -105,7 +98,7 @@
         """Give an IP address with a port."""
         value = self.text(table, key, ADDRESS_RULE)
         if isinstance(self.table(table).get(key), str) and not is_address(value):
-            self.refuse(f'{table}.{key}', ADDRESS_RULE, repr(value))
+            self.refuse(f'{table}.{key}', ADDRESS_RULE, describe_value(value))
         return value
 
 
@@ -115,7 +108,7 @@
         tables = tomllib.loads(path.read_text(encoding='utf-8'))
     except OSError as error:
         _fail(path, [SettingError(path, '(file)', 'a readable file', error.strerror or str(error))])
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
         _fail(path, [SettingError(path, '(file)', 'valid TOML in UTF-8', str(error))])
     reader = _Reader(path, tables)
     _check_keys(reader)
@@ -139,8 +132,7 @@
 
 
 def _fail(path: Path, mistakes: list[SettingError]) -> None:
-    count = len(mistakes)
-    raise ExceptionGroup(f'{path} has {count} mistake{"s" if count > 1 else ""}', mistakes)
+    raise ExceptionGroup(f'{path} has {count_of(len(mistakes), "mistake")}', mistakes)
 
 
 def _check_keys(reader: _Reader) -> None:
@@ -149,7 +141,7 @@
             reader.refuse(name, f'one of the tables {", ".join(_KEYS)}', 'an unknown key')
             continue
         if not isinstance(value, dict):
-            reader.refuse(name, 'a table', _describe(value))
+            reader.refuse(name, 'a table', describe_value(value))
             continue
         keys = _KEYS[name]
         for key in value if keys is not None else ():
@@ -162,12 +154,12 @@
     expected = f'a list with at least one of {", ".join(ROLES)}'
     value = reader.table('instance').get('roles')
     if not isinstance(value, list) or not value:
-        reader.refuse('instance.roles', expected, _describe(value))
+        reader.refuse('instance.roles', expected, describe_value(value))
         return ()
     for position, role in enumerate(value):
         key = f'instance.roles[{position}]'
         if role not in ROLES:
-            reader.refuse(key, f'one of {", ".join(ROLES)}', _describe(role))
+            reader.refuse(key, f'one of {", ".join(ROLES)}', describe_value(role))
         elif role in value[:position]:
             reader.refuse(key, 'every role once', f'{role!r} again')
     return tuple(role for role in value if role in ROLES)
@@ -180,11 +172,11 @@
     for name, address in reader.table('peers').items():
         key = f'peers.{name}'
         if not is_name(name):
-            reader.refuse(key, NAME_RULE, repr(name))
+            reader.refuse(key, NAME_RULE, describe_value(name))
         if name == own:
             reader.refuse(key, 'only other instances', 'the own instance')
         if not isinstance(address, str) or not is_address(address):
-            reader.refuse(key, ADDRESS_RULE, _describe(address))
+            reader.refuse(key, ADDRESS_RULE, describe_value(address))
             continue
         if address in users:
             reader.refuse(key, 'an address of its own', f'the address of {users[address]}')
@@ -201,9 +193,11 @@
         return None
     folder = reader.text('data', 'folder', 'the path of a folder')
     if isinstance(table['folder'], str) and (not folder or '\0' in folder):
-        reader.refuse('data.folder', 'the path of a folder', repr(folder))
+        reader.refuse('data.folder', 'the path of a folder', describe_value(folder))
     if roles and ROLE_VOTER not in roles:
-        reader.refuse('data.folder', 'no folder, as the instance is not a voter', repr(folder))
+        reader.refuse(
+            'data.folder', 'no folder, as the instance is not a voter', describe_value(folder)
+        )
     return Path(folder)
 
 
@@ -211,7 +205,7 @@
     expected = f'one of {", ".join(LOG_LEVELS)}'
     level = reader.text('log', 'level', expected, LOG_LEVEL_DEFAULT)
     if level not in LOG_LEVELS and isinstance(reader.table('log').get('level'), str):
-        reader.refuse('log.level', expected, repr(level))
+        reader.refuse('log.level', expected, describe_value(level))
     return level
 
 
@@ -226,11 +220,3 @@
         if peer.address in users:
             found = f'that of {users[peer.address]}'
             reader.refuse(f'peers.{peer.instance}', 'the address of another instance', found)
-
-
-def _describe(value: Any) -> str:
-    if value is None:
-        return 'nothing'
-    if isinstance(value, str):
-        return repr(value)
-    return f'{_TYPE_NAMES.get(type(value), type(value).__name__)} ({value!r})'
--- /dev/null
+++ b/tests/test_configuration/test_register.py
@@ -0,0 +1,144 @@
+"""Guard against a register that is misread."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.messages.accepted import CallerEntry, ShardEntry
+from pistachioloft_core.util.ranges import expand_range
+from pistachioloft_core.version.configuration import check_configuration
+from pistachioloft_core.version.register import RegisterError, RegisterText, parse_register
+
+GOLDSEAM = RegisterText(
+    instances="""\
+instance, failure_domain, caller_address, peer_address, voter
+e1, bne-a, 10.1.0.1:7000, 10.1.0.1:7002, yes
+e2, bne-b, 10.2.0.1:7000, 10.2.0.1:7002, yes
+e3, bne-c, 10.3.0.1:7000, 10.3.0.1:7002, yes
+# no disk
+e4, bne-a, 10.1.0.2:7000, 10.1.0.2:7002, no
+e5, bne-b, 10.2.0.2:7000, 10.2.0.2:7002,
+e6, bne-c, 10.3.0.2:7000, 10.3.0.2:7002, no
+""",
+    services='service\nsmall-{01..50}\nshared-1\nshared-2\n',
+    rules="""\
+[callers]
+urgent = ['dispatch']
+routine = ['stock', 'assay']
+""",
+    collections="""\
+[catalogue.40]
+'small-{01..50}' = 'part-{01..50}'
+shared-1 = ['wide-1', 'wide-2']
+shared-2 = 'wide-{3..4}'
+
+[catalogue.41]
+same_as = 40
+small-17 = ['part-17a', 'part-17b']
+small-18 = []
+""",
+)
+
+
+def mistakes(text: RegisterText) -> list[RegisterError]:
+    with pytest.raises(ExceptionGroup) as caught:
+        parse_register(text)
+    assert caught.value.split(RegisterError)[1] is None
+    return [error for error in caught.value.exceptions if isinstance(error, RegisterError)]
+
+
+def test_a_short_register_gives_a_whole_configuration() -> None:
+    """Guard against ranges and versions that expand to other shards than were meant."""
+    configuration = parse_register(GOLDSEAM)
+    assert check_configuration(configuration) == ()
+    assert len(configuration.instances) == 6
+    assert [entry.voter for entry in configuration.instances] == [True] * 3 + [False] * 3
+    assert len(configuration.services) == 52
+    assert CallerEntry('dispatch', 'urgent') in configuration.callers
+    (catalogue,) = configuration.collections
+    old, new = catalogue.versions
+    assert (old.version, len(old.shards)) == (40, 54)
+    assert ShardEntry('part-17', 'small-17') in old.shards
+    assert ShardEntry('wide-4', 'shared-2') in old.shards
+    removed = {ShardEntry('part-17', 'small-17'), ShardEntry('part-18', 'small-18')}
+    added = {ShardEntry('part-17a', 'small-17'), ShardEntry('part-17b', 'small-17')}
+    assert set(new.shards) == set(old.shards) - removed | added
+
+
+def test_order_of_lines_does_not_matter() -> None:
+    """Guard against a sorted export that looks like a change."""
+    head, *lines = GOLDSEAM.instances.splitlines()
+    shuffled = replace(GOLDSEAM, instances='\n'.join([head, *reversed(lines)]))
+    assert parse_register(shuffled) == parse_register(GOLDSEAM)
+
+
+@pytest.mark.parametrize(
+    ('file', 'old', 'new', 'place'),
+    [
+        ('instances', 'failure_domain', 'zone', 'line 1'),
+        ('instances', '7002, no\ne5', '7002, perhaps\ne5', 'line 6'),
+        ('instances', 'e4, bne-a,', 'e4,', 'line 6'),
+        ('instances', 'e4,', 'e1,', 'line 6'),
+        ('instances', 'e4,', '"e4,', 'line 8'),
+        ('services', 'shared-2', 'shared 2', 'line 4'),
+        ('services', 'shared-2', 'small-07', 'line 4'),
+        ('services', '{01..50}', '{50..01}', 'line 2'),
+        ('services', 'shared-2', 'same_as', 'line 4'),
+        ('rules', '[callers]', '[caller]', 'caller'),
+        ('rules', 'urgent', 'first', 'callers.first'),
+        ('rules', "'assay'", "'dispatch'", 'callers.routine'),
+        ('rules', "'assay'", '7', 'callers.routine'),
+        ('rules', "'assay'", "'assay", '(file)'),
+        ('collections', 'catalogue.40', 'catalogue.x40', 'catalogue.x40'),
+        ('collections', 'catalogue.41', 'catalogue.041', 'catalogue.041'),
+        ('collections', '= 40', '= 39', 'catalogue.41.same_as'),
+        ('collections', '= 40', '= 41', 'catalogue.41.same_as'),
+        ('collections', '= 40', '= 0x' + 'f' * 5000, 'catalogue.41.same_as'),
+        ('collections', '= 40', '= 1' + '0' * 5000, '(file)'),
+        ('collections', "'part-{01..50}'", "'part-{01..49}'", 'catalogue.40.small-{01..50}'),
+        ('collections', 'shared-1 =', 'small-02 =', 'catalogue.40.small-02'),
+        ('collections', '[catalogue.41]', '[catalogue]\n41 = 3\n[x.1]', 'catalogue.41'),
+    ],
+)
+def test_a_mistake_names_file_and_place(file: str, old: str, new: str, place: str) -> None:
+    """Guard against a mistake that passes or points at another place."""
+    text = getattr(GOLDSEAM, file)
+    assert old in text
+    found = mistakes(replace(GOLDSEAM, **{file: text.replace(old, new, 1)}))
+    assert place in {error.place for error in found}
+    assert all(error.file.startswith(file) for error in found)
+
+
+def test_versions_that_refer_to_each_other_are_refused() -> None:
+    """Guard against an endless loop over same_as."""
+    text = '[c.1]\nsame_as = 2\n[c.2]\nsame_as = 1\n'
+    assert len(mistakes(replace(GOLDSEAM, collections=text))) == 2
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.data())
+def test_any_damage_ends_in_register_errors(data: st.DataObject) -> None:
+    """Guard against a damaged file that raises anything but register errors."""
+    file = data.draw(st.sampled_from(('instances', 'services', 'rules', 'collections')))
+    text = getattr(GOLDSEAM, file)
+    cut = data.draw(st.integers(0, len(text)))
+    junk = data.draw(st.text(max_size=20) | st.text('{}.0123=\'"[]#,\n', max_size=20))
+    try:
+        parse_register(replace(GOLDSEAM, **{file: text[:cut] + junk + text[cut:]}))
+    except ExceptionGroup as group:
+        others = group.split(RegisterError)[1]
+        if others is not None:
+            raise others from None
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.integers(0, 2000), st.integers(0, 60), st.integers(1, 6))
+def test_a_range_has_every_number_once(first: int, count: int, width: int) -> None:
+    """Guard against a range that loses its last number or its zeros."""
+    names = expand_range(f's{{{first:0{width}d}..{first + count}}}')
+    assert [int(name[1:]) for name in names] == list(range(first, first + count + 1))
+    assert all(len(name) > width for name in names)
--- a/tests/test_settings/test_load.py
+++ b/tests/test_settings/test_load.py
@@ -109,6 +109,7 @@
         ("folder = '/var/lib/pistachioloft'", "folder = ''", 'data.folder'),
         ('[data]', "[log]\nlevel = 'loud'\n[data]", 'log.level'),
         ('[data]', '[data', '(file)'),
+        ("'10.1.0.1:7001'", '0x' + 'f' * 5000, 'listen.operator_address'),
     ],
 )
 def test_a_mistake_names_its_key(tmp_path: Path, old: str, new: str, key: str) -> None:
