--- a/packages/core/src/pistachioloft_core/util/names.py
+++ b/packages/core/src/pistachioloft_core/util/names.py
@@ -7,6 +7,8 @@
 
 NAME_LENGTH_MAX = 64
 NAME_RULE = f'a name of 1 to {NAME_LENGTH_MAX} letters, digits, dots, hyphens or underscores'
+SHARD_RULE = f'{NAME_RULE}, or several of these joined by /'
+SHARD_LENGTH_MAX = 200
 ADDRESS_RULE = 'an IP address and a port from 1 to 65535, such as 10.1.0.1:7000 or [fd00::1]:7000'
 
 _NAME = re.compile(rf'[A-Za-z0-9][A-Za-z0-9._-]{{0,{NAME_LENGTH_MAX - 1}}}')
@@ -19,6 +21,11 @@
     return _NAME.fullmatch(text) is not None
 
 
+def is_shard_name(text: str) -> bool:
+    """Tell whether a text is a valid shard name, such as assay/0."""
+    return len(text) <= SHARD_LENGTH_MAX and all(is_name(part) for part in text.split('/'))
+
+
 def split_address(text: str) -> tuple[str, int] | None:
     """Split IP:port into its parts; give None for anything else."""
     match = _IPV4.fullmatch(text) or _IPV6.fullmatch(text)
--- a/packages/core/src/pistachioloft_core/version/configuration.py
+++ b/packages/core/src/pistachioloft_core/version/configuration.py
@@ -7,7 +7,7 @@
 
 from ..messages.public import PRIORITY_CLASSES
 from ..util.describe import count_of
-from ..util.names import ADDRESS_RULE, NAME_RULE, is_address, is_name
+from ..util.names import ADDRESS_RULE, NAME_RULE, SHARD_RULE, is_address, is_name, is_shard_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -132,7 +132,11 @@
 ) -> None:
     if not entry.shards:
         mistakes.append(f'{where}: has no shard')
-    _check_names(f'{where}: shard', (shard.shard for shard in entry.shards), mistakes)
+    for name, count in Counter(shard.shard for shard in entry.shards).items():
+        if not is_shard_name(name):
+            mistakes.append(f'{where}: shard {name!r}: expected {SHARD_RULE}')
+        if count > 1:
+            mistakes.append(f'{where}: shard {name!r}: given {count} times')
     for shard in entry.shards:
         if shard.service not in services:
             mistakes.append(
--- a/packages/core/src/pistachioloft_core/version/register.py
+++ b/packages/core/src/pistachioloft_core/version/register.py
@@ -19,7 +19,7 @@
 )
 from ..messages.public import PRIORITY_CLASSES
 from ..util.describe import count_of, describe_value
-from ..util.names import NAME_RULE, is_name
+from ..util.names import NAME_RULE, SHARD_RULE, is_name, is_shard_name
 from ..util.ranges import expand_range
 
 if TYPE_CHECKING:
@@ -188,7 +188,9 @@
     return tuple(CallerEntry(caller, priorities[caller]) for caller in sorted(priorities))
 
 
-def _names(file: str, key: str, value: Any, mistakes: _Mistakes) -> tuple[str, ...]:
+def _names(
+    file: str, key: str, value: Any, mistakes: _Mistakes, shards: bool = False
+) -> tuple[str, ...]:
     """Give the names of a text or a list of texts, with ranges expanded."""
     names: list[str] = []
     for item in value if isinstance(value, list) else [value]:
@@ -197,8 +199,8 @@
             mistakes.append(RegisterError(file, key, detail))
             continue
         for name in _expand(file, key, item, mistakes):
-            if not is_name(name):
-                detail = f'expected {NAME_RULE}, found {name!r}'
+            if not (is_shard_name(name) if shards else is_name(name)):
+                detail = f'expected {SHARD_RULE if shards else NAME_RULE}, found {name!r}'
                 mistakes.append(RegisterError(file, key, detail))
             names.append(name)
     return tuple(names)
@@ -254,7 +256,7 @@
             continue
         place = f'{key}.{pattern}'
         services = _names(COLLECTIONS_FILE, place, pattern, mistakes)
-        names = _names(COLLECTIONS_FILE, place, value, mistakes)
+        names = _names(COLLECTIONS_FILE, place, value, mistakes, shards=True)
         # A range of services shares the shards out evenly, in the order in which they are given.
         if services and len(names) % len(services):
             detail = f'{len(names)} shards cannot be divided among {len(services)} services'
--- a/tests/test_configuration/test_check.py
+++ b/tests/test_configuration/test_check.py
@@ -83,6 +83,7 @@
     'version 0 is not from 1': with_versions(version(0, ('p', 's1'))),
     'version 7: has no shard': with_versions(version(7)),
     "version 7: shard 'p': given 2 times": with_versions(version(7, ('p', 's1'), ('p', 's2'))),
+    "shard 'p/': expected a name": with_versions(version(7, ('p/', 's1'))),
     "shard 'p' is on service 's9', which the inventory does not have": with_versions(
         version(7, ('p', 's9'))
     ),
