--- a/packages/core/src/pistachioloft_core/process/latency.py
+++ b/packages/core/src/pistachioloft_core/process/latency.py
@@ -53,11 +53,6 @@
         self.services: dict[str, ServiceLatency] = {}
 
 
-def record_latency(state: LatencyState, service: str, latency_ms: float) -> None:
-    """Add the latency of one sub-request; of a cancelled one, the time until then."""
-    service_latency(state, service).add(latency_ms)
-
-
 def service_latency(state: LatencyState, service: str) -> ServiceLatency:
     """Return the learned latency of a service."""
     found = state.services.get(service)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/observe.py
@@ -0,0 +1,70 @@
+"""What an instance learns from the results of attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages.peer import OUTCOME_NOT_STARTED
+from ..process.latency import service_latency
+from ..process.observed import (
+    mark_slow,
+    record_answer,
+    record_draining,
+    record_lost,
+    record_shed,
+    record_unknown,
+)
+
+if TYPE_CHECKING:
+    from ..messages.peer import AttemptResult
+    from ..process.endpoint_view import EndpointView
+    from .routing import RoutingState
+
+# An endpoint that no longer holds the version says so with `not_started` and this detail.
+DETAIL_NOT_HELD = 'not_held'
+
+
+def observe_success(
+    routing: RoutingState,
+    endpoint: EndpointView,
+    now_ms: float,
+    sent_ms: float,
+    result: AttemptResult,
+    *,
+    counts_for_service: bool = True,
+) -> None:
+    """Learn from an answer; of a cancelled attempt, the service's latency is known already."""
+    name = endpoint.endpoint
+    latency_ms = now_ms - sent_ms
+    load = result.in_flight_count + result.queue_length
+    observed = routing.observed
+    record_answer(observed, name, endpoint.owner, now_ms, latency_ms, load)
+    if result.draining:
+        record_draining(observed, name)
+    if counts_for_service:
+        learned = service_latency(routing.latencies, endpoint.service)
+        late = latency_ms > learned.p95_ms
+        if late or observed.slow:
+            mark_slow(observed, name, late)
+        learned.add(latency_ms)
+
+
+def observe_failure(
+    routing: RoutingState, endpoint: EndpointView, now_ms: float, result: AttemptResult
+) -> None:
+    """Learn from an attempt that brought no answer."""
+    name, owner = endpoint.endpoint, endpoint.owner
+    observed = routing.observed
+    if result.draining:
+        record_draining(observed, name)
+    if result.detail.startswith(DETAIL_NOT_HELD):
+        return
+    if result.crashed:
+        record_lost(observed, name, owner, now_ms)
+    elif result.outcome == OUTCOME_NOT_STARTED:
+        if result.retry_after_ms is not None:
+            record_shed(observed, name, owner, now_ms, result.retry_after_ms)
+        elif not result.draining:
+            record_lost(observed, name, owner, now_ms)
+    else:
+        record_unknown(observed, name, owner, now_ms)
--- a/packages/core/src/pistachioloft_core/request/query.py
+++ b/packages/core/src/pistachioloft_core/request/query.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from ..codec import content_digest
@@ -13,15 +14,13 @@
 from .actions import LOG_PLAN, LOG_REFUSAL, Finished, LogDecision, RequestAction, WakeAt
 from .hedge import check_late
 from .merge import accept_results, build_answer, unanswered_shards
+from .observe import DETAIL_NOT_HELD, observe_failure, observe_success
 from .plan import plan_query
 from .query_state import (
-    DETAIL_NOT_HELD,
     QueryState,
     adopt_version,
     close_attempt,
     finish,
-    observe_answer,
-    observe_failure,
     send_planned,
     withdraw,
 )
@@ -137,7 +136,14 @@
     gathered = query.gathered
     assert gathered is not None
     query.may_have_run = True
-    observe_answer(routing, attempt, now_ms, result)
+    observe_success(
+        routing,
+        attempt.endpoint,
+        now_ms,
+        attempt.sent_ms,
+        result,
+        counts_for_service=attempt.is_open,
+    )
     return accept_results(gathered, attempt.shards, result.results)
 
 
@@ -154,7 +160,7 @@
     if result.outcome == OUTCOME_OK or result.detail.startswith(DETAIL_NOT_HELD):
         query.unheld.add(result.endpoint)
     if result.outcome != OUTCOME_OK:
-        observe_failure(routing, attempt, now_ms, result)
+        observe_failure(routing, attempt.endpoint, now_ms, result)
     if result.crashed or result.outcome == OUTCOME_UNKNOWN:
         query.doubted.add(result.endpoint)
     if result.crashed:
@@ -232,7 +238,8 @@
     gathered = query.gathered
     assert gathered is not None
     if query.may_have_run or query.open_count:
-        return build_answer(request, gathered)
+        retry_after_ms = query.retry_after_ms or OVERLOAD_RETRY_MS
+        return dataclasses.replace(build_answer(request, gathered), retry_after_ms=retry_after_ms)
     if query.retry_after_ms is not None:
         median_ms = max(
             service_latency(routing.latencies, group.service).median_ms
--- a/packages/core/src/pistachioloft_core/request/query_state.py
+++ b/packages/core/src/pistachioloft_core/request/query_state.py
@@ -7,33 +7,20 @@
 from ..messages.endpoint import KIND_QUERY
 from ..messages.peer import Attempt
 from ..process.budget import record_first_tries
-from ..process.latency import record_latency, service_latency
-from ..process.observed import (
-    mark_slow,
-    record_answer,
-    record_closed,
-    record_draining,
-    record_lost,
-    record_sent,
-    record_shed,
-    record_unanswered,
-    record_unknown,
-)
+from ..process.latency import service_latency
+from ..process.observed import record_closed, record_sent, record_unanswered
 from .actions import CancelAttempts, Finished, RequestAction, SendAttempts
 from .merge import Gathered
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..messages.peer import AttemptResult
     from ..messages.public import QueryReply, QueryRequest
     from ..process.endpoint_view import EndpointView
     from ..version.snapshot import VersionView
     from .plan import PlannedAttempt
     from .routing import RoutingState
 
-# An endpoint that no longer holds the version says so with `not_started` and this detail.
-DETAIL_NOT_HELD = 'not_held'
 # The reply has to be merged, encoded and received before the caller's deadline.
 FINISH_BEFORE_MS = 5.0
 
@@ -217,47 +204,6 @@
     return actions
 
 
-def observe_answer(
-    routing: RoutingState, attempt: AttemptState, now_ms: float, result: AttemptResult
-) -> None:
-    """Learn from a reply that carries rows."""
-    endpoint = attempt.endpoint
-    latency_ms = now_ms - attempt.sent_ms
-    load = result.in_flight_count + result.queue_length
-    observed = routing.observed
-    record_answer(observed, endpoint.endpoint, endpoint.owner, now_ms, latency_ms, load)
-    if result.draining:
-        record_draining(observed, endpoint.endpoint)
-    if attempt.is_open:
-        learned = service_latency(routing.latencies, endpoint.service)
-        late = latency_ms > learned.p95_ms
-        if late or observed.slow:
-            mark_slow(observed, endpoint.endpoint, late)
-        record_latency(routing.latencies, endpoint.service, latency_ms)
-
-
-def observe_failure(
-    routing: RoutingState, attempt: AttemptState, now_ms: float, result: AttemptResult
-) -> None:
-    """Learn from an attempt that brought no rows."""
-    endpoint = attempt.endpoint
-    name, owner = endpoint.endpoint, endpoint.owner
-    observed = routing.observed
-    if result.draining:
-        record_draining(observed, name)
-    if result.detail.startswith(DETAIL_NOT_HELD):
-        return
-    if result.crashed:
-        record_lost(observed, name, owner, now_ms)
-    elif result.outcome == 'not_started':
-        if result.retry_after_ms is not None:
-            record_shed(observed, name, owner, now_ms, result.retry_after_ms)
-        elif not result.draining:
-            record_lost(observed, name, owner, now_ms)
-    else:
-        record_unknown(observed, name, owner, now_ms)
-
-
 def _open_attempt(
     routing: RoutingState,
     query: QueryState,
