--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/actions.py
@@ -0,0 +1,112 @@
+"""Actions of the connection decisions and of the soft state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import SubRequest
+    from ..messages.peer import Attempt, AttemptResult, CrashReport
+
+DECISION_OPEN = 'open'
+DECISION_CLOSE = 'close'
+DECISION_SILENT = 'silent'
+DECISION_PROBE = 'probe'
+DECISION_RAMP = 'ramp'
+DECISION_REFUSE = 'refuse'
+DECISION_CRASH = 'crash'
+DECISION_OWNER = 'owner'
+DECISION_DRAIN = 'drain'
+DECISION_LINK = 'link'
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection:
+    """Open a connection; `on_connection_opened` or `on_connection_closed` answers it."""
+
+    endpoint: str
+    connection_id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseConnection:
+    """Close a connection; `on_connection_closed` must confirm it."""
+
+    endpoint: str
+    connection_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendSubRequest:
+    """Send a sub-request on one connection."""
+
+    connection_id: str
+    endpoint: str
+    address: str
+    attempt: Attempt
+    request: SubRequest
+
+
+@dataclass(frozen=True, slots=True)
+class SendCancel:
+    """Withdraw a sub-request outside the owned connections."""
+
+    endpoint: str
+    address: str
+    identity: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    """Cancel an identity that no request has; `on_probe_answered` reports any HTTP reply."""
+
+    connection_id: str
+    endpoint: str
+    address: str
+    identity: str
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Hand the result of an attempt to its origin."""
+
+    origin: str
+    result: AttemptResult
+
+
+@dataclass(frozen=True, slots=True)
+class ReportCrash:
+    """Spread that a request was in flight at a crash."""
+
+    report: CrashReport
+
+
+@dataclass(frozen=True, slots=True)
+class WakeAt:
+    """Call `on_timer` at this time; the earliest wake counts."""
+
+    time_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class LogDecision:
+    """Log one placement decision."""
+
+    decision: str
+    subject: str
+    detail: str
+
+
+OwnerAction = (
+    OpenConnection
+    | CloseConnection
+    | SendSubRequest
+    | SendCancel
+    | SendProbe
+    | Result
+    | ReportCrash
+    | WakeAt
+    | LogDecision
+)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/dispatch.py
@@ -0,0 +1,115 @@
+"""Hand waiting attempts to free slots and connections."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from ..messages.endpoint import SubRequest
+from . import queue, service_time
+from .actions import SendSubRequest
+from .endpoint_state import (
+    ConnectionState,
+    Flight,
+    accepts_work,
+    current_slot_limit,
+    in_flight_count,
+    is_idle,
+    times_of,
+)
+from .results import refuse_queued
+
+if TYPE_CHECKING:
+    from ..messages.peer import Attempt
+    from .actions import OwnerAction
+    from .endpoint_state import Connection, OwnedEndpoint, OwnerState
+
+
+def expected_finish_ms(
+    endpoint: OwnedEndpoint, now_ms: float, attempt: Attempt, deadline_ms: float
+) -> float | None:
+    """Estimate when an attempt would be answered, or None before anything is learned."""
+    times = times_of(endpoint, attempt.kind)
+    if not service_time.is_learned(times):
+        return None
+    in_flight = in_flight_count(endpoint)
+    waiting = queue.count_ahead(endpoint.queue, attempt.urgent, deadline_ms)
+    if not in_flight and not waiting:
+        # An idle endpoint takes work whatever was learned, so that a slow spell is unlearned.
+        return None
+    limit = current_slot_limit(endpoint, now_ms)
+    ahead = max(0, waiting + in_flight - limit + 1)
+    return now_ms + ahead * times.mean_ms / limit + service_time.median_ms(times)
+
+
+def dispatch(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> None:
+    """Send waiting attempts as far as slots and connections allow."""
+    while len(endpoint.queue) and accepts_work(endpoint) and now_ms >= endpoint.pause_until_ms:
+        idle = [conn for conn in endpoint.connections.values() if is_idle(conn)]
+        if not idle or in_flight_count(endpoint) >= current_slot_limit(endpoint, now_ms):
+            return
+        urgent = _choose_class(endpoint, len(idle))
+        if urgent is None:
+            return
+        queued = queue.pop(endpoint.queue, urgent)
+        if _is_too_late(endpoint, now_ms, queued):
+            detail = 'the deadline cannot be met'
+            refuse_queued(state, endpoint, now_ms, queued, detail, actions)
+            continue
+        # The connection that answered last is the least likely to be silent.
+        conn = max(idle, key=lambda candidate: candidate.last_answer_ms)
+        _send(endpoint, now_ms, conn, queued, actions)
+
+
+def _choose_class(endpoint: OwnedEndpoint, idle_count: int) -> bool | None:
+    due = queue.routine_is_due(endpoint.queue)
+    if not due:
+        return True
+    owed = endpoint.queue.urgent_streak >= queue.ROUTINE_SHARE - 1
+    if owed or idle_count > 1 or _open_count(endpoint) == 1:
+        return False
+    return None
+
+
+def _open_count(endpoint: OwnedEndpoint) -> int:
+    return sum(1 for c in endpoint.connections.values() if c.state is ConnectionState.OPEN)
+
+
+def _is_too_late(endpoint: OwnedEndpoint, now_ms: float, queued: queue.QueuedAttempt) -> bool:
+    left_ms = queued.deadline_ms - now_ms
+    if left_ms < 1.0:
+        return True
+    times = times_of(endpoint, queued.attempt.kind)
+    if not service_time.is_learned(times) or not in_flight_count(endpoint):
+        return False
+    return left_ms < service_time.median_ms(times)
+
+
+def _send(
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    conn: Connection,
+    queued: queue.QueuedAttempt,
+    actions: list[OwnerAction],
+) -> None:
+    attempt = queued.attempt
+    queued.send_count += 1
+    identity = f'{attempt.attempt_id}#{queued.send_count}'
+    conn.flight = Flight(queued, identity, now_ms)
+    request = SubRequest(
+        identity,
+        attempt.kind,
+        attempt.caller,
+        attempt.collection,
+        attempt.version,
+        attempt.shards,
+        attempt.body,
+        math.floor(queued.deadline_ms - now_ms),
+        attempt.urgent,
+        attempt.idempotency_key,
+    )
+    address = endpoint.announcement.address
+    send = SendSubRequest(conn.connection_id, endpoint.name, address, attempt, request)
+    actions.append(send)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_state.py
@@ -0,0 +1,235 @@
+"""State of the endpoints, connections and attempts that an instance owns."""
+
+from __future__ import annotations
+
+import heapq
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..messages.endpoint import KIND_COMMAND
+from . import queue, ramp, service_time
+from .actions import WakeAt
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import Announcement
+    from .actions import OwnerAction
+
+CRASH_DECISION_MS = 50.0
+CRASH_WINDOW_MS = 5_000.0
+OPEN_TIMEOUT_MS = 2_000.0
+# Lets a reply that is already on its way overtake the evidence of silence.
+SILENT_GRACE_MS = 20.0
+MIN_WAKE_MS = 1.0
+# Attempt ids that are remembered, so that a batch delivered twice runs once.
+RECENT_ATTEMPTS = 8_192
+
+
+class ConnectionState(Enum):
+    """Name the stage of a connection."""
+
+    OPENING = 'opening'
+    OPEN = 'open'
+    CLOSING = 'closing'
+
+
+class Flight:
+    """Hold an attempt that was sent; it occupies a slot until its connection is free."""
+
+    __slots__ = (
+        'answered',
+        'deadline_ms',
+        'evidence_ms',
+        'hold_until_ms',
+        'identity',
+        'queued',
+        'sent_ms',
+    )
+
+    def __init__(self, queued: queue.QueuedAttempt, identity: str, now_ms: float) -> None:
+        self.queued = queued
+        self.identity = identity
+        self.sent_ms = now_ms
+        self.deadline_ms = queued.deadline_ms
+        self.answered = False
+        self.hold_until_ms: float | None = None
+        self.evidence_ms: float | None = None
+
+
+class Connection:
+    """Hold one connection to an endpoint."""
+
+    __slots__ = (
+        'answered',
+        'connection_id',
+        'flight',
+        'incarnation',
+        'last_answer_ms',
+        'probe',
+        'probe_sent_ms',
+        'retiring',
+        'since_ms',
+        'state',
+    )
+
+    def __init__(self, connection_id: str, incarnation: int, now_ms: float) -> None:
+        self.connection_id = connection_id
+        self.incarnation = incarnation
+        self.state = ConnectionState.OPENING
+        self.since_ms = now_ms
+        self.last_answer_ms = now_ms
+        self.answered = False
+        self.flight: Flight | None = None
+        self.retiring = False
+        self.probe = False
+        self.probe_sent_ms: float | None = None
+
+
+class LostFlight:
+    """Hold an attempt whose connection the endpoint closed."""
+
+    __slots__ = ('flight', 'reopened', 'reset_ms')
+
+    def __init__(self, flight: Flight, reset_ms: float) -> None:
+        self.flight = flight
+        self.reset_ms = reset_ms
+        self.reopened = False
+
+
+class OwnedEndpoint:
+    """Hold everything about one owned endpoint."""
+
+    def __init__(self, announcement: Announcement) -> None:
+        self.announcement = announcement
+        self.draining = announcement.draining
+        self.removed = False
+        self.connections: dict[str, Connection] = {}
+        self.queue = queue.AttemptQueue()
+        self.query_times = service_time.ServiceTime()
+        self.command_times = service_time.ServiceTime()
+        self.ramp_start_ms: float | None = None
+        self.pause_until_ms = 0.0
+        self.open_failures = 0
+        self.next_open_ms = 0.0
+        self.lost: list[LostFlight] = []
+        self.scheduled_ms: float | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the endpoint's id."""
+        return self.announcement.endpoint
+
+
+class OwnerState:
+    """Hold all endpoints that this instance owns."""
+
+    def __init__(self, instance: str) -> None:
+        self.instance = instance
+        self.endpoints: dict[str, OwnedEndpoint] = {}
+        self.connection_endpoints: dict[str, str] = {}
+        self.attempt_endpoints: dict[str, str] = {}
+        self.recent_attempts: dict[str, None] = {}
+        self.wakes: list[tuple[float, str]] = []
+        self.armed_ms: float | None = None
+        self.next_connection = 0
+        self.next_probe = 0
+
+
+def accepts_work(endpoint: OwnedEndpoint) -> bool:
+    """Tell whether the endpoint may be given new work at all."""
+    return not endpoint.removed and not endpoint.draining
+
+
+def in_flight_count(endpoint: OwnedEndpoint) -> int:
+    """Count the occupied slots."""
+    return sum(1 for conn in endpoint.connections.values() if conn.flight is not None)
+
+
+def current_slot_limit(endpoint: OwnedEndpoint, now_ms: float) -> int:
+    """Return how many slots may be occupied now."""
+    return ramp.slot_limit(endpoint.announcement.slot_count, endpoint.ramp_start_ms, now_ms)
+
+
+def is_idle(conn: Connection) -> bool:
+    """Tell whether a connection can carry an attempt."""
+    return (
+        conn.state is ConnectionState.OPEN
+        and conn.flight is None
+        and not conn.retiring
+        and not conn.probe
+    )
+
+
+def times_of(endpoint: OwnedEndpoint, kind: str) -> service_time.ServiceTime:
+    """Return the learned service time of a kind of request."""
+    return endpoint.command_times if kind == KIND_COMMAND else endpoint.query_times
+
+
+def overdue_at_ms(endpoint: OwnedEndpoint, flight: Flight) -> float:
+    """Return when the reply to an attempt is overdue."""
+    times = times_of(endpoint, flight.queued.attempt.kind)
+    return flight.sent_ms + service_time.overdue_ms(times)
+
+
+def schedule(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> None:
+    """Ask for a wake at the endpoint's next own event."""
+    times = [*_connection_wakes(endpoint, now_ms), *_endpoint_wakes(endpoint, now_ms)]
+    if not times:
+        return
+    wake_ms = max(min(times), now_ms + MIN_WAKE_MS)
+    if endpoint.scheduled_ms is not None and endpoint.scheduled_ms <= wake_ms:
+        return
+    endpoint.scheduled_ms = wake_ms
+    heapq.heappush(state.wakes, (wake_ms, endpoint.name))
+    arm(state, actions)
+
+
+def arm(state: OwnerState, actions: list[OwnerAction]) -> None:
+    """Ask for the earliest wake unless it is already asked for."""
+    if state.wakes and (state.armed_ms is None or state.wakes[0][0] < state.armed_ms):
+        state.armed_ms = state.wakes[0][0]
+        actions.append(WakeAt(state.armed_ms))
+
+
+def _connection_wakes(endpoint: OwnedEndpoint, now_ms: float) -> list[float]:
+    times: list[float] = []
+    for conn in endpoint.connections.values():
+        if conn.state is ConnectionState.OPENING:
+            times.append(conn.since_ms + OPEN_TIMEOUT_MS)
+        elif conn.state is ConnectionState.OPEN and conn.flight is not None:
+            times.append(_flight_wake(endpoint, conn.flight, now_ms))
+        elif conn.state is ConnectionState.OPEN and conn.probe_sent_ms is not None:
+            times.append(conn.probe_sent_ms + service_time.overdue_ms(endpoint.query_times))
+    return times
+
+
+def _flight_wake(endpoint: OwnedEndpoint, flight: Flight, now_ms: float) -> float:
+    end_ms = flight.deadline_ms if flight.hold_until_ms is None else flight.hold_until_ms
+    if flight.evidence_ms is not None:
+        return min(end_ms, flight.evidence_ms + SILENT_GRACE_MS)
+    overdue_ms = overdue_at_ms(endpoint, flight)
+    # An overdue reply waits for the answer of another connection, which is an event of its own.
+    return min(end_ms, overdue_ms) if overdue_ms > now_ms else end_ms
+
+
+def _endpoint_wakes(endpoint: OwnedEndpoint, now_ms: float) -> list[float]:
+    times: list[float] = []
+    for lost in endpoint.lost:
+        if lost.flight.answered:
+            times.append(lost.reset_ms + CRASH_WINDOW_MS)
+        else:
+            times.append(min(lost.reset_ms + CRASH_DECISION_MS, lost.flight.deadline_ms))
+    deadline_ms = queue.earliest_deadline(endpoint.queue)
+    if deadline_ms is not None:
+        times.append(deadline_ms)
+        if endpoint.pause_until_ms > now_ms:
+            times.append(endpoint.pause_until_ms)
+        step_ms = ramp.next_step_ms(
+            endpoint.announcement.slot_count, endpoint.ramp_start_ms, now_ms
+        )
+        if step_ms is not None:
+            times.append(step_ms)
+    if endpoint.next_open_ms > now_ms and accepts_work(endpoint):
+        times.append(endpoint.next_open_ms)
+    return times
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/owner.py
@@ -0,0 +1,420 @@
+"""Decide what the owner instance of an endpoint does with attempts and connections."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from ..messages.endpoint import STATUS_FAILED, STATUS_NOT_STARTED, STATUS_OK
+from ..messages.peer import (
+    OUTCOME_FAILED,
+    OUTCOME_NOT_STARTED,
+    OUTCOME_OK,
+    OUTCOME_UNKNOWN,
+)
+from . import crash, dispatch, endpoint_state, pool, queue, results, service_time, silence
+from .actions import (
+    DECISION_CLOSE,
+    DECISION_DRAIN,
+    DECISION_OPEN,
+    DECISION_RAMP,
+    LogDecision,
+    SendCancel,
+)
+from .endpoint_state import ConnectionState, OwnedEndpoint, OwnerState
+from .observation import EndpointObservation
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import Announcement, SubReply
+    from ..messages.peer import Attempt, EndpointRecord
+    from .actions import OwnerAction
+    from .endpoint_state import Connection
+
+__all__ = [
+    'OwnerState',
+    'cancel',
+    'observations',
+    'on_connection_closed',
+    'on_connection_opened',
+    'on_failure',
+    'on_probe_answered',
+    'on_reply',
+    'on_timer',
+    'remove_endpoint',
+    'submit',
+    'update_endpoint',
+]
+
+QUEUE_PER_SLOT = 32
+SHED_PAUSE_MS = 25.0
+MAX_SENDS = 3
+
+_OUTCOMES = {
+    STATUS_OK: OUTCOME_OK,
+    STATUS_NOT_STARTED: OUTCOME_NOT_STARTED,
+    STATUS_FAILED: OUTCOME_FAILED,
+}
+
+
+def update_endpoint(state: OwnerState, now_ms: float, record: EndpointRecord) -> list[OwnerAction]:
+    """Take over a new endpoint or apply a newer announcement of an owned one."""
+    if record.owner != state.instance:
+        return remove_endpoint(state, now_ms, record.announcement.endpoint)
+    actions: list[OwnerAction] = []
+    announcement = record.announcement
+    endpoint = state.endpoints.get(announcement.endpoint)
+    if endpoint is None:
+        endpoint = OwnedEndpoint(announcement)
+        state.endpoints[announcement.endpoint] = endpoint
+        # A latency shows that an earlier owner already served this incarnation.
+        if record.latency_ms <= 0:
+            _start_ramp(endpoint, now_ms, actions)
+    else:
+        _apply_announcement(state, endpoint, now_ms, announcement, actions)
+    if endpoint.removed:
+        endpoint.removed = False
+        actions.append(LogDecision(DECISION_OPEN, endpoint.name, 'owned again'))
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def remove_endpoint(state: OwnerState, now_ms: float, endpoint: str) -> list[OwnerAction]:
+    """Start nothing new on an endpoint and close its connections once they are free."""
+    owned = state.endpoints.get(endpoint)
+    if owned is None or owned.removed:
+        return []
+    owned.removed = True
+    actions: list[OwnerAction] = [LogDecision(DECISION_CLOSE, endpoint, 'no longer owned')]
+    _settle(state, owned, now_ms, actions)
+    return actions
+
+
+def submit(state: OwnerState, now_ms: float, attempt: Attempt) -> list[OwnerAction]:
+    """Accept an attempt or refuse it at once."""
+    if not _is_first_delivery(state, attempt.attempt_id):
+        return []
+    endpoint = state.endpoints.get(attempt.endpoint)
+    if endpoint is None:
+        return results.refuse(attempt, 'this instance does not own the endpoint')
+    deadline_ms = now_ms + attempt.time_left_ms
+    detail = _refusal(endpoint, now_ms, attempt, deadline_ms)
+    if detail is not None:
+        retry_ms = results.retry_after_ms(endpoint, now_ms)
+        return results.refuse(attempt, detail, retry_ms, endpoint.draining)
+    actions: list[OwnerAction] = []
+    if not _make_room(state, endpoint, now_ms, attempt, actions):
+        retry_ms = results.retry_after_ms(endpoint, now_ms)
+        return results.refuse(attempt, 'the queue of the endpoint is full', retry_ms)
+    queue.push(endpoint.queue, queue.QueuedAttempt(attempt, now_ms, deadline_ms))
+    state.attempt_endpoints[attempt.attempt_id] = endpoint.name
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def cancel(state: OwnerState, now_ms: float, attempt_id: str) -> list[OwnerAction]:
+    """Withdraw an attempt; one that was sent keeps its slot until the endpoint lets go."""
+    endpoint = state.endpoints.get(state.attempt_endpoints.get(attempt_id, ''))
+    if endpoint is None:
+        return []
+    actions: list[OwnerAction] = []
+    queued = queue.remove(endpoint.queue, attempt_id)
+    if queued is not None:
+        results.refuse_queued(state, endpoint, now_ms, queued, 'cancelled', actions)
+    flights = [conn.flight for conn in endpoint.connections.values() if conn.flight is not None]
+    for flight in [*flights, *(lost.flight for lost in endpoint.lost)]:
+        if flight.queued.attempt.attempt_id == attempt_id and not flight.answered:
+            results.abandon_flight(state, endpoint, now_ms, flight, 'cancelled', actions)
+            address = endpoint.announcement.address
+            actions.append(SendCancel(endpoint.name, address, flight.identity))
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def on_connection_opened(state: OwnerState, now_ms: float, connection_id: str) -> list[OwnerAction]:
+    """Put a new connection to use."""
+    endpoint, conn = _find(state, connection_id)
+    if endpoint is None or conn is None or conn.state is not ConnectionState.OPENING:
+        return []
+    actions: list[OwnerAction] = []
+    conn.state = ConnectionState.OPEN
+    conn.last_answer_ms = now_ms
+    if endpoint.open_failures and endpoint.next_open_ms > now_ms:
+        endpoint.next_open_ms = now_ms
+    crash.note_reopened(state, endpoint, now_ms, conn, actions)
+    if conn.probe:
+        silence.send_probe(state, endpoint, now_ms, conn, actions)
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def on_probe_answered(state: OwnerState, now_ms: float, connection_id: str) -> list[OwnerAction]:
+    """Take any reply to a probe as an answer of the endpoint on that connection."""
+    endpoint, conn = _find(state, connection_id)
+    if endpoint is None or conn is None or conn.probe_sent_ms is None:
+        return []
+    actions: list[OwnerAction] = []
+    conn.probe = False
+    conn.probe_sent_ms = None
+    endpoint.open_failures = 0
+    silence.note_answer(endpoint, now_ms, conn)
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def on_connection_closed(
+    state: OwnerState, now_ms: float, connection_id: str, detail: str
+) -> list[OwnerAction]:
+    """Account for a connection that is gone, was refused or was closed on request."""
+    endpoint, conn = _find(state, connection_id)
+    if endpoint is None or conn is None:
+        return []
+    actions: list[OwnerAction] = []
+    del endpoint.connections[connection_id]
+    del state.connection_endpoints[connection_id]
+    if conn.state is not ConnectionState.CLOSING:
+        text = f'{connection_id}: closed by the endpoint: {detail}'
+        actions.append(LogDecision(DECISION_CLOSE, endpoint.name, text))
+    if conn.state is ConnectionState.OPENING:
+        _note_refused(state, endpoint, now_ms, detail, actions)
+    elif conn.state is ConnectionState.OPEN:
+        short = not conn.answered and now_ms < conn.since_ms + pool.SHORT_LIFE_MS
+        if short and conn.flight is None:
+            pool.note_open_failure(endpoint, now_ms)
+        crash.note_reset(state, endpoint, now_ms, conn, detail, actions)
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def on_reply(
+    state: OwnerState, now_ms: float, connection_id: str, reply: SubReply
+) -> list[OwnerAction]:
+    """Match a reply with the attempt on its connection."""
+    endpoint, conn = _find(state, connection_id)
+    if endpoint is None or conn is None or conn.state is not ConnectionState.OPEN:
+        return []
+    actions: list[OwnerAction] = []
+    flight = conn.flight
+    if flight is None or reply.identity != flight.identity or reply.endpoint != endpoint.name:
+        if flight is not None and not flight.answered:
+            detail = 'a reply to another request arrived'
+            results.fail_flight(state, endpoint, now_ms, flight, detail, actions)
+        pool.close_connection(endpoint, conn, 'reply to another request', actions)
+    else:
+        conn.flight = None
+        _take_reply(state, endpoint, now_ms, conn, flight, reply, actions)
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def on_failure(
+    state: OwnerState, now_ms: float, connection_id: str, bytes_sent: bool, detail: str
+) -> list[OwnerAction]:
+    """Account for a sub-request that failed on its connection, which is then closed."""
+    endpoint, conn = _find(state, connection_id)
+    if endpoint is None or conn is None or conn.state is ConnectionState.CLOSING:
+        return []
+    actions: list[OwnerAction] = []
+    flight = conn.flight
+    if bytes_sent:
+        crash.note_reset(state, endpoint, now_ms, conn, detail, actions)
+    elif flight is not None:
+        conn.flight = None
+        if not flight.answered:
+            _send_again(state, endpoint, now_ms, flight.queued, detail, actions)
+    pool.close_connection(endpoint, conn, detail, actions)
+    _settle(state, endpoint, now_ms, actions)
+    return actions
+
+
+def on_timer(state: OwnerState, now_ms: float) -> list[OwnerAction]:
+    """Handle every endpoint whose time has come."""
+    actions: list[OwnerAction] = []
+    if state.armed_ms is not None and state.armed_ms <= now_ms:
+        state.armed_ms = None
+    while state.wakes and state.wakes[0][0] <= now_ms:
+        wake_ms, name = heapq.heappop(state.wakes)
+        endpoint = state.endpoints.get(name)
+        if endpoint is not None and endpoint.scheduled_ms == wake_ms:
+            endpoint.scheduled_ms = None
+            _settle(state, endpoint, now_ms, actions)
+    endpoint_state.arm(state, actions)
+    return actions
+
+
+def observations(state: OwnerState) -> tuple[EndpointObservation, ...]:
+    """Return what this owner observes of its endpoints."""
+    return tuple(
+        EndpointObservation(
+            endpoint.name,
+            endpoint.announcement.incarnation,
+            endpoint_state.in_flight_count(endpoint),
+            len(endpoint.queue),
+            endpoint.query_times.mean_ms or endpoint.command_times.mean_ms,
+        )
+        for endpoint in state.endpoints.values()
+        if not endpoint.removed
+    )
+
+
+def _settle(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> None:
+    crash.settle_lost(state, endpoint, now_ms, actions)
+    for queued in queue.expired(endpoint.queue, now_ms):
+        detail = 'deadline passed in the queue'
+        results.refuse_queued(state, endpoint, now_ms, queued, detail, actions)
+    silence.check(state, endpoint, now_ms, actions)
+    if not endpoint_state.accepts_work(endpoint):
+        detail = 'the endpoint is draining' if endpoint.draining else 'no longer owned'
+        results.refuse_all(state, endpoint, now_ms, detail, actions)
+    pool.maintain(state, endpoint, now_ms, actions)
+    dispatch.dispatch(state, endpoint, now_ms, actions)
+    held = any(not lost.flight.answered for lost in endpoint.lost)
+    if endpoint.removed and not endpoint.connections and not held:
+        del state.endpoints[endpoint.name]
+        return
+    endpoint_state.schedule(state, endpoint, now_ms, actions)
+
+
+def _apply_announcement(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    announcement: Announcement,
+    actions: list[OwnerAction],
+) -> None:
+    known = endpoint.announcement
+    if announcement.draining and announcement.incarnation == known.incarnation:
+        _note_draining(endpoint, actions)
+    if (announcement.incarnation, announcement.sequence) < (known.incarnation, known.sequence):
+        return
+    if announcement.incarnation > known.incarnation:
+        crash.note_new_incarnation(state, endpoint, now_ms, actions)
+        for conn in endpoint.connections.values():
+            conn.retiring = True
+            if conn.state is ConnectionState.OPENING:
+                pool.close_connection(endpoint, conn, 'earlier incarnation', actions)
+        endpoint.draining = False
+        endpoint.open_failures = 0
+        endpoint.next_open_ms = now_ms
+        endpoint.pause_until_ms = now_ms
+        _start_ramp(endpoint, now_ms, actions)
+    endpoint.announcement = announcement
+    if announcement.draining:
+        _note_draining(endpoint, actions)
+
+
+def _start_ramp(endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]) -> None:
+    endpoint.ramp_start_ms = now_ms
+    detail = f'incarnation {endpoint.announcement.incarnation} starts with one slot'
+    actions.append(LogDecision(DECISION_RAMP, endpoint.name, detail))
+
+
+def _note_draining(endpoint: OwnedEndpoint, actions: list[OwnerAction]) -> None:
+    if not endpoint.draining:
+        endpoint.draining = True
+        actions.append(LogDecision(DECISION_DRAIN, endpoint.name, 'no new work'))
+
+
+def _is_first_delivery(state: OwnerState, attempt_id: str) -> bool:
+    if attempt_id in state.recent_attempts:
+        return False
+    state.recent_attempts[attempt_id] = None
+    if len(state.recent_attempts) > endpoint_state.RECENT_ATTEMPTS:
+        del state.recent_attempts[next(iter(state.recent_attempts))]
+    return True
+
+
+def _refusal(
+    endpoint: OwnedEndpoint, now_ms: float, attempt: Attempt, deadline_ms: float
+) -> str | None:
+    if endpoint.draining:
+        return 'the endpoint is draining'
+    if endpoint.removed:
+        return 'this instance no longer owns the endpoint'
+    if attempt.time_left_ms < 1.0:
+        return 'no time is left'
+    if pool.connection_target(endpoint.announcement) < 1:
+        return 'the connection limit of the endpoint is too small'
+    if endpoint.open_failures and not pool.has_open_connection(endpoint):
+        return 'the endpoint does not accept connections'
+    finish_ms = dispatch.expected_finish_ms(endpoint, now_ms, attempt, deadline_ms)
+    if finish_ms is not None and finish_ms > deadline_ms:
+        return 'the deadline cannot be met'
+    return None
+
+
+def _make_room(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    attempt: Attempt,
+    actions: list[OwnerAction],
+) -> bool:
+    if len(endpoint.queue) < QUEUE_PER_SLOT * endpoint.announcement.slot_count:
+        return True
+    victim = queue.last_routine(endpoint.queue) if attempt.urgent else None
+    if victim is None:
+        return False
+    queue.remove(endpoint.queue, victim.attempt.attempt_id)
+    detail = 'an urgent attempt took its place in the queue'
+    results.refuse_queued(state, endpoint, now_ms, victim, detail, actions)
+    return True
+
+
+def _find(state: OwnerState, connection_id: str) -> tuple[OwnedEndpoint | None, Connection | None]:
+    endpoint = state.endpoints.get(state.connection_endpoints.get(connection_id, ''))
+    return endpoint, endpoint.connections.get(connection_id) if endpoint else None
+
+
+def _note_refused(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    detail: str,
+    actions: list[OwnerAction],
+) -> None:
+    pool.note_open_failure(endpoint, now_ms)
+    crash.note_refused(state, endpoint, now_ms, actions)
+    if not pool.has_open_connection(endpoint):
+        text = f'the endpoint does not accept connections: {detail}'
+        results.refuse_all(state, endpoint, now_ms, text, actions)
+
+
+def _take_reply(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    conn: Connection,
+    flight: endpoint_state.Flight,
+    reply: SubReply,
+    actions: list[OwnerAction],
+) -> None:
+    endpoint.open_failures = 0
+    silence.note_answer(endpoint, now_ms, conn)
+    crash.note_answer(endpoint, conn, reply.incarnation)
+    if reply.draining and reply.incarnation == endpoint.announcement.incarnation:
+        _note_draining(endpoint, actions)
+    if reply.status == STATUS_NOT_STARTED:
+        endpoint.pause_until_ms = now_ms + SHED_PAUSE_MS
+    else:
+        times = endpoint_state.times_of(endpoint, flight.queued.attempt.kind)
+        service_time.forget_old(times, now_ms)
+        service_time.add_sample(times, now_ms, now_ms - flight.sent_ms)
+    if not flight.answered:
+        outcome = _OUTCOMES.get(reply.status, OUTCOME_UNKNOWN)
+        results.answer_flight(state, endpoint, now_ms, flight, outcome, reply, actions)
+
+
+def _send_again(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    queued: queue.QueuedAttempt,
+    detail: str,
+    actions: list[OwnerAction],
+) -> None:
+    if queued.send_count < MAX_SENDS and endpoint_state.accepts_work(endpoint):
+        queue.push(endpoint.queue, queued)
+    else:
+        results.refuse_queued(state, endpoint, now_ms, queued, detail, actions)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/pool.py
@@ -0,0 +1,112 @@
+"""Connections of one endpoint: opened ahead of need, never above the limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .actions import (
+    DECISION_CLOSE,
+    DECISION_OPEN,
+    CloseConnection,
+    LogDecision,
+    OpenConnection,
+)
+from .endpoint_state import OPEN_TIMEOUT_MS, Connection, ConnectionState, accepts_work, is_idle
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import Announcement
+    from .actions import OwnerAction
+    from .endpoint_state import OwnedEndpoint, OwnerState
+
+OPEN_BACKOFF_MS = 50.0
+OPEN_BACKOFF_LIMIT_MS = 2_000.0
+# A connection that the endpoint closes this early without an answer counts as a failed one.
+SHORT_LIFE_MS = 1_000.0
+
+
+def connection_target(announcement: Announcement) -> int:
+    """Return how many connections the owner keeps to an endpoint."""
+    return min(connection_bound(announcement), 2 * announcement.slot_count + 2)
+
+
+def connection_bound(announcement: Announcement) -> int:
+    """Return how many connections one owner may ever hold; two owners may overlap."""
+    return announcement.connection_limit // 2
+
+
+def open_connection(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> Connection:
+    """Open one more connection."""
+    state.next_connection += 1
+    connection_id = f'{state.instance}-{state.next_connection}'
+    conn = Connection(connection_id, endpoint.announcement.incarnation, now_ms)
+    endpoint.connections[connection_id] = conn
+    state.connection_endpoints[connection_id] = endpoint.name
+    actions.append(LogDecision(DECISION_OPEN, endpoint.name, connection_id))
+    actions.append(OpenConnection(endpoint.name, connection_id, endpoint.announcement.address))
+    return conn
+
+
+def close_connection(
+    endpoint: OwnedEndpoint, conn: Connection, reason: str, actions: list[OwnerAction]
+) -> None:
+    """Close a connection; it counts until the adapter confirms."""
+    if conn.state is ConnectionState.CLOSING:
+        return
+    conn.state = ConnectionState.CLOSING
+    detail = f'{conn.connection_id}: {reason}'
+    actions.append(LogDecision(DECISION_CLOSE, endpoint.name, detail))
+    actions.append(CloseConnection(endpoint.name, conn.connection_id))
+
+
+def note_open_failure(endpoint: OwnedEndpoint, now_ms: float) -> None:
+    """Delay the next opening, longer after each failure."""
+    if now_ms < endpoint.next_open_ms:
+        # Connections that were opened together and fail together count once.
+        return
+    delay_ms = OPEN_BACKOFF_MS * 2.0 ** min(endpoint.open_failures, 10)
+    endpoint.open_failures += 1
+    endpoint.next_open_ms = now_ms + min(delay_ms, OPEN_BACKOFF_LIMIT_MS)
+
+
+def has_open_connection(endpoint: OwnedEndpoint) -> bool:
+    """Tell whether any connection can carry work now or later."""
+    return any(
+        conn.state is ConnectionState.OPEN and not conn.retiring
+        for conn in endpoint.connections.values()
+    )
+
+
+def maintain(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> None:
+    """Open missing connections and close those that are no longer needed."""
+    for conn in list(endpoint.connections.values()):
+        opening = conn.state is ConnectionState.OPENING
+        if opening and now_ms >= conn.since_ms + OPEN_TIMEOUT_MS:
+            close_connection(endpoint, conn, 'no answer to the opening', actions)
+            note_open_failure(endpoint, now_ms)
+        elif not accepts_work(endpoint) and (opening or _is_free(conn)):
+            close_connection(endpoint, conn, 'no new work for the endpoint', actions)
+        elif conn.retiring and _is_free(conn):
+            close_connection(endpoint, conn, 'earlier incarnation', actions)
+    if not accepts_work(endpoint):
+        return
+    target = connection_target(endpoint.announcement)
+    _close_excess(endpoint, target, actions)
+    while len(endpoint.connections) < target and now_ms >= endpoint.next_open_ms:
+        open_connection(state, endpoint, now_ms, actions)
+
+
+def _is_free(conn: Connection) -> bool:
+    return conn.state is ConnectionState.OPEN and conn.flight is None
+
+
+def _close_excess(endpoint: OwnedEndpoint, target: int, actions: list[OwnerAction]) -> None:
+    kept = [c for c in endpoint.connections.values() if c.state is not ConnectionState.CLOSING]
+    # A probe may stand above the target until it is answered.
+    excess = len(kept) - target - sum(1 for conn in kept if conn.probe)
+    idle = sorted((c for c in kept if is_idle(c)), key=lambda conn: conn.last_answer_ms)
+    for conn in idle[: max(0, excess)]:
+        close_connection(endpoint, conn, 'more than needed', actions)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/results.py
@@ -0,0 +1,153 @@
+"""Results of attempts; each attempt gets exactly one."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from ..messages.peer import (
+    OUTCOME_NOT_STARTED,
+    OUTCOME_UNKNOWN,
+    Attempt,
+    AttemptResult,
+)
+from . import queue
+from .actions import DECISION_REFUSE, LogDecision, Result
+from .endpoint_state import current_slot_limit, in_flight_count
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import SubReply
+    from .actions import OwnerAction
+    from .endpoint_state import Flight, OwnedEndpoint, OwnerState
+
+# Bounded time for which a given-up attempt keeps its slot on an endpoint that does not answer.
+ABANDONED_HOLD_MS = 2_000.0
+UNLEARNED_RETRY_MS = 50.0
+
+
+def retry_after_ms(endpoint: OwnedEndpoint, now_ms: float) -> int:
+    """Estimate when the present work of an endpoint is done."""
+    mean_ms = endpoint.query_times.mean_ms or UNLEARNED_RETRY_MS
+    work = len(endpoint.queue) + in_flight_count(endpoint)
+    return max(1, math.ceil(work * mean_ms / current_slot_limit(endpoint, now_ms)))
+
+
+def refuse(
+    attempt: Attempt, detail: str, retry_ms: int | None = None, draining: bool = False
+) -> list[OwnerAction]:
+    """Refuse an attempt that was never sent."""
+    result = AttemptResult(
+        attempt.attempt_id,
+        attempt.endpoint,
+        OUTCOME_NOT_STARTED,
+        detail,
+        collection=attempt.collection,
+        version=attempt.version,
+        draining=draining,
+        retry_after_ms=retry_ms,
+    )
+    log = LogDecision(DECISION_REFUSE, attempt.endpoint, f'{attempt.attempt_id}: {detail}')
+    return [log, Result(attempt.origin, result)]
+
+
+def refuse_queued(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    queued: queue.QueuedAttempt,
+    detail: str,
+    actions: list[OwnerAction],
+) -> None:
+    """Refuse an attempt that was accepted but not sent."""
+    if state.attempt_endpoints.pop(queued.attempt.attempt_id, None) is None:
+        return
+    retry_ms = retry_after_ms(endpoint, now_ms)
+    actions.extend(refuse(queued.attempt, detail, retry_ms, endpoint.draining))
+
+
+def refuse_all(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    detail: str,
+    actions: list[OwnerAction],
+) -> None:
+    """Refuse every attempt that waits for an endpoint."""
+    for queued in queue.drain_all(endpoint.queue):
+        refuse_queued(state, endpoint, now_ms, queued, detail, actions)
+
+
+def fail_flight(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    flight: Flight,
+    detail: str,
+    actions: list[OwnerAction],
+    crashed: bool = False,
+) -> None:
+    """Answer an attempt whose outcome cannot be known."""
+    _answer(state, endpoint, now_ms, flight, OUTCOME_UNKNOWN, detail, actions, crashed=crashed)
+
+
+def abandon_flight(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    flight: Flight,
+    detail: str,
+    actions: list[OwnerAction],
+) -> None:
+    """Answer an attempt that keeps its slot, since the endpoint may still run it."""
+    fail_flight(state, endpoint, now_ms, flight, detail, actions)
+    if flight.hold_until_ms is None:
+        flight.hold_until_ms = now_ms + ABANDONED_HOLD_MS
+
+
+def answer_flight(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    flight: Flight,
+    outcome: str,
+    reply: SubReply,
+    actions: list[OwnerAction],
+) -> None:
+    """Answer an attempt with the endpoint's reply."""
+    _answer(state, endpoint, now_ms, flight, outcome, reply.detail, actions, reply)
+
+
+def _answer(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    flight: Flight,
+    outcome: str,
+    detail: str,
+    actions: list[OwnerAction],
+    reply: SubReply | None = None,
+    crashed: bool = False,
+) -> None:
+    attempt = flight.queued.attempt
+    flight.answered = True
+    if state.attempt_endpoints.pop(attempt.attempt_id, None) is None:
+        return
+    retry_ms = None if outcome != OUTCOME_NOT_STARTED else retry_after_ms(endpoint, now_ms)
+    result = AttemptResult(
+        attempt.attempt_id,
+        attempt.endpoint,
+        outcome,
+        detail,
+        collection=reply.collection if reply else attempt.collection,
+        version=reply.version if reply else attempt.version,
+        results=reply.results if reply else (),
+        reply=reply.outcome if reply else None,
+        queue_wait_ms=flight.sent_ms - flight.queued.queued_ms,
+        service_ms=now_ms - flight.sent_ms,
+        in_flight_count=in_flight_count(endpoint),
+        queue_length=len(endpoint.queue),
+        draining=endpoint.draining,
+        crashed=crashed,
+        retry_after_ms=retry_ms,
+    )
+    actions.append(Result(attempt.origin, result))
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/silence.py
@@ -0,0 +1,134 @@
+"""Silent connections: found by overdue replies, confirmed by another connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from . import pool
+from .actions import DECISION_PROBE, DECISION_SILENT, LogDecision, SendProbe
+from .endpoint_state import (
+    SILENT_GRACE_MS,
+    Connection,
+    ConnectionState,
+    accepts_work,
+    is_idle,
+    overdue_at_ms,
+)
+from .results import abandon_flight, fail_flight
+from .service_time import overdue_ms
+
+if TYPE_CHECKING:
+    from .actions import OwnerAction
+    from .endpoint_state import Flight, OwnedEndpoint, OwnerState
+
+
+def note_answer(endpoint: OwnedEndpoint, now_ms: float, answering: Connection) -> None:
+    """Count an answer as evidence against the overdue replies of other connections."""
+    answering.last_answer_ms = now_ms
+    answering.answered = True
+    for conn in endpoint.connections.values():
+        flight = conn.flight
+        if conn is answering or flight is None or flight.evidence_ms is not None:
+            continue
+        if now_ms >= overdue_at_ms(endpoint, flight):
+            flight.evidence_ms = now_ms
+
+
+def check(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> None:
+    """Answer attempts past their deadline and close connections found silent."""
+    unconfirmed = False
+    for conn in list(endpoint.connections.values()):
+        flight = conn.flight
+        if flight is None or conn.state is not ConnectionState.OPEN:
+            continue
+        if not flight.answered and now_ms >= flight.deadline_ms:
+            abandon_flight(state, endpoint, now_ms, flight, 'deadline passed', actions)
+        if is_silent(flight, now_ms):
+            _replace(state, endpoint, now_ms, conn, flight, actions)
+        elif flight.hold_until_ms is not None and now_ms >= flight.hold_until_ms:
+            pool.close_connection(endpoint, conn, 'no reply to a given-up attempt', actions)
+        elif flight.evidence_ms is None and now_ms >= overdue_at_ms(endpoint, flight):
+            unconfirmed = True
+    _check_probes(endpoint, now_ms, actions)
+    if unconfirmed and accepts_work(endpoint):
+        _probe(state, endpoint, now_ms, actions)
+
+
+def is_silent(flight: Flight, now_ms: float) -> bool:
+    """Tell whether a reply is overdue while another connection has answered since."""
+    return flight.evidence_ms is not None and now_ms >= flight.evidence_ms + SILENT_GRACE_MS
+
+
+def send_probe(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    conn: Connection,
+    actions: list[OwnerAction],
+) -> None:
+    """Send a request that occupies no slot on a new connection."""
+    conn.probe_sent_ms = now_ms
+    state.next_probe += 1
+    identity = f'probe-{state.instance}-{state.next_probe}'
+    address = endpoint.announcement.address
+    actions.append(SendProbe(conn.connection_id, endpoint.name, address, identity))
+
+
+def _replace(
+    state: OwnerState,
+    endpoint: OwnedEndpoint,
+    now_ms: float,
+    conn: Connection,
+    flight: Flight,
+    actions: list[OwnerAction],
+) -> None:
+    waited = f'{conn.connection_id}: no reply for {now_ms - flight.sent_ms:.0f} ms'
+    actions.append(LogDecision(DECISION_SILENT, endpoint.name, waited))
+    fail_flight(state, endpoint, now_ms, flight, 'connection silent', actions)
+    pool.close_connection(endpoint, conn, 'silent', actions)
+    # Connections that are as old may have gone silent with it and carry nothing now.
+    for other in list(endpoint.connections.values()):
+        if is_idle(other) and other.last_answer_ms < flight.sent_ms:
+            pool.close_connection(endpoint, other, 'may be silent too', actions)
+
+
+def _check_probes(endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]) -> None:
+    for conn in endpoint.connections.values():
+        if conn.probe_sent_ms is None or conn.state is not ConnectionState.OPEN:
+            continue
+        if now_ms >= conn.probe_sent_ms + overdue_ms(endpoint.query_times):
+            pool.close_connection(endpoint, conn, 'no answer to the probe', actions)
+            pool.note_open_failure(endpoint, now_ms)
+
+
+def _probe(
+    state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
+) -> None:
+    conns = list(endpoint.connections.values())
+    if any(conn.probe and conn.state is not ConnectionState.CLOSING for conn in conns):
+        return
+    opening = [conn for conn in conns if conn.state is ConnectionState.OPENING]
+    if opening:
+        opening[-1].probe = True
+        return
+    if now_ms < endpoint.next_open_ms:
+        return
+    if len(conns) < pool.connection_bound(endpoint.announcement):
+        conn = pool.open_connection(state, endpoint, now_ms, actions)
+        conn.probe = True
+        actions.append(LogDecision(DECISION_PROBE, endpoint.name, conn.connection_id))
+        return
+    if any(conn.state is ConnectionState.CLOSING for conn in conns):
+        return
+    idle = [conn for conn in conns if is_idle(conn)]
+    spare = idle or [conn for conn in conns if _is_spent(endpoint, now_ms, conn)]
+    if spare:
+        oldest = min(spare, key=lambda conn: conn.last_answer_ms)
+        pool.close_connection(endpoint, oldest, 'room for a probe', actions)
+
+
+def _is_spent(endpoint: OwnedEndpoint, now_ms: float, conn: Connection) -> bool:
+    flight = conn.flight
+    return flight is not None and flight.answered and now_ms >= overdue_at_ms(endpoint, flight)
--- a/packages/core/src/pistachioloft_core/messages/peer.py
+++ b/packages/core/src/pistachioloft_core/messages/peer.py
@@ -126,6 +126,7 @@
     in_flight_count: int = 0
     queue_length: int = 0
     latency_ms: float = 0.0
+    observation_sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +186,7 @@
     instances: tuple[InstanceRecord, ...]
     crashes: tuple[CrashReport, ...] = ()
     successes: tuple[SuccessReport, ...] = ()
+    more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/addresses.py
@@ -0,0 +1,40 @@
+"""Choose the addresses that callers should use."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from ..messages.public import CallerAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from ..messages.peer import InstanceRecord
+
+KEEP_MS = 5_000
+
+
+def choose_addresses(
+    instances: Iterable[InstanceRecord], caller: str, draining_instances: Collection[str]
+) -> tuple[CallerAddress, ...]:
+    """List the usable entry instances in an order that depends on the caller."""
+    usable = [
+        record
+        for record in instances
+        if record.entry
+        and record.serving
+        and not record.stopping
+        and record.instance not in draining_instances
+    ]
+    usable.sort(key=lambda record: rendezvous_weight(caller, record.instance), reverse=True)
+    return tuple(
+        CallerAddress(record.instance, record.caller_address, record.failure_domain)
+        for record in usable
+    )
+
+
+def rendezvous_weight(subject: str, instance: str) -> bytes:
+    """Return the weight of an instance for a subject; the highest weight is chosen."""
+    # The length prefix keeps two different pairs of names from having the same bytes.
+    return hashlib.blake2b(f'{len(subject)}:{subject}{instance}'.encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/membership.py
@@ -0,0 +1,347 @@
+"""Exchange soft state with other instances and judge what is alive."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..messages.operator import EndpointStatus
+from ..messages.peer import (
+    CrashReport,
+    EndpointRecord,
+    InstanceRecord,
+    SoftStatePull,
+    SoftStateReply,
+    SuccessReport,
+)
+from . import merge
+from .endpoint_view import EndpointView
+from .membership_actions import PullAgain
+from .soft_state import (
+    ANSWER_LIFE_MS,
+    ENDPOINT_LEASE_MS,
+    INSTANCE_LEASE_MS,
+    KEEP_LAPSED_MS,
+    MEMORY_MS,
+    OWN_RECORD_INTERVAL_MS,
+    REPORT_LIFE_MS,
+    SWEEP_INTERVAL_MS,
+    EndpointEntry,
+    Kind,
+    MembershipState,
+    PeerCursor,
+    endpoint_record,
+    forget_change,
+    note_change,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..connection.observation import EndpointObservation
+    from .membership_actions import MembershipAction
+
+PULL_INTERVAL_MS = 250
+MAX_REPLY_RECORDS = 512
+MAX_PULLS = 1_024
+PULL_LIFE_MS = 10_000.0
+
+
+def set_own_status(
+    state: MembershipState, stopping: bool, serving: bool, accepted_index: int
+) -> None:
+    """Change what this instance tells about itself."""
+    own = replace(state.own, stopping=stopping, serving=serving, accepted_index=accepted_index)
+    if own != state.own:
+        state.own = replace(own, sequence=own.sequence + 1)
+
+
+def set_draining_instances(state: MembershipState, instances: Iterable[str]) -> None:
+    """Set the instances that operators took out of the addresses."""
+    state.draining_instances = frozenset(instances)
+
+
+def make_pull(state: MembershipState, now_ms: float, peer: str) -> SoftStatePull:
+    """Ask a peer for what changed since its last reply."""
+    _sweep(state, now_ms)
+    state.next_pull += 1
+    state.pulls[state.next_pull] = (peer, now_ms)
+    while len(state.pulls) > MAX_PULLS:
+        state.pulls.popitem(last=False)
+    cursor = state.cursors.setdefault(peer, PeerCursor())
+    return SoftStatePull(state.next_pull, cursor.revision, cursor.incarnation)
+
+
+def on_pull(
+    state: MembershipState, now_ms: float, peer: str, pull: SoftStatePull
+) -> SoftStateReply:
+    """Answer a pull with what changed since the given revision."""
+    _sweep(state, now_ms)
+    known = pull.peer_incarnation == state.own.incarnation
+    since = pull.since_revision if known and pull.since_revision <= state.revision else 0
+    endpoints: list[EndpointRecord] = []
+    instances = [_own_record(state, now_ms)]
+    crashes: list[CrashReport] = []
+    successes: list[SuccessReport] = []
+    revision, more = state.revision, False
+    room = MAX_REPLY_RECORDS
+    for (kind, key), changed in _changes_since(state, since):
+        if room == 0:
+            more = True
+            break
+        echo_of = peer if since else None
+        if _collect(state, now_ms, kind, key, echo_of, endpoints, instances, crashes, successes):
+            room -= 1
+        revision = changed
+    return SoftStateReply(
+        pull.pull_id,
+        state.own.incarnation,
+        revision,
+        tuple(endpoints),
+        tuple(instances),
+        tuple(crashes),
+        tuple(successes),
+        more,
+    )
+
+
+def on_pull_reply(
+    state: MembershipState, now_ms: float, peer: str, reply: SoftStateReply
+) -> list[MembershipAction]:
+    """Merge a reply; a repeated one or one to an unknown pull is dropped."""
+    pulled = state.pulls.pop(reply.pull_id, None)
+    if pulled is None or pulled[0] != peer or now_ms - pulled[1] > PULL_LIFE_MS:
+        return []
+    sent_ms = pulled[1]
+    actions: list[MembershipAction] = []
+    for instance in reply.instances:
+        merge.merge_instance(state, now_ms, peer, sent_ms, instance)
+    for record in reply.endpoints:
+        merge.merge_endpoint(state, now_ms, peer, sent_ms, record, actions)
+    for crash in reply.crashes:
+        merge.merge_crash(state, now_ms, sent_ms - max(0.0, crash.age_ms), crash, actions)
+    for success in reply.successes:
+        merge.merge_success(state, now_ms, sent_ms - max(0.0, success.age_ms), success, actions)
+    cursor = state.cursors.setdefault(peer, PeerCursor())
+    if reply.incarnation > cursor.incarnation:
+        cursor.incarnation = reply.incarnation
+        cursor.revision = reply.revision
+    elif reply.incarnation == cursor.incarnation:
+        cursor.revision = max(cursor.revision, reply.revision)
+    if reply.more:
+        actions.append(PullAgain(peer))
+    else:
+        state.heard_peers = True
+    return actions
+
+
+def add_crash(state: MembershipState, now_ms: float, report: CrashReport) -> list[MembershipAction]:
+    """Spread a crash report of this instance."""
+    actions: list[MembershipAction] = []
+    merge.merge_crash(state, now_ms, now_ms - report.age_ms, report, actions)
+    return actions
+
+
+def add_success(
+    state: MembershipState, now_ms: float, report: SuccessReport
+) -> list[MembershipAction]:
+    """Spread a success report of this instance."""
+    actions: list[MembershipAction] = []
+    merge.merge_success(state, now_ms, now_ms - report.age_ms, report, actions)
+    return actions
+
+
+def note_observations(state: MembershipState, observations: Iterable[EndpointObservation]) -> None:
+    """Attach what this owner observes to the records of its endpoints."""
+    for seen in observations:
+        entry = state.endpoints.get(seen.endpoint)
+        if entry is None or entry.owner != state.own.instance:
+            continue
+        values = (seen.in_flight_count, seen.queue_length, seen.latency_ms)
+        known = (entry.in_flight_count, entry.queue_length, entry.latency_ms)
+        if entry.announcement.incarnation == seen.incarnation and values != known:
+            entry.in_flight_count, entry.queue_length, entry.latency_ms = values
+            entry.observation_sequence += 1
+            entry.source = ''
+            note_change(state, Kind.ENDPOINT, seen.endpoint)
+
+
+def note_answer(state: MembershipState, now_ms: float, endpoint: str) -> None:
+    """Note the own observation that an endpoint answered."""
+    if endpoint in state.endpoints:
+        state.answers[endpoint] = now_ms
+
+
+def live_instances(state: MembershipState, now_ms: float) -> tuple[InstanceRecord, ...]:
+    """Return this instance and those heard of within the instance lease."""
+    others = (
+        replace(entry.record, age_ms=max(0.0, now_ms - entry.heard_ms))
+        for entry in state.instances.values()
+        if now_ms < entry.heard_ms + INSTANCE_LEASE_MS
+    )
+    return (replace(state.own, age_ms=0.0), *others)
+
+
+def lease_check(state: MembershipState, now_ms: float) -> Callable[[EndpointEntry], bool]:
+    """Return a function that tells whether an endpoint may be given new work."""
+    failed = has_feed_failed(state, now_ms)
+
+    def has_lease(entry: EndpointEntry) -> bool:
+        if now_ms < entry.heard_ms + ENDPOINT_LEASE_MS:
+            return True
+        answered_ms = state.answers.get(entry.announcement.endpoint)
+        recent = answered_ms is not None and now_ms < answered_ms + ANSWER_LIFE_MS
+        return failed and recent and not entry.draining
+
+    return has_lease
+
+
+def has_feed_failed(state: MembershipState, now_ms: float) -> bool:
+    """Tell whether more than half of the leases ended within one lease time."""
+    known = [entry.heard_ms for entry in state.endpoints.values() if not entry.draining]
+    lapsed = sorted(heard for heard in known if now_ms >= heard + ENDPOINT_LEASE_MS)
+    need = len(known) // 2 + 1
+    if len(lapsed) < need or not _hears_majority(state, now_ms):
+        return False
+    spans = zip(lapsed, lapsed[need - 1 :], strict=False)
+    return any(last - first <= ENDPOINT_LEASE_MS for first, last in spans)
+
+
+def usable_endpoints(state: MembershipState, now_ms: float) -> tuple[EndpointView, ...]:
+    """Return the endpoints that may be given new work."""
+    usable = _usable_check(state, now_ms)
+    return tuple(
+        EndpointView(
+            entry.announcement.endpoint,
+            entry.announcement.incarnation,
+            entry.announcement.service,
+            entry.announcement.failure_domain,
+            entry.owner,
+            entry.announcement.holdings,
+            entry.announcement.slot_count,
+            entry.announcement.slots_in_use,
+            entry.in_flight_count,
+            entry.queue_length,
+            entry.latency_ms,
+        )
+        for entry in state.endpoints.values()
+        if usable(entry)
+    )
+
+
+def endpoint_status(state: MembershipState, now_ms: float) -> tuple[EndpointStatus, ...]:
+    """Describe every known endpoint for the status page."""
+    usable = _usable_check(state, now_ms)
+    return tuple(
+        EndpointStatus(
+            name,
+            entry.announcement.service,
+            entry.announcement.failure_domain,
+            entry.announcement.address,
+            entry.owner,
+            entry.draining,
+            usable(entry),
+            max(0.0, now_ms - entry.heard_ms),
+            entry.in_flight_count,
+            entry.queue_length,
+            entry.latency_ms,
+        )
+        for name, entry in sorted(state.endpoints.items())
+    )
+
+
+def _usable_check(state: MembershipState, now_ms: float) -> Callable[[EndpointEntry], bool]:
+    has_lease = lease_check(state, now_ms)
+    live = {record.instance for record in live_instances(state, now_ms)}
+
+    def is_usable(entry: EndpointEntry) -> bool:
+        if entry.draining or not entry.owner or not has_lease(entry):
+            return False
+        # A result that came through the owner shows that it lives even if its record is late.
+        answered_ms = state.answers.get(entry.announcement.endpoint, -INSTANCE_LEASE_MS)
+        return entry.owner in live or now_ms < answered_ms + INSTANCE_LEASE_MS
+
+    return is_usable
+
+
+def _hears_majority(state: MembershipState, now_ms: float) -> bool:
+    # An instance cut off from most others would miss a drain, so its leases end strictly.
+    others = [entry for entry in state.instances.values() if not entry.record.stopping]
+    live = sum(1 for entry in others if now_ms < entry.heard_ms + INSTANCE_LEASE_MS)
+    return 2 * (live + 1) > len(others) + 1
+
+
+def _own_record(state: MembershipState, now_ms: float) -> InstanceRecord:
+    noted_ms = state.own_noted_ms
+    if noted_ms is None or now_ms >= noted_ms + OWN_RECORD_INTERVAL_MS:
+        state.own_noted_ms = now_ms
+        state.own = replace(state.own, sequence=state.own.sequence + 1)
+    return replace(state.own, age_ms=0.0)
+
+
+def _changes_since(state: MembershipState, since: int) -> list[tuple[tuple[Kind, object], int]]:
+    newer = []
+    for item in reversed(state.changes.items()):
+        if item[1] <= since:
+            break
+        newer.append(item)
+    newer.reverse()
+    return newer
+
+
+def _collect(
+    state: MembershipState,
+    now_ms: float,
+    kind: Kind,
+    key: object,
+    echo_of: str | None,
+    endpoints: list[EndpointRecord],
+    instances: list[InstanceRecord],
+    crashes: list[CrashReport],
+    successes: list[SuccessReport],
+) -> bool:
+    if kind is Kind.ENDPOINT and isinstance(key, str):
+        entry = state.endpoints[key]
+        if echo_of is not None and entry.source == echo_of:
+            return False
+        endpoints.append(endpoint_record(entry, now_ms))
+    elif kind is Kind.INSTANCE and isinstance(key, str):
+        instance = state.instances[key]
+        if echo_of in (instance.source, key) and echo_of is not None:
+            return False
+        age_ms = max(0.0, now_ms - instance.heard_ms)
+        instances.append(replace(instance.record, age_ms=age_ms))
+    elif kind is Kind.CRASH:
+        crash, crash_ms = state.crashes[key]  # type: ignore[index]
+        crashes.append(replace(crash, age_ms=now_ms - crash_ms))
+    else:
+        success, success_ms = state.successes[key]  # type: ignore[index]
+        successes.append(replace(success, age_ms=now_ms - success_ms))
+    return True
+
+
+def _sweep(state: MembershipState, now_ms: float) -> None:
+    if now_ms < state.next_sweep_ms:
+        return
+    state.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
+    for name, entry in list(state.endpoints.items()):
+        answered_ms = state.answers.get(name, entry.heard_ms)
+        if now_ms >= entry.heard_ms + KEEP_LAPSED_MS and now_ms >= answered_ms + ANSWER_LIFE_MS:
+            del state.endpoints[name]
+            state.answers.pop(name, None)
+            forget_change(state, Kind.ENDPOINT, name)
+    for name, instance in list(state.instances.items()):
+        if now_ms >= instance.heard_ms + KEEP_LAPSED_MS:
+            del state.instances[name]
+            forget_change(state, Kind.INSTANCE, name)
+    for name, known in list(state.memory.items()):
+        if name not in state.endpoints and now_ms >= known.noted_ms + MEMORY_MS:
+            del state.memory[name]
+    for crash_key, (_, crash_ms) in list(state.crashes.items()):
+        if now_ms >= crash_ms + REPORT_LIFE_MS:
+            del state.crashes[crash_key]
+            forget_change(state, Kind.CRASH, crash_key)
+    for success_key, (_, success_ms) in list(state.successes.items()):
+        if now_ms >= success_ms + REPORT_LIFE_MS:
+            del state.successes[success_key]
+            forget_change(state, Kind.SUCCESS, success_key)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/merge.py
@@ -0,0 +1,263 @@
+"""Merge announcements and records into the soft state."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..connection.actions import DECISION_DRAIN, DECISION_OWNER, DECISION_REFUSE, LogDecision
+from .membership_actions import CrashLearned, EndpointChanged, SuccessLearned
+from .soft_state import (
+    ENDPOINT_LEASE_MS,
+    KEEP_LAPSED_MS,
+    MAX_ENDPOINTS,
+    MAX_INSTANCES,
+    REPORT_COUNT,
+    REPORT_LIFE_MS,
+    EndpointEntry,
+    InstanceEntry,
+    Kind,
+    is_drained,
+    is_outdated,
+    note_change,
+    remember,
+)
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import Announcement
+    from ..messages.peer import CrashReport, EndpointRecord, InstanceRecord, SuccessReport
+    from .membership_actions import MembershipAction
+    from .soft_state import MembershipState
+
+# Smaller corrections of an age are kept but not sent on.
+AGE_CORRECTION_MS = 100.0
+
+
+def merge_announcement(
+    state: MembershipState,
+    now_ms: float,
+    announcement: Announcement,
+    heard_ms: float,
+    actions: list[MembershipAction],
+) -> EndpointEntry | None:
+    """Apply an announcement unless a newer one is known, and return the endpoint's entry."""
+    entry = state.endpoints.get(announcement.endpoint)
+    if announcement.draining:
+        note_leaving(state, announcement.endpoint, announcement.incarnation, actions)
+    if is_outdated(state, announcement) or heard_ms < now_ms - KEEP_LAPSED_MS:
+        return entry
+    if is_drained(state, announcement) and not announcement.draining:
+        announcement = replace(announcement, draining=True)
+    if entry is None:
+        if len(state.endpoints) >= MAX_ENDPOINTS:
+            detail = f'{MAX_ENDPOINTS} endpoints are known'
+            actions.append(LogDecision(DECISION_REFUSE, announcement.endpoint, detail))
+            return None
+        entry = EndpointEntry(announcement, heard_ms)
+        state.endpoints[announcement.endpoint] = entry
+        _note_endpoint(state, entry, actions)
+    else:
+        _renew(state, now_ms, entry, announcement, heard_ms, actions)
+    remember(state, announcement, now_ms)
+    return entry
+
+
+def note_leaving(
+    state: MembershipState, endpoint: str, incarnation: int, actions: list[MembershipAction]
+) -> None:
+    """Record that an incarnation is leaving, whatever order the word of it arrived in."""
+    known = state.memory.get(endpoint)
+    if known is not None and known.incarnation == incarnation:
+        known.draining = True
+    entry = state.endpoints.get(endpoint)
+    if entry is None or entry.draining or entry.announcement.incarnation != incarnation:
+        return
+    entry.announcement = replace(entry.announcement, draining=True)
+    entry.draining = True
+    detail = 'the endpoint is leaving'
+    actions.append(LogDecision(DECISION_DRAIN, entry.announcement.endpoint, detail))
+    _note_endpoint(state, entry, actions)
+
+
+def merge_owner(
+    state: MembershipState,
+    entry: EndpointEntry,
+    owner: str,
+    epoch: int,
+    actions: list[MembershipAction],
+) -> None:
+    """Take over another owner if its epoch is higher, or equal with a lower instance id."""
+    if not owner or epoch < entry.owner_epoch:
+        return
+    if epoch == entry.owner_epoch and entry.owner and owner >= entry.owner:
+        return
+    set_owner(state, entry, owner, epoch, actions)
+
+
+def set_owner(
+    state: MembershipState,
+    entry: EndpointEntry,
+    owner: str,
+    epoch: int,
+    actions: list[MembershipAction],
+) -> None:
+    """Record an endpoint's owner."""
+    detail = f'{entry.owner or "none"} to {owner}, epoch {epoch}'
+    entry.owner = owner
+    entry.owner_epoch = epoch
+    actions.append(LogDecision(DECISION_OWNER, entry.announcement.endpoint, detail))
+    _note_endpoint(state, entry, actions)
+
+
+def merge_endpoint(
+    state: MembershipState,
+    now_ms: float,
+    peer: str,
+    sent_ms: float,
+    record: EndpointRecord,
+    actions: list[MembershipAction],
+) -> None:
+    """Merge a peer's endpoint record; its age grows by the time since the pull was sent."""
+    heard_ms = sent_ms - max(0.0, record.age_ms)
+    entry = merge_announcement(state, now_ms, record.announcement, heard_ms, actions)
+    if entry is None:
+        return
+    merge_owner(state, entry, record.owner, record.owner_epoch, actions)
+    same = entry.announcement.incarnation == record.announcement.incarnation
+    if same and record.observation_sequence > entry.observation_sequence:
+        entry.in_flight_count = record.in_flight_count
+        entry.queue_length = record.queue_length
+        entry.latency_ms = record.latency_ms
+        entry.observation_sequence = record.observation_sequence
+        note_change(state, Kind.ENDPOINT, record.announcement.endpoint)
+    # A record equal to the peer's need not be sent back to it.
+    entry.source = peer if _is_same(entry, record) else ''
+
+
+def merge_instance(
+    state: MembershipState, now_ms: float, peer: str, sent_ms: float, record: InstanceRecord
+) -> None:
+    """Merge a peer's record of an instance."""
+    heard_ms = sent_ms - max(0.0, record.age_ms)
+    if record.instance == state.own.instance or heard_ms < now_ms - KEEP_LAPSED_MS:
+        return
+    entry = state.instances.get(record.instance)
+    if entry is None:
+        if len(state.instances) < MAX_INSTANCES:
+            state.instances[record.instance] = InstanceEntry(record, heard_ms, peer)
+            note_change(state, Kind.INSTANCE, record.instance)
+        return
+    position = (record.incarnation, record.sequence)
+    known = (entry.record.incarnation, entry.record.sequence)
+    if position > known:
+        entry.record = record
+        entry.heard_ms = max(entry.heard_ms, heard_ms)
+        entry.source = peer
+        note_change(state, Kind.INSTANCE, record.instance)
+    elif position == known and heard_ms > entry.heard_ms:
+        corrected = heard_ms - entry.heard_ms > AGE_CORRECTION_MS
+        entry.heard_ms = heard_ms
+        if corrected:
+            note_change(state, Kind.INSTANCE, record.instance)
+
+
+def merge_crash(
+    state: MembershipState,
+    now_ms: float,
+    event_ms: float,
+    report: CrashReport,
+    actions: list[MembershipAction],
+) -> None:
+    """Record a crash report and hand it on if it is new."""
+    key = (report.caller, report.content_digest, report.endpoint, report.incarnation)
+    if key in state.crashes or event_ms < now_ms - REPORT_LIFE_MS:
+        return
+    while len(state.crashes) >= REPORT_COUNT:
+        oldest = next(iter(state.crashes))
+        del state.crashes[oldest]
+        state.changes.pop((Kind.CRASH, oldest), None)
+    state.crashes[key] = (report, event_ms)
+    note_change(state, Kind.CRASH, key)
+    actions.append(CrashLearned(replace(report, age_ms=now_ms - event_ms)))
+
+
+def merge_success(
+    state: MembershipState,
+    now_ms: float,
+    event_ms: float,
+    report: SuccessReport,
+    actions: list[MembershipAction],
+) -> None:
+    """Record a success report and hand it on if it is later than the known one."""
+    key = (report.caller, report.content_digest)
+    known = state.successes.get(key)
+    if event_ms < now_ms - REPORT_LIFE_MS:
+        return
+    if known is not None and event_ms <= known[1] + AGE_CORRECTION_MS:
+        return
+    while known is None and len(state.successes) >= REPORT_COUNT:
+        oldest = next(iter(state.successes))
+        del state.successes[oldest]
+        state.changes.pop((Kind.SUCCESS, oldest), None)
+    state.successes[key] = (report, event_ms)
+    note_change(state, Kind.SUCCESS, key)
+    actions.append(SuccessLearned(replace(report, age_ms=now_ms - event_ms)))
+
+
+def _renew(
+    state: MembershipState,
+    now_ms: float,
+    entry: EndpointEntry,
+    announcement: Announcement,
+    heard_ms: float,
+    actions: list[MembershipAction],
+) -> None:
+    known = entry.announcement
+    position = (announcement.incarnation, announcement.sequence)
+    earlier_ms = entry.heard_ms
+    entry.heard_ms = max(earlier_ms, heard_ms)
+    came_back = earlier_ms < now_ms - ENDPOINT_LEASE_MS <= entry.heard_ms
+    if position == (known.incarnation, known.sequence):
+        if came_back or entry.heard_ms - earlier_ms > AGE_CORRECTION_MS:
+            note_change(state, Kind.ENDPOINT, known.endpoint)
+        if came_back:
+            actions.append(EndpointChanged(known.endpoint))
+        return
+    if announcement.incarnation > known.incarnation:
+        entry.heard_ms = heard_ms
+        entry.in_flight_count = 0
+        entry.queue_length = 0
+        entry.latency_ms = 0.0
+    entry.announcement = announcement
+    entry.draining = announcement.draining
+    if came_back or _differs(known, announcement):
+        _note_endpoint(state, entry, actions)
+    else:
+        note_change(state, Kind.ENDPOINT, known.endpoint)
+
+
+def _note_endpoint(
+    state: MembershipState, entry: EndpointEntry, actions: list[MembershipAction]
+) -> None:
+    entry.source = ''
+    note_change(state, Kind.ENDPOINT, entry.announcement.endpoint)
+    actions.append(EndpointChanged(entry.announcement.endpoint))
+
+
+def _differs(known: Announcement, announcement: Announcement) -> bool:
+    same_load = replace(
+        announcement,
+        sequence=known.sequence,
+        slots_in_use=known.slots_in_use,
+        queue_length=known.queue_length,
+    )
+    return same_load != known
+
+
+def _is_same(entry: EndpointEntry, record: EndpointRecord) -> bool:
+    return (
+        entry.announcement == record.announcement
+        and entry.owner == record.owner
+        and entry.owner_epoch == record.owner_epoch
+        and entry.observation_sequence == record.observation_sequence
+    )
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/ownership.py
@@ -0,0 +1,176 @@
+"""Choose the instance that owns the connections to an endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..errors import ResultCode
+from ..messages.endpoint import AnnounceReply
+from ..messages.peer import RelayAnnouncement
+from . import membership, merge
+from .addresses import choose_addresses, rendezvous_weight
+from .membership_actions import ReplyAnnouncement, SendRelay
+from .soft_state import ENDPOINT_LEASE_MS, MAX_ENDPOINTS, SETTLE_MS, endpoint_record
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from ..messages.endpoint import Announcement
+    from ..messages.peer import EndpointRecord, InstanceRecord
+    from .membership_actions import MembershipAction
+    from .soft_state import EndpointEntry, MembershipState
+
+RENEW_MS = 500
+# A relay carries no age, so it leaves only this part of a lease; the next pull completes it.
+RELAY_LEASE_MS = 1_000.0
+MAX_NAME_LENGTH = 256
+
+
+def choose_owner(
+    endpoint: str, instances: Iterable[InstanceRecord], avoided: Collection[str] = ()
+) -> str | None:
+    """Choose an owner by rendezvous hash, if possible none of the avoided instances."""
+    fit = [record for record in instances if record.entry and not record.stopping]
+    # An instance without a valid lease owns endpoints only if no other can.
+    fit = [record for record in fit if record.serving] or fit
+    fit = [record for record in fit if record.instance not in avoided] or fit
+    best = max(fit, key=lambda record: rendezvous_weight(endpoint, record.instance), default=None)
+    return best.instance if best else None
+
+
+def on_announcement(
+    state: MembershipState, now_ms: float, announcement: Announcement
+) -> list[MembershipAction]:
+    """Take an announcement from an endpoint, settle its owner and answer it."""
+    actions: list[MembershipAction] = []
+    mistake = _find_mistake(announcement)
+    if mistake is not None:
+        return [_reply(state, now_ms, announcement, ResultCode.OUT_OF_RANGE, mistake, None)]
+    known = announcement.endpoint in state.endpoints
+    if not known and len(state.endpoints) >= MAX_ENDPOINTS:
+        detail = f'this instance knows {MAX_ENDPOINTS} endpoints already'
+        return [_reply(state, now_ms, announcement, ResultCode.OVERLOADED, detail, None)]
+    if _is_repeat(state, announcement):
+        if announcement.draining:
+            merge.note_leaving(state, announcement.endpoint, announcement.incarnation, actions)
+        entry = state.endpoints.get(announcement.endpoint)
+        detail = 'a newer announcement is known'
+    else:
+        entry = merge.merge_announcement(state, now_ms, announcement, now_ms, actions)
+        detail = 'renewed'
+        if entry is not None:
+            entry.source = ''
+            _settle_owner(state, now_ms, entry, actions)
+    owner = entry.owner or None if entry is not None else None
+    if entry is not None and owner is not None and owner != state.own.instance:
+        relay = RelayAnnouncement(entry.announcement, entry.owner_epoch)
+        actions.append(SendRelay(owner, relay))
+    actions.append(_reply(state, now_ms, announcement, ResultCode.COMPLETE, detail, owner))
+    return actions
+
+
+def on_relay(
+    state: MembershipState, now_ms: float, relay: RelayAnnouncement
+) -> list[MembershipAction]:
+    """Take an announcement that another instance received for this owner."""
+    actions: list[MembershipAction] = []
+    if _find_mistake(relay.announcement) is not None:
+        return actions
+    announcement = relay.announcement
+    if _is_repeat(state, announcement):
+        entry = state.endpoints.get(announcement.endpoint)
+        if announcement.draining:
+            name, incarnation = announcement.endpoint, announcement.incarnation
+            merge.note_leaving(state, name, incarnation, actions)
+    else:
+        heard_ms = now_ms - ENDPOINT_LEASE_MS + RELAY_LEASE_MS
+        entry = merge.merge_announcement(state, now_ms, announcement, heard_ms, actions)
+    if entry is not None:
+        entry.source = ''
+        merge.merge_owner(state, entry, state.own.instance, relay.owner_epoch, actions)
+    return actions
+
+
+def note_draining(
+    state: MembershipState, endpoint: str, incarnation: int
+) -> list[MembershipAction]:
+    """Take note that an endpoint said in a reply that it is leaving."""
+    actions: list[MembershipAction] = []
+    merge.note_leaving(state, endpoint, incarnation, actions)
+    return actions
+
+
+def owned_endpoints(state: MembershipState, now_ms: float) -> tuple[EndpointRecord, ...]:
+    """Return the records of the endpoints that this instance owns now."""
+    has_lease = membership.lease_check(state, now_ms)
+    return tuple(
+        endpoint_record(entry, now_ms)
+        for entry in state.endpoints.values()
+        if entry.owner == state.own.instance and has_lease(entry)
+    )
+
+
+def _settle_owner(
+    state: MembershipState, now_ms: float, entry: EndpointEntry, actions: list[MembershipAction]
+) -> None:
+    settled = state.heard_peers or now_ms >= state.started_ms + SETTLE_MS
+    if entry.draining or not settled:
+        return
+    live = membership.live_instances(state, now_ms)
+    fit = [record for record in live if record.entry and not record.stopping]
+    avoided = _owners_of_replicas(state, now_ms, entry)
+    if any(record.instance == entry.owner for record in fit):
+        # Two replicas of a service may share an owner after a start; the later name moves.
+        others = {record.instance for record in fit} - set(avoided)
+        shared = avoided.get(entry.owner, '')
+        if not shared or shared > entry.announcement.endpoint or not others:
+            return
+    owner = choose_owner(entry.announcement.endpoint, live, avoided)
+    if owner is not None and owner != entry.owner:
+        merge.set_owner(state, entry, owner, entry.owner_epoch + 1, actions)
+
+
+def _owners_of_replicas(
+    state: MembershipState, now_ms: float, entry: EndpointEntry
+) -> dict[str, str]:
+    owners: dict[str, str] = {}
+    for other in state.endpoints.values():
+        if other is entry or not other.owner or other.draining:
+            continue
+        same = other.announcement.service == entry.announcement.service
+        if same and now_ms < other.heard_ms + ENDPOINT_LEASE_MS:
+            name = other.announcement.endpoint
+            owners[other.owner] = min(owners.get(other.owner, name), name)
+    return owners
+
+
+def _is_repeat(state: MembershipState, announcement: Announcement) -> bool:
+    known = state.memory.get(announcement.endpoint)
+    if known is None:
+        return False
+    position = (announcement.incarnation, announcement.sequence)
+    return position <= (known.incarnation, known.sequence)
+
+
+def _find_mistake(announcement: Announcement) -> str | None:
+    names = (announcement.endpoint, announcement.service, announcement.address)
+    if not all(0 < len(name) <= MAX_NAME_LENGTH for name in names):
+        return f'endpoint, service and address need 1 to {MAX_NAME_LENGTH} characters'
+    if announcement.slot_count < 1 or announcement.connection_limit < 1:
+        return 'slot_count and connection_limit must be at least 1'
+    if announcement.incarnation < 0 or announcement.sequence < 0:
+        return 'incarnation and sequence must not be negative'
+    return None
+
+
+def _reply(
+    state: MembershipState,
+    now_ms: float,
+    announcement: Announcement,
+    code: ResultCode,
+    detail: str,
+    owner: str | None,
+) -> ReplyAnnouncement:
+    live = membership.live_instances(state, now_ms)
+    addresses = choose_addresses(live, announcement.endpoint, state.draining_instances)
+    return ReplyAnnouncement(AnnounceReply(code, detail, owner, RENEW_MS, addresses))
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/soft_state.py
@@ -0,0 +1,181 @@
+"""Soft state of one instance: endpoints, instances and reports with their ages."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..messages.peer import EndpointRecord, InstanceRecord
+
+if TYPE_CHECKING:
+    from ..messages.endpoint import Announcement
+    from ..messages.peer import CrashReport, SuccessReport
+
+ENDPOINT_LEASE_MS = 2_500.0
+INSTANCE_LEASE_MS = 1_500.0
+# Lapsed records stay this long, for the status page and for judging a failed feed.
+KEEP_LAPSED_MS = 30_000.0
+ANSWER_LIFE_MS = 5_000.0
+MEMORY_MS = 600_000.0
+MEMORY_COUNT = 8_192
+REPORT_LIFE_MS = 600_000.0
+REPORT_COUNT = 4_096
+MAX_ENDPOINTS = 4_096
+MAX_INSTANCES = 1_024
+OWN_RECORD_INTERVAL_MS = 100.0
+SWEEP_INTERVAL_MS = 1_000.0
+# A start with no word from the peers waits this long before it chooses owners on its own.
+SETTLE_MS = 400.0
+
+
+class Kind(Enum):
+    """Name what an entry of the change log refers to."""
+
+    ENDPOINT = 'endpoint'
+    INSTANCE = 'instance'
+    CRASH = 'crash'
+    SUCCESS = 'success'
+
+
+class EndpointEntry:
+    """Hold what is known of one endpoint; `heard_ms` is on the local clock."""
+
+    __slots__ = (
+        'announcement',
+        'draining',
+        'heard_ms',
+        'in_flight_count',
+        'latency_ms',
+        'observation_sequence',
+        'owner',
+        'owner_epoch',
+        'queue_length',
+        'source',
+    )
+
+    def __init__(self, announcement: Announcement, heard_ms: float) -> None:
+        self.announcement = announcement
+        self.draining = announcement.draining
+        self.heard_ms = heard_ms
+        self.owner = ''
+        self.owner_epoch = 0
+        self.in_flight_count = 0
+        self.queue_length = 0
+        self.latency_ms = 0.0
+        self.observation_sequence = 0
+        self.source = ''
+
+
+class InstanceEntry:
+    """Hold the newest record of one instance; `heard_ms` is on the local clock."""
+
+    __slots__ = ('heard_ms', 'record', 'source')
+
+    def __init__(self, record: InstanceRecord, heard_ms: float, source: str) -> None:
+        self.record = record
+        self.heard_ms = heard_ms
+        self.source = source
+
+
+class Remembered:
+    """Hold the newest announcement position of an endpoint past the life of its record."""
+
+    __slots__ = ('draining', 'incarnation', 'noted_ms', 'sequence')
+
+    def __init__(self, incarnation: int, sequence: int, draining: bool, now_ms: float) -> None:
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.draining = draining
+        self.noted_ms = now_ms
+
+
+class PeerCursor:
+    """Hold how far this instance has pulled from one peer."""
+
+    __slots__ = ('incarnation', 'revision')
+
+    def __init__(self) -> None:
+        self.incarnation = 0
+        self.revision = 0
+
+
+class MembershipState:
+    """Hold the soft state of this instance."""
+
+    def __init__(self, own: InstanceRecord, now_ms: float) -> None:
+        self.own = own
+        self.started_ms = now_ms
+        self.heard_peers = False
+        self.next_sweep_ms = now_ms
+        self.own_noted_ms: float | None = None
+        self.draining_instances: frozenset[str] = frozenset()
+        self.endpoints: dict[str, EndpointEntry] = {}
+        self.instances: dict[str, InstanceEntry] = {}
+        self.memory: OrderedDict[str, Remembered] = OrderedDict()
+        self.answers: dict[str, float] = {}
+        self.crashes: dict[tuple[str, str, str, int], tuple[CrashReport, float]] = {}
+        self.successes: dict[tuple[str, str], tuple[SuccessReport, float]] = {}
+        self.revision = 0
+        self.changes: OrderedDict[tuple[Kind, object], int] = OrderedDict()
+        self.next_pull = 0
+        self.pulls: OrderedDict[int, tuple[str, float]] = OrderedDict()
+        self.cursors: dict[str, PeerCursor] = {}
+
+
+def note_change(state: MembershipState, kind: Kind, key: object) -> None:
+    """Give an entry the next revision, so that pulls carry it."""
+    state.revision += 1
+    state.changes[(kind, key)] = state.revision
+    state.changes.move_to_end((kind, key))
+
+
+def forget_change(state: MembershipState, kind: Kind, key: object) -> None:
+    """Remove a dropped entry from what pulls carry."""
+    state.changes.pop((kind, key), None)
+
+
+def remember(state: MembershipState, announcement: Announcement, now_ms: float) -> None:
+    """Remember the newest position of an endpoint for a bounded time."""
+    name = announcement.endpoint
+    position = (announcement.incarnation, announcement.sequence)
+    known = state.memory.get(name)
+    if known is not None and (known.incarnation, known.sequence) > position:
+        return
+    same = known is not None and known.incarnation == announcement.incarnation
+    draining = announcement.draining or (same and known is not None and known.draining)
+    state.memory[name] = Remembered(*position, draining, now_ms)
+    state.memory.move_to_end(name)
+    while len(state.memory) > MEMORY_COUNT:
+        state.memory.popitem(last=False)
+
+
+def is_outdated(state: MembershipState, announcement: Announcement) -> bool:
+    """Tell whether a newer announcement of the endpoint was already seen."""
+    known = state.memory.get(announcement.endpoint)
+    if known is None:
+        return False
+    position = (announcement.incarnation, announcement.sequence)
+    return position < (known.incarnation, known.sequence)
+
+
+def is_drained(state: MembershipState, announcement: Announcement) -> bool:
+    """Tell whether this incarnation has ever said that it is leaving."""
+    known = state.memory.get(announcement.endpoint)
+    return announcement.draining or (
+        known is not None and known.draining and known.incarnation == announcement.incarnation
+    )
+
+
+def endpoint_record(entry: EndpointEntry, now_ms: float) -> EndpointRecord:
+    """Build the record that other instances and the owner receive."""
+    return EndpointRecord(
+        entry.announcement,
+        entry.owner,
+        entry.owner_epoch,
+        max(0.0, now_ms - entry.heard_ms),
+        entry.in_flight_count,
+        entry.queue_length,
+        entry.latency_ms,
+        entry.observation_sequence,
+    )
--- /dev/null
+++ b/tests/test_membership/test_membership_basics.py
@@ -0,0 +1,40 @@
+"""Guard the ordinary exchange of soft state."""
+
+from __future__ import annotations
+
+from pistachioloft_core.process import membership
+from tests.test_membership.network import Network
+
+NAMES = [f'e{number}' for number in range(1, 8)]
+
+
+def test_every_instance_learns_an_endpoint_and_one_owner() -> None:
+    """Guard against an endpoint that only the instance it announced to knows."""
+    network = Network(NAMES)
+    network.run(500)
+    network.keep_announcing('s1', ['e3'])
+    network.run(600)
+    assert all(network.usable(name) == {'s1'} for name in NAMES)
+    owners = [name for name in NAMES if network.owned(name)]
+    assert owners == [network.replies[-1].owner]
+    assert network.replies[-1].renew_ms == 500
+    assert {address.instance for address in network.replies[-1].addresses} == set(NAMES)
+
+
+def test_silent_instance_is_not_live_and_its_endpoints_move() -> None:
+    """Guard against an endpoint whose owner is gone."""
+    network = Network(NAMES)
+    network.run(500)
+    network.keep_announcing('s1', NAMES)
+    network.run(1000)
+    gone = network.replies[-1].owner
+    assert gone is not None
+    del network.states[gone]
+    network.run(2600)
+    rest = [name for name in NAMES if name != gone]
+    for name in rest:
+        live = membership.live_instances(network.states[name], network.now_ms)
+        assert {record.instance for record in live} == set(rest)
+        assert network.usable(name) == {'s1'}
+    assert network.replies[-1].owner != gone
+    assert network.owned(str(network.replies[-1].owner)) == {'s1'}
