--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -31,6 +31,8 @@
         peer.RelayAnnouncement,
         peer.ProposeRequest,
         peer.ProposeReply,
+        peer.InForceRequest,
+        peer.InForceReply,
         agreement.VoteRequest,
         agreement.VoteReply,
         agreement.AppendRequest,
--- a/packages/core/src/pistachioloft_core/messages/peer.py
+++ b/packages/core/src/pistachioloft_core/messages/peer.py
@@ -10,10 +10,12 @@
     CloseClaim,
     CommandOutcome,
     DrainInstance,
+    HistoryEntry,
     OpenClaim,
     SubmitConfiguration,
 )
 from .endpoint import Announcement, ShardRows
+from .operator import InForceReport, VoterStatus
 
 OUTCOME_OK = 'ok'
 OUTCOME_NOT_STARTED = 'not_started'
@@ -144,6 +146,7 @@
     serving: bool
     age_ms: float
     accepted_index: int = 0
+    member: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,3 +218,23 @@
     proposal_id: str
     outcome: CommandOutcome | None
     leader_hint: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class InForceRequest:
+    """Ask the leader where an accepted configuration is in force."""
+
+    request_id: str
+    index: int
+    with_history: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class InForceReply:
+    """Give the leader's report; without report the sender does not lead."""
+
+    request_id: str
+    report: InForceReport | None
+    voters: VoterStatus | None
+    history: tuple[HistoryEntry, ...] = ()
+    leader_hint: str | None = None
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -44,6 +44,7 @@
     closed: Callable[[str, str], None]
     replied: Callable[[str, SubReply], None]
     failed: Callable[[str, bool, str], None]
+    probed: Callable[[str], None]
 
 
 class Connection:
@@ -93,6 +94,12 @@
             return
         connection.task = self._spawn(self._exchange(connection, request))
 
+    def probe(self, connection_id: str, identity: str) -> None:
+        """Withdraw an identity that no request has, to see whether the connection answers."""
+        connection = self.connections.get(connection_id)
+        if connection is not None:
+            connection.task = self._spawn(self._probe(connection, identity))
+
     def send_cancel(self, address: str, identity: str) -> None:
         """Withdraw a sub-request; its own connection still waits for the reply."""
         self._spawn(self._cancel(address, identity))
@@ -144,6 +151,22 @@
         else:
             self.events.replied(connection.connection_id, answer)
 
+    async def _probe(self, connection: Connection, identity: str) -> None:
+        try:
+            async with (
+                asyncio.timeout(CONNECT_TIMEOUT_S),
+                connection.session.post(
+                    f'http://{connection.address}{CANCEL_PATH}',
+                    data=encode_json(CancelRequest(identity)),
+                    headers=JSON_HEADERS,
+                ) as reply,
+            ):
+                await reply.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self._drop(connection, f'{type(error).__name__}: {error}')
+            return
+        self.events.probed(connection.connection_id)
+
     async def _cancel(self, address: str, identity: str) -> None:
         if self.control is None:
             self.control = aiohttp.ClientSession(
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/requests.py
@@ -0,0 +1,257 @@
+"""Run the queries and commands of callers."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from pistachioloft_core.errors import RESULTS, CodedError, ResultCode
+from pistachioloft_core.messages.public import (
+    CommandReply,
+    CommandRequest,
+    QueryReply,
+    QueryRequest,
+)
+from pistachioloft_core.request import actions as request_actions
+from pistachioloft_core.request import admission, command, query
+from pistachioloft_core.request.replies import refuse_command, refuse_query, resolve_urgent
+
+from .loop_timers import monotonic_ms
+
+if TYPE_CHECKING:
+    from pistachioloft_core.messages.accepted import AcceptedCommand, CommandOutcome
+    from pistachioloft_core.messages.peer import Attempt, AttemptResult
+    from pistachioloft_core.request.command import CommandState
+    from pistachioloft_core.request.query_state import QueryState
+    from pistachioloft_core.request.routing import RoutingState
+
+    from .loop_timers import LoopTimers
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[routing]'
+DEADLINE_LIMIT_MS = 60_000
+# A claim needs one sync at a quorum; longer means that there is no leader.
+PROPOSAL_TIMEOUT_MS = 2000.0
+
+ReplyCallback = Callable[[Any], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHooks:
+    """Name the callbacks for what leaves the request path."""
+
+    send_attempts: Callable[[str, tuple[Attempt, ...]], None]
+    cancel_attempts: Callable[[str, tuple[str, ...]], None]
+    propose: Callable[
+        [str, AcceptedCommand, float, Callable[[CommandOutcome | None], None]], None
+    ]
+    answered: Callable[[str], None]
+    finished: Callable[[ResultCode, float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Hold a request from its arrival until its reply."""
+
+    request: QueryRequest | CommandRequest
+    deadline_ms: float
+    urgent: bool
+    arrived_ms: float
+    reply: ReplyCallback
+
+
+class Requests:
+    """Hold the requests in flight at this instance."""
+
+    def __init__(
+        self, instance: str, incarnation: int, routing: RoutingState, timers: LoopTimers,
+        hooks: RequestHooks,
+    ) -> None:
+        self.prefix = f'{instance}.{incarnation}'
+        self.routing = routing
+        self.timers = timers
+        self.hooks = hooks
+        self.admission = admission.AdmissionState()
+        self.number = 0
+        self.waiting: dict[str, Waiting] = {}
+        self.queries: dict[str, QueryState] = {}
+        self.commands: dict[str, CommandState] = {}
+
+    def in_flight_count(self) -> int:
+        """Count the requests without a reply and the claims that are not closed."""
+        return len(self.waiting) + len(self.commands)
+
+    def start(self, request: QueryRequest | CommandRequest, reply: ReplyCallback) -> str:
+        """Start a request and return its id; `reply` is called once."""
+        now_ms = monotonic_ms()
+        if not 0 < request.deadline_ms <= DEADLINE_LIMIT_MS:
+            detail = f'deadline_ms must be 1 to {DEADLINE_LIMIT_MS}'
+            raise CodedError(ResultCode.OUT_OF_RANGE, detail)
+        urgent = resolve_urgent(self.routing.view, request)
+        self.number += 1
+        request_id = f'{self.prefix}.{self.number}'
+        deadline_ms = now_ms + request.deadline_ms
+        self.waiting[request_id] = Waiting(request, deadline_ms, urgent, now_ms, reply)
+        if isinstance(request, QueryRequest):
+            offered = admission.offer_query(
+                self.admission, now_ms, request_id, urgent, deadline_ms
+            )
+            self._carry_out(request_id, offered)
+        else:
+            state, actions = command.start_command(
+                self.routing, now_ms, request, request_id, deadline_ms, urgent
+            )
+            self.commands[request_id] = state
+            self._carry_out(request_id, actions)
+        return request_id
+
+    def cancel(self, request_id: str) -> None:
+        """Withdraw a request whose caller hung up."""
+        now_ms = monotonic_ms()
+        if request_id in self.queries:
+            state = self.queries[request_id]
+            self._carry_out(request_id, query.cancel_query(self.routing, state, now_ms))
+        elif request_id in self.commands:
+            self._carry_out(
+                request_id,
+                command.cancel_command(self.routing, self.commands[request_id], now_ms),
+            )
+        elif request_id in self.waiting:
+            request = self.waiting[request_id].request
+            assert isinstance(request, QueryRequest)
+            self._finish(request_id, refuse_query(request, ResultCode.CANCELLED, 'caller left'))
+
+    def on_results(self, results: tuple[AttemptResult, ...]) -> None:
+        """Take the results of attempts."""
+        now_ms = monotonic_ms()
+        for result in results:
+            if result.results or result.reply is not None:
+                self.hooks.answered(result.endpoint)
+            admission.observe_wait(self.admission, now_ms, result)
+            request_id = result.attempt_id.rpartition('.')[0]
+            if request_id in self.queries:
+                state = self.queries[request_id]
+                self._carry_out(
+                    request_id, query.on_attempt_result(self.routing, state, now_ms, result)
+                )
+            elif request_id in self.commands:
+                self._carry_out(
+                    request_id,
+                    command.on_command_result(
+                        self.routing, self.commands[request_id], now_ms, result
+                    ),
+                )
+
+    def _on_timer(self, request_id: str, now_ms: float) -> None:
+        if request_id in self.queries:
+            self._carry_out(
+                request_id, query.on_timer(self.routing, self.queries[request_id], now_ms)
+            )
+        elif request_id in self.commands:
+            self._carry_out(
+                request_id,
+                command.on_command_timer(self.routing, self.commands[request_id], now_ms),
+            )
+        elif request_id in self.waiting:
+            self._carry_out(request_id, admission.on_admission_timer(self.admission, now_ms))
+
+    def _carry_out(self, request_id: str, actions: list[Any]) -> None:
+        for action in actions:
+            match action:
+                case request_actions.SendAttempts():
+                    self.hooks.send_attempts(action.owner, action.attempts)
+                case request_actions.CancelAttempts():
+                    self.hooks.cancel_attempts(action.owner, action.attempt_ids)
+                case request_actions.WakeAt():
+                    self.timers.at(
+                        action.time_ms, lambda now_ms: self._on_timer(request_id, now_ms)
+                    )
+                case request_actions.LogDecision():
+                    logger.info(
+                        '%s %s %s (%s): %s',
+                        PREFIX,
+                        action.kind,
+                        request_id,
+                        action.request_id,
+                        action.text,
+                    )
+                case request_actions.Propose():
+                    self._propose(request_id, action)
+                case request_actions.Finished():
+                    self._finish(request_id, action.reply)
+                case admission.Admit():
+                    self._admit(action.query_id)
+                case admission.Refuse():
+                    self._refuse(action)
+        self._drop_done_command(request_id)
+
+    def _admit(self, request_id: str) -> None:
+        waiting = self.waiting[request_id]
+        assert isinstance(waiting.request, QueryRequest)
+        state, actions = query.start_query(
+            self.routing,
+            monotonic_ms(),
+            waiting.request,
+            request_id,
+            waiting.deadline_ms,
+            waiting.urgent,
+        )
+        self.queries[request_id] = state
+        self._carry_out(request_id, actions)
+
+    def _refuse(self, action: admission.Refuse) -> None:
+        waiting = self.waiting.get(action.query_id)
+        if waiting is None:
+            return
+        assert isinstance(waiting.request, QueryRequest)
+        self._finish(
+            action.query_id,
+            refuse_query(waiting.request, action.code, action.detail, action.retry_after_ms),
+        )
+
+    def _propose(self, request_id: str, action: request_actions.Propose) -> None:
+        def on_outcome(outcome: CommandOutcome | None) -> None:
+            state = self.commands.get(request_id)
+            if state is not None:
+                self._carry_out(
+                    request_id,
+                    command.on_claim_outcome(
+                        self.routing, state, monotonic_ms(), action.proposal_id, outcome
+                    ),
+                )
+
+        self.hooks.propose(action.proposal_id, action.command, PROPOSAL_TIMEOUT_MS, on_outcome)
+
+    def _finish(self, request_id: str, reply: QueryReply | CommandReply) -> None:
+        waiting = self.waiting.pop(request_id, None)
+        if waiting is None:
+            return
+        now_ms = monotonic_ms()
+        self.queries.pop(request_id, None)
+        self.hooks.finished(reply.result_code, now_ms - waiting.arrived_ms)
+        waiting.reply(reply)
+        if isinstance(waiting.request, QueryRequest):
+            freed = admission.on_query_done(self.admission, now_ms, request_id)
+            if freed:
+                self._carry_out(request_id, freed)
+
+    def _drop_done_command(self, request_id: str) -> None:
+        state = self.commands.get(request_id)
+        if state is not None and command.is_done(state):
+            del self.commands[request_id]
+
+
+def refusal(
+    request: QueryRequest | CommandRequest,
+    code: ResultCode,
+    detail: str,
+    retry_after_ms: int | None = None,
+) -> QueryReply | CommandReply:
+    """Build the reply that refuses either kind of request."""
+    assert RESULTS[code].run_status.value == 'not_run'
+    if isinstance(request, QueryRequest):
+        return refuse_query(request, code, detail, retry_after_ms)
+    return refuse_command(request, code, detail, retry_after_ms)
