Add the command line

Cause: operators and callers need a tool that says truthfully whether a request ran, also when an answer is lost. Before: no command line. Conclusion: a refusal that follows a lost answer is reported as an unknown outcome unless it also holds for the first send.

--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/callers.py
@@ -0,0 +1,110 @@
+"""Find addresses, query and run commands as a caller does."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import urlencode
+
+from pistachioloft_core.codec import encode_json
+from pistachioloft_core.errors import RESULTS
+from pistachioloft_core.messages.public import (
+    AddressesReply,
+    CommandReply,
+    CommandRequest,
+    ErrorReply,
+    QueryReply,
+    QueryRequest,
+)
+
+from .exits import CommandFailure, ExitCode, Try, exit_code_of
+from .transport import Answer, Call, exchange
+
+if TYPE_CHECKING:
+    from .output import Output
+
+# The reply to a query is due at its deadline; this covers the way there and back.
+ANSWER_GRACE_MS = 1_000
+COMMAND_TRY_COUNT = 3
+
+
+def find_addresses(at: tuple[str, ...], caller: str, output: Output) -> AddressesReply:
+    """Ask any instance which addresses the caller is to use."""
+    path = f'/v1/addresses?{urlencode({"caller": caller})}'
+    answer = exchange(Call('GET', path, AddressesReply), at, output.progress)
+    if isinstance(answer.reply, ErrorReply):
+        raise refusal(answer.reply, answer.tries)
+    if not answer.reply.addresses:
+        raise CommandFailure(ExitCode.NOT_REACHABLE, 'No instance can serve callers now.')
+    return answer.reply
+
+
+def send_query(request: QueryRequest, reply: AddressesReply, output: Output) -> Answer[QueryReply]:
+    """Send a query; it may be sent again, as it changes nothing."""
+    wait_ms = request.deadline_ms + ANSWER_GRACE_MS
+    call = Call(
+        'POST',
+        '/v1/query',
+        QueryReply,
+        body=encode_json(request),
+        answer_ms=wait_ms,
+        total_ms=wait_ms,
+        resend_unknown=False,
+        changes=True,
+    )
+    answer = exchange(call, _addresses(reply), output.progress)
+    _check_identity(request, answer)
+    return answer
+
+
+def send_command(
+    request: CommandRequest, reply: AddressesReply, output: Output
+) -> Answer[CommandReply]:
+    """Send a command; its idempotency key makes it safe to send it again."""
+    wait_ms = request.deadline_ms + ANSWER_GRACE_MS
+    call = Call(
+        'POST',
+        '/v1/command',
+        CommandReply,
+        body=encode_json(request),
+        answer_ms=wait_ms,
+        total_ms=wait_ms * COMMAND_TRY_COUNT,
+        resend_unknown=False,
+        changes=True,
+    )
+    answer = exchange(call, _addresses(reply), output.progress)
+    _check_identity(request, answer)
+    return answer
+
+
+def end_of(answer: Answer[CommandReply] | Answer[QueryReply], repeats: bool) -> ExitCode:
+    """Give the exit code; a refusal after a lost answer of a command leaves it unknown."""
+    if repeats and answer.unsure:
+        return ExitCode.UNKNOWN
+    return exit_code_of(answer.reply.result_code)
+
+
+def refusal(reply: ErrorReply, tries: tuple[Try, ...] = ()) -> CommandFailure:
+    """Make a failure of a reply that refuses a request."""
+    info = RESULTS[reply.result_code]
+    detail = f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {reply.detail}'
+    if reply.retry_after_ms is not None:
+        detail = f'{detail} Try again after {reply.retry_after_ms} ms.'
+    return CommandFailure(exit_code_of(reply.result_code), detail.strip(), tries)
+
+
+def _addresses(reply: AddressesReply) -> tuple[str, ...]:
+    return tuple(entry.address for entry in reply.addresses)
+
+
+def _check_identity(
+    request: QueryRequest | CommandRequest,
+    answer: Answer[QueryReply] | Answer[CommandReply],
+) -> None:
+    """Refuse a reply that belongs to another request."""
+    reply = answer.reply
+    if isinstance(reply, ErrorReply):
+        return
+    if (reply.caller, reply.request_id) != (request.caller, request.request_id):
+        crossed = Try(answer.address, True, f'reply for request {reply.request_id!r}')
+        detail = 'The reply belongs to another request, so the outcome is unknown.'
+        raise CommandFailure(ExitCode.UNKNOWN, detail, (*answer.tries, crossed))
--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/config_commands.py
@@ -0,0 +1,311 @@
+"""Commands on the configuration: check, diff, submit, show, history."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from pistachioloft_core.errors import RESULTS, ResultCode
+from pistachioloft_core.messages.accepted import SubmitConfiguration
+from pistachioloft_core.messages.operator import (
+    InForceReport,
+    OperatorReply,
+)
+from pistachioloft_core.util.describe import count_of
+from pistachioloft_core.version.configuration import difference
+
+from .exits import CommandFailure, ExitCode
+from .operators import (
+    describe_force,
+    end_of_change,
+    read_config,
+    read_history,
+    send_change,
+    wait_in_force,
+)
+from .options import (
+    CommandId,
+    Json,
+    Operator,
+    OperatorAt,
+    command_identifier,
+    operator_name,
+)
+from .output import Output, table
+from .register_folder import read_register
+from .transport import result_code
+
+if TYPE_CHECKING:
+    from pistachioloft_core.messages.accepted import AcceptedConfiguration, Configuration
+    from pistachioloft_core.messages.public import ErrorReply
+
+    from .transport import Answer
+
+WAIT_LIMIT_S = 30.0
+
+app = typer.Typer(help='Check, compare, submit and show the configuration.')
+
+Folder = Annotated[
+    Path, typer.Argument(exists=True, file_okay=False, help='Folder of the asset register.')
+]
+
+
+@dataclass(frozen=True, slots=True)
+class CheckResult:
+    """Describe a register without mistakes."""
+
+    instance_count: int
+    voter_count: int
+    service_count: int
+    caller_count: int
+    collection_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class DifferenceResult:
+    """Describe how a register differs from the configuration in force."""
+
+    base_index: int
+    difference: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitResult:
+    """Describe the end of a submission."""
+
+    exit_code: int
+    command_id: str | None
+    base_index: int
+    difference: tuple[str, ...]
+    reply: OperatorReply | ErrorReply | None = None
+    conflict_difference: tuple[str, ...] = ()
+    in_force: InForceReport | None = None
+
+
+@app.command()
+def check(folder: Folder, as_json: Json = False) -> None:
+    """Check a register without sending anything."""
+    output = Output(as_json)
+    with output.failures():
+        configuration = read_register(folder)
+        result = CheckResult(
+            len(configuration.instances),
+            sum(entry.voter for entry in configuration.instances),
+            len(configuration.services),
+            len(configuration.callers),
+            len(configuration.collections),
+        )
+        output.lines(
+            f'No mistakes: {count_of(result.instance_count, "instance")},'
+            f' {count_of(result.voter_count, "voter")},'
+            f' {count_of(result.service_count, "service")},'
+            f' {count_of(result.caller_count, "caller")},'
+            f' {count_of(result.collection_count, "collection")}.'
+        )
+        output.document(result)
+
+
+@app.command()
+def diff(folder: Folder, at: OperatorAt, as_json: Json = False) -> None:
+    """Show how a register differs from the configuration in force."""
+    output = Output(as_json)
+    with output.failures():
+        configuration = read_register(folder)
+        base = read_config(tuple(at), output)
+        lines = difference(base.configuration, configuration)
+        _show_difference(lines, base.index, output)
+        output.document(DifferenceResult(base.index, lines))
+
+
+def _show_difference(lines: tuple[str, ...], index: int, output: Output) -> None:
+    output.lines(*lines)
+    output.progress(f'{count_of(len(lines), "change")} against index {index}.')
+
+
+@app.command()
+def submit(
+    folder: Folder,
+    at: OperatorAt,
+    note: Annotated[str, typer.Option('--note', help='Reason, kept in the history.')] = '',
+    wait: Annotated[
+        bool, typer.Option('--wait', help='Wait until it is in force everywhere.')
+    ] = False,
+    wait_limit_s: Annotated[float, typer.Option('--wait-limit-s', min=0.0)] = WAIT_LIMIT_S,
+    operator: Operator = None,
+    command_id: CommandId = None,
+    base_index: Annotated[
+        int | None,
+        typer.Option('--base-index', min=0, help='Base index of that earlier attempt.'),
+    ] = None,
+    as_json: Json = False,
+) -> None:
+    """Submit a register as the new configuration."""
+    output = Output(as_json)
+    identifier = command_identifier(command_id)
+    if (command_id is None) != (base_index is None):
+        raise typer.BadParameter('give both --command-id and --base-index, or none')
+    with output.failures():
+        configuration = read_register(folder)
+        base = read_config(tuple(at), output)
+        lines = difference(base.configuration, configuration)
+        _show_difference(lines, base.index, output)
+        if command_id is None and not lines:
+            _end_unchanged(tuple(at), base, wait_limit_s if wait else None, output)
+            return
+        message = SubmitConfiguration(
+            command_id=identifier,
+            base_index=base.index if base_index is None else base_index,
+            configuration=configuration,
+            operator=operator_name(operator),
+            note=note,
+        )
+        again = f'--command-id {identifier} --base-index {message.base_index}'
+        output.progress(f'To send this change again, add {again}')
+        answer = send_change(message, '/v1/config', tuple(at), output)
+        _end_submit(message, answer, lines, tuple(at), wait_limit_s if wait else None, output)
+
+
+def _end_unchanged(
+    at: tuple[str, ...], base: AcceptedConfiguration, limit_s: float | None, output: Output
+) -> None:
+    output.lines(f'Nothing to submit: index {base.index} has this configuration.')
+    report = None
+    exit_code = ExitCode.DONE
+    if limit_s is not None:
+        report = wait_in_force(at, base.index, limit_s, output)
+        exit_code = _end_wait(report, output)
+    output.document(SubmitResult(int(exit_code), None, base.index, (), in_force=report))
+    output.end(exit_code)
+
+
+def _end_submit(
+    message: SubmitConfiguration,
+    answer: Answer[OperatorReply],
+    lines: tuple[str, ...],
+    at: tuple[str, ...],
+    limit_s: float | None,
+    output: Output,
+) -> None:
+    exit_code = end_of_change(answer)
+    reply = answer.reply
+    _show_reply(answer, output)
+    conflict: tuple[str, ...] = ()
+    report = None
+    if result_code(reply) is ResultCode.CONFLICT:
+        conflict = _show_conflict(message.configuration, at, output)
+    if exit_code is ExitCode.DONE and isinstance(reply, OperatorReply) and limit_s is not None:
+        report = wait_in_force(at, reply.accepted_index, limit_s, output)
+        exit_code = _end_wait(report, output)
+    output.document(
+        SubmitResult(
+            int(exit_code),
+            message.command_id,
+            message.base_index,
+            lines,
+            reply,
+            conflict,
+            report,
+        )
+    )
+    output.end(exit_code)
+
+
+def _show_reply(answer: Answer[OperatorReply], output: Output) -> None:
+    reply = answer.reply
+    info = RESULTS[reply.result_code]
+    output.progress(f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {reply.detail}')
+    if isinstance(reply, OperatorReply):
+        for mistake in reply.mistakes:
+            output.progress(f'  {mistake}')
+        if end_of_change(answer) is ExitCode.DONE:
+            output.lines(f'Accepted as index {reply.accepted_index}.')
+    if end_of_change(answer) is ExitCode.UNKNOWN:
+        output.progress('The outcome is unknown; send the change again with the same command id.')
+
+
+def _show_conflict(
+    configuration: Configuration, at: tuple[str, ...], output: Output
+) -> tuple[str, ...]:
+    try:
+        accepted = read_config(at, output)
+    except CommandFailure:
+        return ()
+    lines = difference(accepted.configuration, configuration)
+    output.progress(f'Index {accepted.index} was accepted first; your register differs from it:')
+    for line in lines:
+        output.progress(f'  {line}')
+    output.progress('Merge that change into the register, then submit again.')
+    return lines
+
+
+def _end_wait(report: InForceReport | None, output: Output) -> ExitCode:
+    if report is not None and report.everywhere:
+        output.lines('In force everywhere.')
+        return ExitCode.DONE
+    if report is None:
+        output.progress('Not known to be in force: no given address had a report on it.')
+    else:
+        output.progress(f'Not in force everywhere. {describe_force(report)}')
+    return ExitCode.NOT_IN_FORCE
+
+
+@app.command()
+def show(at: OperatorAt, as_json: Json = False) -> None:
+    """Show the configuration in force."""
+    output = Output(as_json)
+    with output.failures():
+        accepted = read_config(tuple(at), output)
+        output.lines(f'Index {accepted.index}, term {accepted.term}, digest {accepted.digest}')
+        _show_configuration(accepted, output)
+        output.document(accepted)
+
+
+def _show_configuration(accepted: AcceptedConfiguration, output: Output) -> None:
+    configuration = accepted.configuration
+    draining = set(accepted.draining_instances)
+    rows = [
+        (
+            entry.instance,
+            entry.failure_domain,
+            entry.caller_address,
+            entry.peer_address,
+            'voter' if entry.voter else '',
+            'draining' if entry.instance in draining else '',
+        )
+        for entry in configuration.instances
+    ]
+    header = ('INSTANCE', 'FAILURE DOMAIN', 'CALLER ADDRESS', 'PEER ADDRESS', '', '')
+    output.lines('', *table(header, rows), '')
+    output.lines(f'Services: {", ".join(entry.service for entry in configuration.services)}', '')
+    callers = [(entry.caller, entry.priority) for entry in configuration.callers]
+    output.lines(*table(('CALLER', 'PRIORITY'), callers), '')
+    versions = [
+        (collection.collection, entry.version, len(entry.shards))
+        for collection in configuration.collections
+        for entry in collection.versions
+    ]
+    output.lines(*table(('COLLECTION', 'VERSION', 'SHARDS'), versions))
+
+
+@app.command()
+def history(at: OperatorAt, as_json: Json = False) -> None:
+    """List the accepted submissions, newest last."""
+    output = Output(as_json)
+    with output.failures():
+        reply = read_history(tuple(at), output)
+        rows = [
+            (
+                entry.index,
+                time.strftime('%Y-%m-%d %H:%M:%SZ', time.gmtime(entry.time_ms / 1000)),
+                entry.operator,
+                entry.digest[:12],
+                entry.note,
+            )
+            for entry in sorted(reply.entries, key=lambda entry: entry.index)
+        ]
+        output.lines(*table(('INDEX', 'TIME', 'OPERATOR', 'DIGEST', 'NOTE'), rows))
+        output.document(reply)
--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/operators.py
@@ -0,0 +1,158 @@
+"""Read from and write to instances as an operator does."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.codec import encode_json
+from pistachioloft_core.messages.operator import (
+    FORCE_IN_FORCE,
+    ConfigReply,
+    HistoryReply,
+    InForceReport,
+    OperatorReply,
+    StatusReply,
+)
+from pistachioloft_core.messages.public import ErrorReply
+
+from .callers import refusal
+from .exits import CommandFailure, ExitCode, Try, exit_code_of
+from .transport import Answer, Call, exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pistachioloft_core.messages.accepted import (
+        AcceptedConfiguration,
+        DrainInstance,
+        SubmitConfiguration,
+    )
+
+    from .output import Output
+
+STATUS_ANSWER_MS = 2_000
+# An accepted change is due within 2 s on 7 instances; five polls show its progress.
+WAIT_POLL_MS = 400
+
+
+@dataclass(frozen=True, slots=True)
+class StatusAt:
+    """Hold the status that one address gave."""
+
+    address: str
+    reply: StatusReply
+
+
+@dataclass(frozen=True, slots=True)
+class StatusView:
+    """Hold what all given addresses say of the system."""
+
+    replies: tuple[StatusAt, ...]
+    unreachable: tuple[str, ...]
+
+    @property
+    def leader_reply(self) -> StatusReply | None:
+        """Give the reply with the report of the newest term."""
+        replies = [each.reply for each in self.replies if each.reply.in_force is not None]
+        return max(replies, key=_report_order, default=None)
+
+
+def _report_order(reply: StatusReply) -> tuple[int, int]:
+    # A former leader behind a partition still gives its old report, of an older term.
+    term = reply.voters.term if reply.voters is not None else 0
+    return term, reply.in_force.index if reply.in_force is not None else 0
+
+
+def read_config(at: tuple[str, ...], output: Output) -> AcceptedConfiguration:
+    """Read the configuration in force."""
+    answer = exchange(Call('GET', '/v1/config', ConfigReply), at, output.progress)
+    if isinstance(answer.reply, ErrorReply):
+        raise refusal(answer.reply, answer.tries)
+    return answer.reply.accepted
+
+
+def read_history(at: tuple[str, ...], output: Output) -> HistoryReply:
+    """Read the accepted submissions."""
+    answer = exchange(Call('GET', '/v1/config/history', HistoryReply), at, output.progress)
+    if isinstance(answer.reply, ErrorReply):
+        raise refusal(answer.reply, answer.tries)
+    return answer.reply
+
+
+def send_change(
+    message: SubmitConfiguration | DrainInstance, path: str, at: tuple[str, ...], output: Output
+) -> Answer[OperatorReply]:
+    """Send a change; its command id makes it safe to send it again."""
+    call = Call('POST', path, OperatorReply, body=encode_json(message), changes=True)
+    return exchange(call, at, output.progress)
+
+
+def end_of_change(answer: Answer[OperatorReply]) -> ExitCode:
+    """Give the exit code; a refusal after a lost answer leaves the outcome unknown."""
+    return ExitCode.UNKNOWN if answer.unsure else exit_code_of(answer.reply.result_code)
+
+
+def read_status(at: Iterable[str], with_endpoints: bool = False) -> StatusView:
+    """Ask every given address for the status, once each."""
+    path = '/v1/status?endpoints=true' if with_endpoints else '/v1/status'
+    call = Call('GET', path, StatusReply, answer_ms=STATUS_ANSWER_MS, round_count=1)
+    replies, unreachable = [], []
+    for address in at:
+        try:
+            answer = exchange(call, (address,), lambda line: None)
+        except CommandFailure:
+            unreachable.append(address)
+            continue
+        if isinstance(answer.reply, StatusReply):
+            replies.append(StatusAt(answer.address, answer.reply))
+        else:
+            unreachable.append(address)
+    return StatusView(tuple(replies), tuple(unreachable))
+
+
+def require_status(at: Iterable[str], with_endpoints: bool = False) -> StatusView:
+    """Ask every given address for the status; fail if none answers."""
+    view = read_status(at, with_endpoints)
+    if not view.replies:
+        tries = tuple(Try(address, False, 'gave no status') for address in view.unreachable)
+        raise CommandFailure(ExitCode.NOT_REACHABLE, 'No address gave its status.', tries)
+    return view
+
+
+def wait_in_force(
+    at: tuple[str, ...], index: int, limit_s: float, output: Output
+) -> InForceReport | None:
+    """Wait until an accepted index is in force everywhere; give the last report on it."""
+    deadline_s = time.monotonic() + limit_s
+    last: InForceReport | None = None
+    shown = ''
+    while True:
+        leader = read_status(at).leader_reply
+        report = leader.in_force if leader is not None else None
+        if report is not None and report.index >= index:
+            last = report
+            line = describe_force(report)
+            if report.everywhere:
+                output.progress(line)
+                return report
+        else:
+            line = 'No given address reports on this change yet; the leader knows its progress.'
+        if line != shown:
+            output.progress(line)
+            shown = line
+        if time.monotonic() > deadline_s:
+            return last
+        time.sleep(WAIT_POLL_MS / 1000)
+
+
+def describe_force(report: InForceReport) -> str:
+    """Say where a configuration is in force and where it is not."""
+    others = [each for each in report.instances if each.state != FORCE_IN_FORCE]
+    done_count = len(report.instances) - len(others)
+    line = f'Index {report.index} is in force on {done_count} of {len(report.instances)} instances'
+    if others:
+        names = ', '.join(f'{each.instance} ({each.state}, index {each.index})' for each in others)
+        line = f'{line}; not on {names}'
+    return f'{line}.'
--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/rehearsal.py
@@ -0,0 +1,158 @@
+"""Save what is in force before a rehearsal and compare it afterwards."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.messages.operator import (
+    FORCE_FENCED,
+    FORCE_IN_FORCE,
+    InstanceForce,
+)
+
+from .exits import CommandFailure, ExitCode
+
+if TYPE_CHECKING:
+    from pistachioloft_core.messages.accepted import AcceptedConfiguration
+
+    from .operators import StatusView
+
+FORMAT = 1
+FORCE_MISSING = 'missing'
+
+
+@dataclass(frozen=True, slots=True)
+class RehearsalState:
+    """Hold what is accepted, in force and announced at one time."""
+
+    format: int
+    saved_at_ms: int
+    accepted_index: int
+    accepted_term: int
+    accepted_digest: str
+    everywhere: bool
+    instances: tuple[InstanceForce, ...]
+    can_lose_count: int | None
+    endpoints: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RehearsalReport:
+    """Compare the state after a rehearsal with the state before it."""
+
+    exit_code: int
+    before: RehearsalState
+    after: RehearsalState
+    reverted: bool
+    changed: bool
+    fenced: tuple[str, ...]
+    not_in_force: tuple[str, ...]
+    missing_endpoints: tuple[str, ...]
+    new_endpoints: tuple[str, ...]
+
+
+def make_state(accepted: AcceptedConfiguration, view: StatusView, now_ms: int) -> RehearsalState:
+    """Collect the state from the replies of all given addresses."""
+    leader = view.leader_reply
+    if leader is None or leader.in_force is None:
+        detail = 'No given address is that of the leader, which knows what is in force.'
+        raise CommandFailure(ExitCode.NOT_IN_FORCE, detail)
+    reported = {each.instance: each for each in leader.in_force.instances}
+    instances = [
+        _confirm(accepted, reported.pop(entry.instance, None), entry.instance)
+        for entry in accepted.configuration.instances
+    ]
+    usable = {each.endpoint for each in leader.endpoints if each.usable and not each.draining}
+    return RehearsalState(
+        format=FORMAT,
+        saved_at_ms=now_ms,
+        accepted_index=accepted.index,
+        accepted_term=accepted.term,
+        accepted_digest=accepted.digest,
+        everywhere=all(each.state == FORCE_IN_FORCE for each in instances),
+        instances=tuple(instances),
+        can_lose_count=leader.voters.can_lose_count if leader.voters is not None else None,
+        endpoints=tuple(sorted(usable)),
+    )
+
+
+def _confirm(
+    accepted: AcceptedConfiguration, force: InstanceForce | None, instance: str
+) -> InstanceForce:
+    """Accept `in force` only with the index and digest that were accepted."""
+    if force is None:
+        return InstanceForce(instance, FORCE_MISSING, 0, '')
+    same = (force.index, force.digest) == (accepted.index, accepted.digest)
+    if force.state == FORCE_IN_FORCE and not same:
+        return InstanceForce(instance, 'other_digest', force.index, force.digest)
+    return force
+
+
+def compare(before: RehearsalState, after: RehearsalState) -> RehearsalReport:
+    """Compare two states."""
+    reverted = after.accepted_index < before.accepted_index or (
+        after.accepted_index == before.accepted_index
+        and after.accepted_digest != before.accepted_digest
+    )
+    missing = tuple(sorted(set(before.endpoints) - set(after.endpoints)))
+    fewer_losses = (after.can_lose_count or 0) < (before.can_lose_count or 0)
+    exit_code = ExitCode.DONE
+    if reverted:
+        exit_code = ExitCode.CONFLICT
+    elif not after.everywhere:
+        exit_code = ExitCode.NOT_IN_FORCE
+    elif missing or fewer_losses:
+        exit_code = ExitCode.PARTIAL
+    return RehearsalReport(
+        exit_code=int(exit_code),
+        before=before,
+        after=after,
+        reverted=reverted,
+        changed=after.accepted_index > before.accepted_index,
+        fenced=tuple(each.instance for each in after.instances if each.state == FORCE_FENCED),
+        not_in_force=tuple(
+            each.instance for each in after.instances if each.state != FORCE_IN_FORCE
+        ),
+        missing_endpoints=missing,
+        new_endpoints=tuple(sorted(set(after.endpoints) - set(before.endpoints))),
+    )
+
+
+def describe(report: RehearsalReport) -> tuple[str, ...]:
+    """Describe a comparison in lines."""
+    before, after = report.before, report.after
+    lines = [
+        f'Before: index {before.accepted_index}, digest {before.accepted_digest}',
+        f'After:  index {after.accepted_index}, digest {after.accepted_digest}',
+    ]
+    if report.reverted:
+        lines.append('REVERTED: the configuration accepted before is no longer the accepted one.')
+    elif report.changed:
+        lines.append('Newer submissions were accepted since; see config history.')
+    else:
+        lines.append('The accepted configuration is the same.')
+    total = len(after.instances)
+    done = total - len(report.not_in_force)
+    lines.append(f'In force with the accepted digest on {done} of {total} instances.')
+    lines.extend(
+        f'  not on {each.instance}: {each.state}, index {each.index}'
+        for each in after.instances
+        if each.state != FORCE_IN_FORCE
+    )
+    lines.append(f'Fenced instances: {", ".join(report.fenced) or "none"}')
+    lines.append(
+        f'Voters that can still be lost: {_count(after.can_lose_count)}'
+        f' (before: {_count(before.can_lose_count)})'
+    )
+    lines.append(
+        f'Endpoints: {len(after.endpoints)} usable (before: {len(before.endpoints)});'
+        f' missing: {", ".join(report.missing_endpoints) or "none"}'
+    )
+    if report.new_endpoints:
+        lines.append(f'New endpoints: {", ".join(report.new_endpoints)}')
+    return tuple(lines)
+
+
+def _count(count: int | None) -> str:
+    return 'unknown' if count is None else str(count)
--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/system_commands.py
@@ -0,0 +1,220 @@
+"""Commands on instances: status, drain, rehearsals."""
+
+from __future__ import annotations
+
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path  # noqa: TC003
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from pistachioloft_core.codec import decode_json, encode_json
+from pistachioloft_core.errors import RESULTS, CodedError
+from pistachioloft_core.messages.accepted import DrainInstance
+from pistachioloft_core.messages.public import ErrorReply  # noqa: TC001
+
+from .exits import CommandFailure, ExitCode
+from .operators import (
+    StatusView,
+    describe_force,
+    end_of_change,
+    read_config,
+    require_status,
+    send_change,
+)
+from .options import (
+    CommandId,
+    Json,
+    Operator,
+    OperatorAt,
+    command_identifier,
+    operator_name,
+)
+from .output import Output, table
+from .rehearsal import FORMAT, RehearsalState, compare, describe, make_state
+
+if TYPE_CHECKING:
+    from pistachioloft_core.messages.operator import OperatorReply, StatusReply
+
+instances_app = typer.Typer(help='Take an instance out of the addresses, or put it back.')
+rehearsal_app = typer.Typer(help='Compare the system before and after a rehearsal.')
+
+
+@dataclass(frozen=True, slots=True)
+class DrainResult:
+    """Describe the end of a drain or undrain."""
+
+    exit_code: int
+    command_id: str
+    reply: OperatorReply | ErrorReply
+
+
+def status(
+    at: OperatorAt,
+    endpoints: Annotated[bool, typer.Option('--endpoints', help='List the endpoints.')] = False,
+    as_json: Json = False,
+) -> None:
+    """Show the system as each given instance knows it."""
+    output = Output(as_json)
+    with output.failures():
+        view = require_status(at, endpoints)
+        for each in view.replies:
+            _show_instance(each.address, each.reply, output)
+        for address in view.unreachable:
+            output.lines(f'{address}: gave no status')
+        reply = view.leader_reply or view.replies[0].reply
+        _show_system(reply, output)
+        if endpoints:
+            _show_endpoints(reply, output)
+        output.document(view)
+        output.end(ExitCode.PARTIAL if view.unreachable else ExitCode.DONE)
+
+
+def _show_instance(address: str, reply: StatusReply, output: Output) -> None:
+    state = 'stopping' if reply.stopping else 'serving' if reply.serving else 'not serving'
+    output.lines(
+        f'{address}: {reply.instance} ({reply.failure_domain}) {state},'
+        f' index {reply.accepted_index}, digest {reply.accepted_digest[:12]}'
+    )
+
+
+def _show_system(reply: StatusReply, output: Output) -> None:
+    output.lines(f'Live instances, known to {reply.instance}: {", ".join(reply.live_instances)}')
+    if reply.in_force is None:
+        output.lines('No given address is that of the leader, which knows what is in force.')
+    else:
+        output.lines(describe_force(reply.in_force))
+    if reply.voters is not None:
+        voters = reply.voters
+        output.lines(
+            f'Voters: {", ".join(voters.voters)}; learners: {", ".join(voters.learners) or "none"};'
+            f' leader {voters.leader or "unknown"}, term {voters.term},'
+            f' commit index {voters.commit_index}'
+        )
+        if voters.can_lose_count is not None:
+            output.lines(f'Voters that can still be lost: {voters.can_lose_count}')
+
+
+def _show_endpoints(reply: StatusReply, output: Output) -> None:
+    rows = [
+        (
+            each.endpoint,
+            each.service,
+            each.failure_domain,
+            each.address,
+            each.owner,
+            'draining' if each.draining else 'usable' if each.usable else 'expired',
+            f'{each.age_ms:.0f}',
+            each.in_flight_count,
+            each.queue_length,
+            f'{each.latency_ms:.1f}',
+        )
+        for each in sorted(reply.endpoints, key=lambda each: (each.service, each.endpoint))
+    ]
+    header = ('ENDPOINT', 'SERVICE', 'DOMAIN', 'ADDRESS', 'OWNER', 'STATE')
+    output.lines('', *table((*header, 'AGE MS', 'IN FLIGHT', 'QUEUE', 'LATENCY MS'), rows))
+
+
+@instances_app.command()
+def drain(
+    instance: str,
+    at: OperatorAt,
+    operator: Operator = None,
+    command_id: CommandId = None,
+    as_json: Json = False,
+) -> None:
+    """Take an instance out of the addresses that callers get."""
+    _drain(DrainInstance(command_identifier(command_id), instance, True, ''), operator, at, as_json)
+
+
+@instances_app.command()
+def undrain(
+    instance: str,
+    at: OperatorAt,
+    operator: Operator = None,
+    command_id: CommandId = None,
+    as_json: Json = False,
+) -> None:
+    """Put an instance back into the addresses that callers get."""
+    identifier = command_identifier(command_id)
+    _drain(DrainInstance(identifier, instance, False, ''), operator, at, as_json)
+
+
+def _drain(draft: DrainInstance, operator: str | None, at: list[str], as_json: bool) -> None:
+    output = Output(as_json)
+    message = DrainInstance(
+        draft.command_id, draft.instance, draft.draining, operator_name(operator)
+    )
+    output.progress(f'To send this change again, add --command-id {message.command_id}')
+    with output.failures():
+        answer = send_change(message, '/v1/instances/drain', tuple(at), output)
+        exit_code = end_of_change(answer)
+        info = RESULTS[answer.reply.result_code]
+        line = f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {answer.reply.detail}'
+        output.lines(line.strip())
+        if exit_code is ExitCode.UNKNOWN:
+            output.progress('The outcome is unknown; send it again with the same command id.')
+        output.document(DrainResult(int(exit_code), message.command_id, answer.reply))
+        output.end(exit_code)
+
+
+def _read_state(at: tuple[str, ...], output: Output) -> RehearsalState:
+    view: StatusView = require_status(at, with_endpoints=True)
+    # An instance that is behind would give an older configuration than the accepted one.
+    newest = max(view.replies, key=lambda each: each.reply.accepted_index)
+    others = tuple(address for address in at if address != newest.address)
+    accepted = read_config((newest.address, *others), output)
+    return make_state(accepted, view, int(time.time() * 1000))
+
+
+@rehearsal_app.command()
+def save(file: Path, at: OperatorAt, as_json: Json = False) -> None:
+    """Save what is accepted and in force before a rehearsal."""
+    output = Output(as_json)
+    with output.failures():
+        state = _read_state(tuple(at), output)
+        _write_file(file, encode_json(state))
+        output.lines(
+            f'Saved index {state.accepted_index}, digest {state.accepted_digest},'
+            f' {len(state.instances)} instances and {len(state.endpoints)} endpoints to {file}.'
+        )
+        output.document(state)
+        if not state.everywhere:
+            output.progress('The configuration is not in force everywhere before the rehearsal.')
+            output.end(ExitCode.NOT_IN_FORCE)
+
+
+def _write_file(file: Path, data: bytes) -> None:
+    """Write a file as a whole, so that no half report is left behind."""
+    draft = file.with_name(f'{file.name}.new')
+    try:
+        draft.write_bytes(data)
+        os.replace(draft, file)
+    except OSError as error:
+        detail = f'{file} cannot be written: {error.strerror}'
+        raise CommandFailure(ExitCode.REFUSED, detail) from error
+
+
+@rehearsal_app.command()
+def report(file: Path, at: OperatorAt, as_json: Json = False) -> None:
+    """Compare the system now with what was saved before a rehearsal."""
+    output = Output(as_json)
+    with output.failures():
+        before = _load_state(file)
+        result = compare(before, _read_state(tuple(at), output))
+        output.lines(*describe(result))
+        output.document(result)
+        output.end(ExitCode(result.exit_code))
+
+
+def _load_state(file: Path) -> RehearsalState:
+    try:
+        state = decode_json(file.read_bytes(), RehearsalState)
+    except (OSError, CodedError) as error:
+        detail = f'{file} is not a saved rehearsal: {error}'
+        raise CommandFailure(ExitCode.REFUSED, detail) from error
+    if state.format != FORMAT:
+        raise CommandFailure(ExitCode.REFUSED, f'{file} has the unknown format {state.format}.')
+    return state
--- /dev/null
+++ b/packages/cli/src/pistachioloft_cli/transport.py
@@ -0,0 +1,203 @@
+"""Send a request over HTTP and try the next address where that is safe."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
+
+import urllib3
+
+from pistachioloft_core.codec import decode_json
+from pistachioloft_core.errors import RESULTS, CodedError, ResultCode, RunStatus
+from pistachioloft_core.messages.public import ErrorReply
+from pistachioloft_core.util.names import split_address
+
+from .exits import CommandFailure, ExitCode, Try
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar('T')
+
+CONNECT_TIMEOUT_MS = 1_000
+OPERATOR_ANSWER_MS = 5_000
+OPERATOR_TOTAL_MS = 20_000
+ROUND_COUNT = 2
+ROUND_PAUSE_MS = 200
+REPLY_LIMIT_BYTES = 256 * 1024 * 1024
+_CHUNK_BYTES = 65_536
+
+# These refusals concern the instance that was asked; another one may take the request.
+ELSEWHERE_CODES = frozenset(
+    {
+        ResultCode.FENCED,
+        ResultCode.STOPPING,
+        ResultCode.TOO_MANY_CONNECTIONS,
+        ResultCode.NO_QUORUM,
+        ResultCode.SLOW_SENDER,
+    }
+)
+# These refusals follow from the content or from the replicated log, so they also hold for an
+# earlier send of the same bytes whose answer was lost.
+DEFINITE_CODES = frozenset(
+    {ResultCode.CONFLICT, ResultCode.INVALID_CONFIGURATION, ResultCode.KEY_REUSED}
+)
+
+
+class _NotSentError(Exception):
+    """Report a request of which no byte was handed over."""
+
+
+class _LostError(Exception):
+    """Report a request whose answer did not arrive."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call(Generic[T]):
+    """Describe a request; every request of the command line may be sent again."""
+
+    method: str
+    path: str
+    reply_kind: type[T]
+    body: bytes | None = None
+    answer_ms: float = OPERATOR_ANSWER_MS
+    total_ms: float = OPERATOR_TOTAL_MS
+    resend_unknown: bool = True
+    changes: bool = False
+    round_count: int = ROUND_COUNT
+
+
+@dataclass(frozen=True, slots=True)
+class Answer(Generic[T]):
+    """Hold a reply, the address that gave it and the attempts before it."""
+
+    address: str
+    reply: T | ErrorReply
+    tries: tuple[Try, ...]
+
+    @property
+    def unsure(self) -> bool:
+        """Tell whether an earlier attempt may have run although this reply says `not run`."""
+        code = result_code(self.reply)
+        return (
+            any(each.sent for each in self.tries)
+            and RESULTS[code].run_status is RunStatus.NOT_RUN
+            and code not in DEFINITE_CODES
+        )
+
+
+def result_code(reply: Any) -> ResultCode:
+    """Give the result code of a reply; a reply without one is complete."""
+    code = getattr(reply, 'result_code', ResultCode.COMPLETE)
+    return ResultCode(code)
+
+
+def exchange(
+    call: Call[T], addresses: tuple[str, ...], progress: Callable[[str], None]
+) -> Answer[T]:
+    """Get an answer from the first address that gives one."""
+    tries: list[Try] = []
+    pending: dict[bool, Answer[T]] = {}
+    started_s = time.monotonic()
+    targets = list(dict.fromkeys(addresses))
+    for round_number in range(call.round_count):
+        if round_number:
+            time.sleep(ROUND_PAUSE_MS / 1000)
+        for address in targets:
+            if tries and (time.monotonic() - started_s) * 1000 > call.total_ms:
+                break
+            try:
+                reply = send_once(call, address)
+            except (_NotSentError, _LostError) as error:
+                tries.append(Try(address, isinstance(error, _LostError), str(error)))
+                progress(f'{address} gave no answer ({error}).')
+                continue
+            code = result_code(reply)
+            unknown = call.resend_unknown and RESULTS[code].run_status is RunStatus.UNKNOWN
+            if code not in ELSEWHERE_CODES and not unknown:
+                return Answer(address, reply, tuple(tries))
+            pending[unknown] = Answer(address, reply, tuple(tries))
+            detail = f'{code.name.lower()}: {getattr(reply, "detail", "")}'
+            tries.append(Try(address, unknown, detail))
+            progress(f'{address} did not take the request ({detail}).')
+            for entry in getattr(reply, 'addresses', ()):
+                if entry.address not in targets:
+                    targets.append(entry.address)
+    return _settle(call, pending, tuple(tries))
+
+
+def _settle(call: Call[T], pending: dict[bool, Answer[T]], tries: tuple[Try, ...]) -> Answer[T]:
+    """Choose the most truthful end when no address gave a final answer."""
+    lost = any(each.sent for each in tries)
+    if lost and call.changes:
+        if True in pending:
+            return pending[True]
+        detail = 'The answer was lost, so the outcome is unknown.'
+        raise CommandFailure(ExitCode.UNKNOWN, detail, tries)
+    if pending:
+        return pending.get(False) or pending[True]
+    detail = 'No address gave an answer.' if lost else 'No address can be reached; nothing was run.'
+    raise CommandFailure(ExitCode.NOT_REACHABLE, detail, tries)
+
+
+def send_once(call: Call[T], address: str) -> T | ErrorReply:
+    """Send a request to one address and read its reply."""
+    data = _read_reply(call, address)
+    try:
+        return decode_json(data, call.reply_kind)
+    except CodedError as error:
+        try:
+            return decode_json(data, ErrorReply)
+        except CodedError:
+            raise _LostError(f'unreadable reply: {error.detail}') from error
+
+
+def _read_reply(call: Call[T], address: str) -> bytes:
+    parts = split_address(address)
+    if parts is None:
+        raise _NotSentError('not an IP address with a port')
+    deadline_s = time.monotonic() + (CONNECT_TIMEOUT_MS + call.answer_ms) / 1000
+    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_MS / 1000, read=call.answer_ms / 1000)
+    headers = {'Content-Type': 'application/json'} if call.body is not None else {}
+    with urllib3.HTTPConnectionPool(*parts, timeout=timeout, retries=False) as pool:
+        try:
+            response = pool.request(
+                call.method,
+                call.path,
+                body=call.body,
+                headers=headers,
+                preload_content=False,
+                redirect=False,
+            )
+            return _read_body(response, deadline_s)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise _NotSentError(_reason(error)) from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise _LostError(_reason(error)) from error
+
+
+def _read_body(response: urllib3.BaseHTTPResponse, deadline_s: float) -> bytes:
+    """Read a body within a time limit, which a trickling sender cannot extend."""
+    parts = []
+    size_bytes = 0
+    while chunk := response.read1(_CHUNK_BYTES):
+        parts.append(chunk)
+        size_bytes += len(chunk)
+        if size_bytes > REPLY_LIMIT_BYTES:
+            raise _LostError(f'the reply is larger than {REPLY_LIMIT_BYTES} bytes')
+        if time.monotonic() > deadline_s:
+            raise _LostError('the reply arrived too slowly')
+    return b''.join(parts)
+
+
+def _reason(error: Exception) -> str:
+    cause = error.__cause__ or error.__context__
+    if isinstance(cause, OSError) and cause.strerror:
+        return cause.strerror.lower()
+    if isinstance(error, urllib3.exceptions.TimeoutError):
+        return 'timed out'
+    return f'{type(error).__name__}: {error}'
