--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/storage/errors.py
@@ -0,0 +1,36 @@
+"""Errors of the storage, each with the file concerned."""
+
+from __future__ import annotations
+
+
+class StorageError(Exception):
+    """Report a failure of the storage and the file where it was seen."""
+
+    def __init__(self, file: str, detail: str) -> None:
+        super().__init__(f'{file}: {detail}')
+        self.file = file
+        self.detail = detail
+
+
+class StorageFailedError(StorageError):
+    """Report a failed write or sync; the open storage takes no further writes."""
+
+
+class DamagedError(StorageError):
+    """Report damage that cannot be a torn last record."""
+
+    def __init__(self, file: str, offset_bytes: int, detail: str) -> None:
+        super().__init__(file, f'offset {offset_bytes}: {detail}')
+        self.offset_bytes = offset_bytes
+
+
+class FolderInUseError(StorageError):
+    """Report that another process uses the folder."""
+
+
+class NotInitialisedError(StorageError):
+    """Report that the folder holds no member."""
+
+
+class AlreadyInitialisedError(StorageError):
+    """Report that the folder already holds a member or other files."""
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/storage/storage.py
@@ -0,0 +1,297 @@
+"""Open data folder of a voter: appends, snapshots and compaction."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.messages.agreement import HardState, LogEntry, Membership, SnapshotMeta
+
+from .errors import (
+    AlreadyInitialisedError,
+    FolderInUseError,
+    NotInitialisedError,
+    StorageFailedError,
+)
+from .files import FileOperations
+from .layout import (
+    FORMAT,
+    LOCK_NAME,
+    META_NAME,
+    TEMPORARY_SUFFIX,
+    AppendRecord,
+    FolderMeta,
+    SegmentHeader,
+    create_file,
+    encode_meta,
+    encode_snapshot_file,
+    read_meta,
+    read_snapshot,
+    segment_name,
+    snapshot_indexes,
+    snapshot_name,
+    write_file,
+)
+from .log import ReplayedLog, SegmentSummary, replay
+from .records import frame
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Opening writes the newest segment again, so this bounds the work of a start.
+SEGMENT_LIMIT_BYTES = 4 * 1024 * 1024
+
+_SEAL = AppendRecord(None, None, ())
+
+
+@dataclass(frozen=True, slots=True)
+class StoredState:
+    """Hold what a data folder contained when it was opened."""
+
+    cluster_id: str
+    member_id: str
+    hard_state: HardState
+    snapshot: SnapshotMeta | None
+    snapshot_data: bytes
+    entries: tuple[LogEntry, ...]
+    torn_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenedStorage:
+    """Hold an open data folder and what it contained."""
+
+    storage: Storage
+    stored: StoredState
+
+
+class Storage:
+    """Append to one data folder; after a failed write or sync it only raises."""
+
+    def __init__(self, files: FileOperations, folder: str, lock: int, meta: FolderMeta) -> None:
+        self._files = files
+        self._folder = folder
+        self._lock: int | None = lock
+        self._meta = meta
+        self._hard_state = HardState(0, None)
+        self._snapshot: SnapshotMeta | None = None
+        self._terms: list[int] = []
+        self._closed_segments: list[SegmentSummary] = []
+        self._number = 0
+        self._highest_index = 0
+        self._size_bytes = 0
+        self._descriptor: int | None = None
+        self._failure: StorageFailedError | None = None
+
+    @property
+    def failure(self) -> StorageFailedError | None:
+        """Return the failure after which nothing more is written, if there was one."""
+        return self._failure
+
+    @property
+    def last_index(self) -> int:
+        """Return the last index that is stored."""
+        return self._snapshot_index + len(self._terms)
+
+    @property
+    def _snapshot_index(self) -> int:
+        return self._snapshot.index if self._snapshot is not None else 0
+
+    def append(
+        self,
+        hard_state: HardState | None,
+        truncate_from: int | None,
+        entries: tuple[LogEntry, ...],
+    ) -> None:
+        """Make a hard state, a truncation and entries durable with one sync."""
+        if hard_state is None and truncate_from is None and not entries:
+            return
+        last = self.last_index if truncate_from is None else min(truncate_from - 1, self.last_index)
+        if last < self._snapshot_index:
+            raise ValueError(f'index {last + 1} is covered by the snapshot')
+        for position, entry in enumerate(entries, start=last + 1):
+            if entry.index != position:
+                raise ValueError(f'index {entry.index} does not follow index {position - 1}')
+        data = frame(AppendRecord(hard_state, truncate_from, entries))
+        self._guard(segment_name(self._number), lambda: self._write_record(data))
+        self._hard_state = hard_state or self._hard_state
+        del self._terms[last - self._snapshot_index :]
+        self._terms.extend(entry.term for entry in entries)
+        if entries:
+            self._highest_index = max(self._highest_index, entries[-1].index)
+        if self._size_bytes >= SEGMENT_LIMIT_BYTES:
+            self._guard(segment_name(self._number), lambda: self._start_segment(reset=False))
+
+    def save_snapshot(self, meta: SnapshotMeta, data: bytes) -> None:
+        """Make a snapshot durable, then remove what it covers."""
+        if self._snapshot is not None and meta.index <= self._snapshot.index:
+            return
+        parts = encode_snapshot_file(self._meta.member_id, meta, data)
+        name = snapshot_name(meta.index)
+        self._guard(name, lambda: write_file(self._files, self._folder, name, parts))
+        covered = meta.index - self._snapshot_index
+        connected = len(self._terms) >= covered > 0 and self._terms[covered - 1] == meta.term
+        self._terms = self._terms[covered:] if connected else []
+        self._snapshot = meta
+        self._guard(name, lambda: self._start_segment(reset=not connected))
+        self._guard(name, self._remove_covered)
+
+    def close(self) -> None:
+        """Close the folder; a seal keeps later damage from looking like a torn record."""
+        if self._lock is None:
+            return
+        try:
+            if self._failure is None:
+                seal = frame(_SEAL)
+                self._guard(segment_name(self._number), lambda: self._write_record(seal))
+        finally:
+            if self._descriptor is not None:
+                self._files.close(self._descriptor)
+            self._files.close(self._lock)
+            self._descriptor = self._lock = None
+
+    def _load(self, snapshot: SnapshotMeta | None, log: ReplayedLog) -> None:
+        self._snapshot = snapshot
+        self._hard_state = log.hard_state
+        self._terms = [entry.term for entry in log.entries]
+        self._closed_segments = list(log.segments[:-1])
+        self._number = log.segments[-1].number
+        self._highest_index = log.segments[-1].highest_index
+        # The segment is written again as a whole: bytes that a failed sync of an earlier process
+        # left only in the page cache become durable, and a torn record is dropped.
+        data = log.last_segment_data[: log.last_segment.valid_bytes] + frame(_SEAL)
+        name = segment_name(self._number)
+        self._descriptor = create_file(self._files, self._folder, name, (data,))
+        self._size_bytes = len(data)
+        if not log.connected:
+            self._start_segment(reset=True)
+        self._remove_covered()
+
+    def _write_record(self, data: bytes) -> None:
+        assert self._descriptor is not None
+        self._files.write(self._descriptor, data)
+        self._files.sync(self._descriptor)
+        self._size_bytes += len(data)
+
+    def _start_segment(self, reset: bool) -> None:
+        number = max(self.last_index + 1, self._number + 1)
+        header = SegmentHeader(
+            FORMAT,
+            self._meta.member_id,
+            number,
+            self._number,
+            self.last_index,
+            self._snapshot.index if self._snapshot is not None else None,
+            self._hard_state,
+            reset,
+        )
+        data = frame(header)
+        descriptor = create_file(self._files, self._folder, segment_name(number), (data,))
+        # Written once the new segment is durable: its loss is then seen as damage.
+        self._write_record(frame(AppendRecord(None, None, (), number)))
+        assert self._descriptor is not None
+        self._files.close(self._descriptor)
+        # Entries that a reset voids need not be kept, whatever their index.
+        highest = 0 if reset else self._highest_index
+        self._closed_segments.append(SegmentSummary(self._number, highest))
+        if reset:
+            self._closed_segments = [SegmentSummary(s.number, 0) for s in self._closed_segments]
+        self._descriptor = descriptor
+        self._number = number
+        self._highest_index = 0
+        self._size_bytes = len(data)
+
+    def _remove_covered(self) -> None:
+        # Oldest first, each synced: a gap between segments would read as damage.
+        while self._closed_segments:
+            segment = self._closed_segments[0]
+            if segment.highest_index > self._snapshot_index:
+                break
+            self._files.remove(os.path.join(self._folder, segment_name(segment.number)))
+            self._files.sync_folder(self._folder)
+            del self._closed_segments[0]
+        names = self._files.list_names(self._folder)
+        old = [snapshot_name(index) for index in snapshot_indexes(names)[:-1]]
+        for name in (*old, *(name for name in names if name.endswith(TEMPORARY_SUFFIX))):
+            self._files.remove(os.path.join(self._folder, name))
+
+    def _guard(self, name: str, operation: Callable[[], None]) -> None:
+        """Run a write; after a failure the state of the file is unknown, so none follows."""
+        if self._failure is not None:
+            raise self._failure
+        try:
+            operation()
+        except OSError as error:
+            path = os.path.join(self._folder, name)
+            self._failure = StorageFailedError(path, str(error))
+            raise self._failure from error
+
+
+def initialise(
+    folder: str,
+    cluster_id: str,
+    member_id: str,
+    membership: Membership | None,
+    files: FileOperations | None = None,
+) -> None:
+    """Create the data folder of a member; without membership it joins an existing group."""
+    files = files or FileOperations()
+    try:
+        files.make_folder(folder)
+        names = files.list_names(folder)
+        first = (segment_name(1), snapshot_name(0))
+        if any(not n.endswith(TEMPORARY_SUFFIX) and n not in first for n in names):
+            raise AlreadyInitialisedError(folder, 'the folder is not empty')
+        if membership is not None:
+            meta = SnapshotMeta(0, 0, membership)
+            parts = encode_snapshot_file(member_id, meta, b'')
+            write_file(files, folder, snapshot_name(0), parts)
+        snapshot_index = 0 if membership is not None else None
+        header = SegmentHeader(FORMAT, member_id, 1, 0, 0, snapshot_index, HardState(0, None))
+        write_file(files, folder, segment_name(1), (frame(header),))
+        # The last file to appear: a folder without it was never in use.
+        document = encode_meta(FolderMeta(FORMAT, cluster_id, member_id))
+        write_file(files, folder, META_NAME, (document,))
+    except OSError as error:
+        raise StorageFailedError(folder, str(error)) from error
+
+
+def open_storage(folder: str, files: FileOperations | None = None) -> OpenedStorage:
+    """Open a data folder for this process alone and read what it holds."""
+    files = files or FileOperations()
+    lock: int | None = None
+    try:
+        if META_NAME not in files.list_names(folder):
+            raise NotInitialisedError(folder, 'the folder holds no member')
+        lock = files.lock(os.path.join(folder, LOCK_NAME), exclusive=True)
+        if lock is None:
+            raise FolderInUseError(folder, 'another process uses the folder')
+        return _open_locked(files, folder, lock)
+    except BaseException as error:
+        if lock is not None:
+            files.close(lock)
+        if isinstance(error, OSError):
+            raise StorageFailedError(folder, str(error)) from error
+        raise
+
+
+def _open_locked(files: FileOperations, folder: str, lock: int) -> OpenedStorage:
+    meta = read_meta(files, folder)
+    snapshot, snapshot_data = None, b''
+    indexes = snapshot_indexes(files.list_names(folder))
+    if indexes:
+        snapshot, snapshot_data = read_snapshot(files, folder, meta.member_id, indexes[-1])
+    log = replay(files, folder, meta.member_id, snapshot)
+    storage = Storage(files, folder, lock, meta)
+    storage._load(snapshot, log)
+    stored = StoredState(
+        meta.cluster_id,
+        meta.member_id,
+        log.hard_state,
+        snapshot,
+        snapshot_data,
+        log.entries,
+        log.last_segment.torn_bytes,
+    )
+    return OpenedStorage(storage, stored)
