--- a/packages/core/src/pistachioloft_core/connection/crash.py
+++ b/packages/core/src/pistachioloft_core/connection/crash.py
@@ -39,7 +39,7 @@
     if not endpoint.lost:
         # The refusal of a new connection is what tells a crash from a lost connection.
         endpoint.next_open_ms = min(endpoint.next_open_ms, now_ms)
-    endpoint.lost.append(LostFlight(flight, now_ms))
+    endpoint.lost.append(LostFlight(flight, now_ms, state.next_connection))
 
 
 def note_reopened(
@@ -51,16 +51,23 @@
 ) -> None:
     """Release held attempts once a connection that was begun after the reset is open."""
     for lost in endpoint.lost:
-        if lost.reset_ms <= conn.since_ms:
+        if conn.number > lost.last_number:
             lost.reopened = True
             if not lost.flight.answered:
                 fail_flight(state, endpoint, now_ms, lost.flight, 'connection lost', actions)
 
 
-def note_answer(endpoint: OwnedEndpoint, conn: Connection, incarnation: int) -> None:
-    """Forget resets that the same process survived."""
+def note_answer(
+    endpoint: OwnedEndpoint, conn: Connection, flight: Flight, incarnation: int
+) -> None:
+    """Forget resets that the same process survived, as its reply to later work shows."""
     if incarnation == endpoint.announcement.incarnation:
-        endpoint.lost = [lost for lost in endpoint.lost if lost.reset_ms > conn.since_ms]
+        endpoint.lost = [
+            lost
+            for lost in endpoint.lost
+            if not lost.flight.answered
+            or (conn.number <= lost.last_number and flight.sent_ms <= lost.reset_ms)
+        ]
 
 
 def note_refused(
@@ -104,10 +111,10 @@
 ) -> None:
     judged = [lost for lost in endpoint.lost if with_reopened or not lost.reopened]
     flights = [lost.flight for lost in judged]
-    last_reset_ms = max(lost.reset_ms for lost in judged)
+    last_number = max(lost.last_number for lost in judged)
     for conn in list(endpoint.connections.values()):
         # A connection that was begun after the reset belongs to the next process.
-        if conn.since_ms > last_reset_ms or conn.state is ConnectionState.OPENING:
+        if conn.number > last_number or conn.state is ConnectionState.OPENING:
             continue
         if conn.flight is not None and conn.flight not in flights:
             flights.append(conn.flight)
--- a/packages/core/src/pistachioloft_core/connection/dispatch.py
+++ b/packages/core/src/pistachioloft_core/connection/dispatch.py
@@ -15,6 +15,7 @@
     current_slot_limit,
     in_flight_count,
     is_idle,
+    is_trusted,
     times_of,
 )
 from .results import refuse_queued
@@ -48,6 +49,7 @@
     """Send waiting attempts as far as slots and connections allow."""
     while len(endpoint.queue) and accepts_work(endpoint) and now_ms >= endpoint.pause_until_ms:
         idle = [conn for conn in endpoint.connections.values() if is_idle(conn)]
+        idle = [conn for conn in idle if is_trusted(endpoint, conn)]
         if not idle or in_flight_count(endpoint) >= current_slot_limit(endpoint, now_ms):
             return
         urgent = _choose_class(endpoint, len(idle))
--- a/packages/core/src/pistachioloft_core/connection/endpoint_state.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_state.py
@@ -64,6 +64,7 @@
         'flight',
         'incarnation',
         'last_answer_ms',
+        'number',
         'probe',
         'probe_sent_ms',
         'retiring',
@@ -71,7 +72,8 @@
         'state',
     )
 
-    def __init__(self, connection_id: str, incarnation: int, now_ms: float) -> None:
+    def __init__(self, number: int, connection_id: str, incarnation: int, now_ms: float) -> None:
+        self.number = number
         self.connection_id = connection_id
         self.incarnation = incarnation
         self.state = ConnectionState.OPENING
@@ -87,11 +89,13 @@
 class LostFlight:
     """Hold an attempt whose connection the endpoint closed."""
 
-    __slots__ = ('flight', 'reopened', 'reset_ms')
+    __slots__ = ('flight', 'last_number', 'reopened', 'reset_ms')
 
-    def __init__(self, flight: Flight, reset_ms: float) -> None:
+    def __init__(self, flight: Flight, reset_ms: float, last_number: int) -> None:
         self.flight = flight
         self.reset_ms = reset_ms
+        # Connections with a higher number were begun after the reset.
+        self.last_number = last_number
         self.reopened = False
 
 
@@ -159,6 +163,16 @@
     )
 
 
+def is_trusted(endpoint: OwnedEndpoint, conn: Connection) -> bool:
+    """Tell whether no undecided reset casts doubt on a connection."""
+    # The connections of a crashed process are reset one after the other; an attempt sent on
+    # one of them meanwhile would be named in the crash report.
+    return all(
+        lost.flight.answered or lost.reopened or conn.number > lost.last_number
+        for lost in endpoint.lost
+    )
+
+
 def times_of(endpoint: OwnedEndpoint, kind: str) -> service_time.ServiceTime:
     """Return the learned service time of a kind of request."""
     return endpoint.command_times if kind == KIND_COMMAND else endpoint.query_times
--- a/packages/core/src/pistachioloft_core/connection/owner.py
+++ b/packages/core/src/pistachioloft_core/connection/owner.py
@@ -392,7 +392,7 @@
 ) -> None:
     endpoint.open_failures = 0
     silence.note_answer(endpoint, now_ms, conn)
-    crash.note_answer(endpoint, conn, reply.incarnation)
+    crash.note_answer(endpoint, conn, flight, reply.incarnation)
     if reply.draining and reply.incarnation == endpoint.announcement.incarnation:
         _note_draining(endpoint, actions)
     if reply.status == STATUS_NOT_STARTED:
--- a/packages/core/src/pistachioloft_core/connection/pool.py
+++ b/packages/core/src/pistachioloft_core/connection/pool.py
@@ -40,7 +40,9 @@
     """Open one more connection."""
     state.next_connection += 1
     connection_id = f'{state.instance}-{state.next_connection}'
-    conn = Connection(connection_id, endpoint.announcement.incarnation, now_ms)
+    conn = Connection(
+        state.next_connection, connection_id, endpoint.announcement.incarnation, now_ms
+    )
     endpoint.connections[connection_id] = conn
     state.connection_endpoints[connection_id] = endpoint.name
     actions.append(LogDecision(DECISION_OPEN, endpoint.name, connection_id))
--- /dev/null
+++ b/tests/test_membership/test_soft_state.py
@@ -0,0 +1,244 @@
+"""Guard the ages, the revisions and the owners that travel with the soft state."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.connection.observation import EndpointObservation
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.messages.peer import CrashReport, RelayAnnouncement, SuccessReport
+from pistachioloft_core.process import membership, ownership
+from pistachioloft_core.process.addresses import choose_addresses
+from pistachioloft_core.process.membership_actions import (
+    CrashLearned,
+    PullAgain,
+    ReplyAnnouncement,
+    SendRelay,
+    SuccessLearned,
+)
+from pistachioloft_core.process.soft_state import MembershipState
+from tests.test_membership.network import Network, make_announcement, make_instance
+
+NAMES = [f'e{number}' for number in range(1, 8)]
+
+
+def _state(name: str, incarnation: int = 1) -> MembershipState:
+    state = MembershipState(make_instance(name, incarnation), 0.0)
+    state.heard_peers = True
+    return state
+
+
+def _pull(puller: MembershipState, peer: MembershipState, sent_ms: float, got_ms: float) -> list:
+    pull = membership.make_pull(puller, sent_ms, peer.own.instance)
+    reply = membership.on_pull(peer, sent_ms, puller.own.instance, pull)
+    return membership.on_pull_reply(puller, got_ms, peer.own.instance, reply)
+
+
+def _usable(state: MembershipState, now_ms: float) -> set[str]:
+    return {view.endpoint for view in membership.usable_endpoints(state, now_ms)}
+
+
+def test_reply_that_was_held_up_does_not_look_fresh() -> None:
+    """Guard against new work for an endpoint whose record waited in a buffer."""
+    near, far = _state('e1'), _state('e2')
+    ownership.on_announcement(far, 0.0, make_announcement('s1', 1))
+    pull = membership.make_pull(near, 10.0, 'e2')
+    reply = membership.on_pull(far, 10.0, 'e1', pull)
+    membership.on_pull_reply(near, 5000.0, 'e2', reply)
+    assert _usable(near, 5000.0) == set()
+    assert len(membership.live_instances(near, 5000.0)) == 1
+
+
+def test_ages_add_up_over_several_instances() -> None:
+    """Guard against a record that becomes younger each time it is passed on."""
+    states = [_state(name) for name in NAMES[:4]]
+    ownership.on_announcement(states[0], 0.0, make_announcement('s1', 1))
+    now_ms = 0.0
+    for source, target in pairwise(states):
+        _pull(target, source, now_ms + 300, now_ms + 400)
+        now_ms += 400
+    (status,) = membership.endpoint_status(states[3], now_ms)
+    assert status.age_ms >= now_ms
+    assert status.age_ms <= now_ms + 1
+    ownership.on_announcement(states[0], now_ms, make_announcement('s2', 1))
+    assert _usable(states[3], 2499.0) <= {'s1'}
+    assert _usable(states[3], 2500.0) == set()
+
+
+def test_only_changes_are_sent_and_a_restart_resets_the_revision() -> None:
+    """Guard against sending everything each time, or nothing after a restart."""
+    puller, peer = _state('e1'), _state('e2')
+    for number in range(20):
+        ownership.on_announcement(peer, 0.0, make_announcement(f's{number}', 1))
+    _pull(puller, peer, 0.0, 1.0)
+    assert len(puller.endpoints) == 20
+    ownership.on_announcement(peer, 250.0, make_announcement('s3', 2))
+    pull = membership.make_pull(puller, 250.0, 'e2')
+    reply = membership.on_pull(peer, 250.0, 'e1', pull)
+    assert [record.announcement.endpoint for record in reply.endpoints] == ['s3']
+    restarted = _state('e2', incarnation=2)
+    ownership.on_announcement(restarted, 500.0, make_announcement('fresh', 1))
+    _pull(puller, restarted, 500.0, 501.0)
+    assert 'fresh' in puller.endpoints
+    late = membership.on_pull_reply(puller, 502.0, 'e2', reply)
+    assert late == []
+    assert puller.cursors['e2'].incarnation == 2
+
+
+def test_replies_are_bounded_and_complete_when_pulled_again() -> None:
+    """Guard against a message without a bound and against records that are skipped."""
+    puller, peer = _state('e1'), _state('e2')
+    count = membership.MAX_REPLY_RECORDS * 2 + 10
+    for number in range(count):
+        ownership.on_announcement(peer, 0.0, make_announcement(f's{number}', 1))
+    pulls = 1
+    while PullAgain('e2') in _pull(puller, peer, 1.0, 2.0):
+        pulls += 1
+    assert pulls == 3
+    assert len(puller.endpoints) == count
+
+
+def test_record_is_not_sent_back_to_where_it_came_from() -> None:
+    """Guard against every renewal travelling each link twice."""
+    first, second = _state('e1'), _state('e2')
+    _pull(first, second, 0.0, 1.0)
+    ownership.on_announcement(second, 2.0, make_announcement('s1', 1))
+    _pull(second, first, 3.0, 4.0)
+    _pull(first, second, 5.0, 6.0)
+    pull = membership.make_pull(second, 7.0, 'e1')
+    assert membership.on_pull(first, 7.0, 'e2', pull).endpoints == ()
+
+
+def test_delayed_relay_gives_only_part_of_a_lease() -> None:
+    """Guard against a relayed announcement of unknown age that looks fresh."""
+    state = _state('e1')
+    ownership.on_relay(state, 0.0, RelayAnnouncement(make_announcement('s1', 1), 1))
+    assert _usable(state, 999.0) == {'s1'}
+    assert _usable(state, 1000.0) == set()
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.permutations([(1, 'e2'), (1, 'e3'), (2, 'e5'), (2, 'e4'), (1, 'e1')]))
+def test_owners_chosen_at_once_settle_on_one(order: list[tuple[int, str]]) -> None:
+    """Guard against two instances that both keep an endpoint."""
+    base = _state('e7')
+    ownership.on_announcement(base, 0.0, make_announcement('s1', 1))
+    for position, (epoch, name) in enumerate(order):
+        peer = _state(name)
+        ownership.on_relay(peer, 0.0, RelayAnnouncement(make_announcement('s1', 1), epoch))
+        _pull(base, peer, position, position)
+    entry = base.endpoints['s1']
+    assert (entry.owner_epoch, entry.owner) == (2, 'e4')
+
+
+def test_instances_that_decide_apart_agree_after_one_round() -> None:
+    """Guard against owners that stay different after a split."""
+    joined = False
+    network = Network(NAMES, lambda source, target: 0.5 if joined else None)
+    network.run(500)
+    for name in NAMES:
+        network.announce(name, make_announcement('s1', NAMES.index(name) + 1))
+    assert len([name for name in NAMES if network.owned(name)]) == 7
+    joined = True
+    network.run(600)
+    assert [name for name in NAMES if network.owned(name)] == ['e1']
+
+
+def test_replicas_of_a_service_get_different_owners() -> None:
+    """Guard against losing every replica of a shard with one instance."""
+    network = Network(NAMES)
+    network.run(500)
+    for number in range(5):
+        network.keep_announcing(f's{number}', NAMES, service='shared')
+    network.run(1200)
+    owners = [len(network.owned(name)) for name in NAMES]
+    assert sorted(owners) == [0, 0, 1, 1, 1, 1, 1]
+
+
+def test_shared_owner_of_two_replicas_is_repaired() -> None:
+    """Guard against a start at which one instance took every replica."""
+    network = Network(NAMES)
+    for name in NAMES:
+        network.states[name].heard_peers = True
+    for number in range(3):
+        network.keep_announcing(f's{number}', ['e2'], service='shared')
+    network.run(2)
+    network.run(2000)
+    assert max(len(network.owned(name)) for name in NAMES) == 1
+
+
+def test_stopping_instance_leaves_addresses_at_once_and_its_endpoints_move() -> None:
+    """Guard against callers and endpoints that are sent to a stopping instance."""
+    network = Network(NAMES)
+    network.run(500)
+    for number in range(6):
+        network.keep_announcing(f's{number}', NAMES)
+    network.run(1000)
+    leaving = max(NAMES, key=lambda name: len(network.owned(name)))
+    assert network.owned(leaving)
+    membership.set_own_status(network.states[leaving], True, True, 1)
+    network.run(300)
+    for name in NAMES:
+        live = membership.live_instances(network.states[name], network.now_ms)
+        addresses = choose_addresses(live, 'caller', ())
+        assert leaving not in {address.instance for address in addresses}
+        assert len(addresses) == 6
+    network.run(900)
+    assert network.owned(leaving) == set()
+    assert all(len(network.usable(name)) == 6 for name in NAMES)
+
+
+def test_address_order_depends_on_the_caller() -> None:
+    """Guard against every caller using the same instance first."""
+    live = [make_instance(name) for name in NAMES]
+    firsts = [choose_addresses(live, f'caller-{n}', ())[0].instance for n in range(700)]
+    assert all(60 <= firsts.count(name) <= 140 for name in NAMES)
+    assert choose_addresses(live, 'c', ()) == choose_addresses(live[::-1], 'c', ())
+    assert len(choose_addresses(live, 'c', {'e1', 'e2'})) == 5
+
+
+def test_crash_reports_reach_every_instance_within_a_second() -> None:
+    """Guard against a request that crashes one endpoint after the other unnoticed."""
+    network = Network(NAMES)
+    network.run(500)
+    report = CrashReport('caller', 'digest', 's1', 1, 0.0)
+    membership.add_crash(network.states['e1'], network.now_ms, report)
+    success = SuccessReport('caller', 'other', 0.0)
+    membership.add_success(network.states['e1'], network.now_ms, success)
+    network.run(1000)
+    for kind in (CrashLearned, SuccessLearned):
+        learned = [name for name, action in network.actions if isinstance(action, kind)]
+        assert sorted(learned) == NAMES[1:]
+
+
+def test_observations_of_the_owner_travel_and_end_with_the_incarnation() -> None:
+    """Guard against planning by the load of a process that is gone."""
+    holder, other = _state('e1'), _state('e2')
+    ownership.on_announcement(holder, 0.0, make_announcement('s1', 1))
+    seen = EndpointObservation('s1', 1, 2, 3, 7.5)
+    membership.note_observations(holder, [seen])
+    _pull(other, holder, 1.0, 2.0)
+    (view,) = membership.usable_endpoints(other, 2.0)
+    assert (view.in_flight_count, view.queue_length, view.latency_ms) == (2, 3, 7.5)
+    ownership.on_announcement(holder, 3.0, make_announcement('s1', 1, incarnation=2))
+    membership.note_observations(holder, [seen])
+    (view,) = membership.usable_endpoints(holder, 3.0)
+    assert (view.in_flight_count, view.queue_length, view.latency_ms) == (0, 0, 0.0)
+
+
+def test_announcement_is_relayed_to_the_owner_and_mistakes_are_refused() -> None:
+    """Guard against an owner that hears late, and against numbers that cannot be right."""
+    network = Network(NAMES)
+    network.run(500)
+    network.announce('e1', make_announcement('s1', 1))
+    chosen = network.replies[-1].owner
+    relays = [action for _, action in network.actions if isinstance(action, SendRelay)]
+    assert [relay.instance for relay in relays] == ([] if chosen == 'e1' else [chosen])
+    wrong = make_announcement('s2', -1)
+    (action,) = ownership.on_announcement(network.states['e1'], network.now_ms, wrong)
+    assert isinstance(action, ReplyAnnouncement)
+    assert action.reply.result_code is ResultCode.OUT_OF_RANGE
+    assert 's2' not in network.states['e1'].endpoints
--- /dev/null
+++ b/tests/test_owner/test_silent_connections.py
@@ -0,0 +1,188 @@
+"""Guard against connections that go silent and replies that belong elsewhere."""
+
+from __future__ import annotations
+
+from pistachioloft_core.connection import owner, silence
+from pistachioloft_core.connection.actions import DECISION_SILENT
+from tests.test_owner.harness import Harness
+
+
+def _silent(harness: Harness) -> list[str]:
+    return [log.detail for log in harness.decisions if log.decision == DECISION_SILENT]
+
+
+def test_answer_of_another_connection_exposes_a_silent_one() -> None:
+    """Guard against waiting for the deadline on a connection that went silent."""
+    harness = Harness()
+    harness.add()
+    harness.serve(20)
+    harness.submit('lost', time_left_ms=5000)
+    silent = harness.connection_of('lost')
+    harness.advance(101)
+    harness.submit('next')
+    harness.advance(5)
+    harness.reply(harness.connection_of('next'))
+    assert 'lost' not in harness.results
+    harness.advance(25)
+    assert harness.results['lost'].outcome == 'unknown'
+    assert not harness.results['lost'].crashed
+    assert silent in harness.closing
+    assert len(_silent(harness)) == 1
+    harness.confirm_closes()
+    harness.open_all()
+    harness.call(owner.on_probe_answered, next(iter(harness.probes)))
+    harness.serve(20, prefix='after')
+    assert {harness.results[f'after-{n}'].outcome for n in range(20)} == {'ok'}
+    assert len(harness.open) == 6
+
+
+def test_probe_exposes_silent_connections_when_nothing_else_answers() -> None:
+    """Guard against all slots being held by silent connections."""
+    harness = Harness()
+    harness.add()
+    harness.serve(20)
+    harness.submit('lost-1', time_left_ms=5000)
+    harness.submit('lost-2', time_left_ms=5000)
+    harness.submit('waits', time_left_ms=5000)
+    harness.advance(101)
+    assert len(harness.opening) == 1
+    assert not harness.results.keys() & {'lost-1', 'lost-2'}
+    harness.open_all()
+    (probe,) = harness.probes
+    assert probe not in harness.carried
+    harness.call(owner.on_probe_answered, probe)
+    harness.advance(21)
+    assert harness.results['lost-1'].outcome == 'unknown'
+    assert harness.results['lost-2'].outcome == 'unknown'
+    harness.confirm_closes()
+    assert harness.connection_of('waits') == probe
+
+
+def test_probe_finds_room_when_the_connection_limit_is_used_up() -> None:
+    """Guard against an endpoint that stays stuck because no connection may be added."""
+    harness = Harness()
+    harness.add(limit=4)
+    harness.submit('lost-1', time_left_ms=300)
+    harness.submit('lost-2', time_left_ms=300)
+    harness.advance(1001)
+    harness.confirm_closes()
+    harness.open_all()
+    (probe,) = harness.probes
+    harness.call(owner.on_probe_answered, probe)
+    harness.advance(25)
+    harness.confirm_closes()
+    harness.submit('after')
+    harness.reply(harness.connection_of('after'))
+    assert harness.results['after'].outcome == 'ok'
+
+
+def test_stalled_endpoint_keeps_its_connections() -> None:
+    """Guard against taking an endpoint that answers nobody for a silent connection."""
+    harness = Harness()
+    harness.add()
+    harness.serve(20)
+    harness.submit('slow', time_left_ms=5000)
+    harness.advance(101)
+    harness.open_all()
+    assert harness.probes
+    harness.advance(300)
+    assert not _silent(harness)
+    harness.reply(harness.connection_of('slow'))
+    assert harness.results['slow'].outcome == 'ok'
+
+
+def test_late_reply_wins_against_fresh_evidence() -> None:
+    """Guard against losing replies that arrive together after a stall."""
+    harness = Harness()
+    harness.add()
+    harness.serve(20)
+    harness.submit('one', time_left_ms=5000)
+    harness.submit('two', time_left_ms=5000)
+    harness.advance(150)
+    harness.reply(harness.connection_of('one'))
+    harness.advance(silence.SILENT_GRACE_MS - 1)
+    harness.reply(harness.connection_of('two'))
+    assert harness.results['two'].outcome == 'ok'
+    assert not _silent(harness)
+
+
+def test_slow_commands_are_judged_by_the_time_of_commands() -> None:
+    """Guard against calling a slow command silent because queries are fast."""
+    harness = Harness()
+    harness.add()
+    harness.serve(20)
+    harness.submit('command', kind='command', time_left_ms=5000)
+    harness.advance(400)
+    harness.serve(2, prefix='meanwhile')
+    harness.advance(100)
+    harness.reply(harness.connection_of('command'))
+    assert harness.results['command'].outcome == 'ok'
+
+
+def test_crossed_reply_is_dropped_and_its_connection_closed() -> None:
+    """Guard against handing one request the reply of another."""
+    harness = Harness()
+    harness.add()
+    harness.submit('mine')
+    harness.submit('other')
+    crossed = harness.connection_of('mine')
+    harness.reply(crossed, identity='other#1')
+    assert harness.results['mine'].outcome == 'unknown'
+    assert harness.results['mine'].results == ()
+    assert crossed in harness.closing
+    harness.reply(harness.connection_of('other'))
+    assert harness.results['other'].outcome == 'ok'
+
+
+def test_repeated_reply_is_dropped_and_its_connection_closed() -> None:
+    """Guard against a repeated reply that is matched with the next request."""
+    harness = Harness()
+    harness.add()
+    harness.submit('first')
+    connection_id = harness.connection_of('first')
+    send = harness.carried[connection_id]
+    harness.reply(connection_id)
+    harness.carried[connection_id] = send
+    harness.reply(connection_id)
+    assert connection_id in harness.closing
+    harness.submit('second')
+    assert harness.connection_of('second') != connection_id
+    assert harness.result_counts['first'] == 1
+
+
+def test_reply_of_another_endpoint_is_dropped() -> None:
+    """Guard against an address that now belongs to another endpoint."""
+    harness = Harness()
+    harness.add()
+    harness.submit('a')
+    harness.reply(harness.connection_of('a'), endpoint='s2')
+    assert harness.results['a'].outcome == 'unknown'
+
+
+def test_timed_out_attempt_keeps_its_slot_until_the_reply() -> None:
+    """Guard against running more on an endpoint than it has slots."""
+    harness = Harness()
+    harness.add(slots=1)
+    harness.submit('late', time_left_ms=50)
+    harness.submit('next', time_left_ms=5000)
+    harness.advance(60)
+    assert harness.results['late'].outcome == 'unknown'
+    assert len(harness.sent) == 1
+    harness.reply(harness.connection_of('late'))
+    assert harness.result_counts['late'] == 1
+    assert harness.connection_of('next')
+
+
+def test_cancelled_attempt_frees_its_slot_after_a_bounded_time() -> None:
+    """Guard against an endpoint that never answers a cancelled request."""
+    harness = Harness()
+    harness.add(slots=1)
+    harness.submit('gone', time_left_ms=5000)
+    harness.call(owner.cancel, 'gone')
+    assert harness.results['gone'].outcome == 'unknown'
+    assert harness.cancels[0].identity == 'gone#1'
+    harness.submit('next', time_left_ms=5000)
+    assert len(harness.sent) == 1
+    harness.advance(2001)
+    harness.confirm_closes()
+    assert len(harness.sent) == 2
