--- a/tests/test_owner/harness.py
+++ b/tests/test_owner/harness.py
@@ -162,6 +162,11 @@
         for connection_id in list(self.closing):
             self.closed(connection_id, 'closed on request')
 
+    def answer_probes(self) -> None:
+        for connection_id in list(self.probes):
+            del self.probes[connection_id]
+            self.call(owner.on_probe_answered, connection_id)
+
     def submit(self, attempt_id: str, **fields: Any) -> None:
         self.call(owner.submit, make_attempt(attempt_id, **fields))
 
