Test the command line against fake instances

Cause: the exit codes were checked by hand only, and a reply that arrives one byte at a time or takes long gave no sign of progress. Conclusion: lost answers, conflicts, unknown outcomes and waits end in their documented exit codes; a wait of over 1 s names the address it waits for.

--- a/packages/cli/src/pistachioloft_cli/transport.py
+++ b/packages/cli/src/pistachioloft_cli/transport.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import threading
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Generic, TypeVar
@@ -16,7 +18,7 @@
 from .exits import CommandFailure, ExitCode, Try
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 T = TypeVar('T')
 
@@ -24,6 +26,7 @@
 OPERATOR_ANSWER_MS = 5_000
 OPERATOR_TOTAL_MS = 20_000
 ROUND_COUNT = 2
+WAITING_NOTE_S = 1.0
 ROUND_PAUSE_MS = 200
 REPLY_LIMIT_BYTES = 256 * 1024 * 1024
 _CHUNK_BYTES = 65_536
@@ -108,7 +111,8 @@
             if tries and (time.monotonic() - started_s) * 1000 > call.total_ms:
                 break
             try:
-                reply = send_once(call, address)
+                with _waiting(call, address, progress):
+                    reply = send_once(call, address)
             except (_NotSentError, _LostError) as error:
                 tries.append(Try(address, isinstance(error, _LostError), str(error)))
                 progress(f'{address} gave no answer ({error}).')
@@ -127,6 +131,19 @@
     return _settle(call, pending, tuple(tries))
 
 
+@contextlib.contextmanager
+def _waiting(call: Call[T], address: str, progress: Callable[[str], None]) -> Iterator[None]:
+    """Say that an answer is awaited if it takes long."""
+    line = f'Waiting for {address}, at most {call.answer_ms / 1000:.1f} s.'
+    timer = threading.Timer(WAITING_NOTE_S, progress, (line,))
+    timer.daemon = True
+    timer.start()
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
 def _settle(call: Call[T], pending: dict[bool, Answer[T]], tries: tuple[Try, ...]) -> Answer[T]:
     """Choose the most truthful end when no address gave a final answer."""
     lost = any(each.sent for each in tries)
--- /dev/null
+++ b/tests/test_cli/fake_instance.py
@@ -0,0 +1,114 @@
+"""A small HTTP server that answers as an instance is told to."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from dataclasses import dataclass
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import urlsplit
+
+from pistachioloft_core.codec import encode_json
+from pistachioloft_core.errors import RESULTS, ResultCode
+
+
+class Lose:
+    """Close the connection after the request, without an answer."""
+
+
+class Trickle:
+    """Send the body one byte at a time and never end."""
+
+
+class Garbage:
+    """Answer with bytes that are no reply."""
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Hold one request that arrived."""
+
+    method: str
+    target: str
+    body: bytes
+
+
+class FakeInstance:
+    """Answer each path with its list of replies; the last one repeats."""
+
+    def __init__(self) -> None:
+        self.replies: dict[tuple[str, str], list[Any]] = {}
+        self.seen: list[Seen] = []
+        self.server = ThreadingHTTPServer(('127.0.0.1', 0), self._make_handler())
+        self.server.daemon_threads = True
+        self.thread = threading.Thread(target=self.server.serve_forever, args=(0.01,))
+        self.thread.start()
+
+    @property
+    def address(self) -> str:
+        return f'127.0.0.1:{self.server.server_address[1]}'
+
+    def answer(self, method: str, path: str, *replies: Any) -> FakeInstance:
+        self.replies[(method, path)] = list(replies)
+        return self
+
+    def bodies(self, path: str) -> list[bytes]:
+        return [seen.body for seen in self.seen if seen.target == path and seen.method == 'POST']
+
+    def stop(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+        self.thread.join()
+
+    def _next(self, method: str, target: str) -> Any:
+        replies = self.replies[(method, urlsplit(target).path)]
+        return replies.pop(0) if len(replies) > 1 else replies[0]
+
+    def _make_handler(fake: FakeInstance) -> type[BaseHTTPRequestHandler]:  # noqa: N805
+        class Handler(BaseHTTPRequestHandler):
+            def handle_any(self) -> None:
+                body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
+                fake.seen.append(Seen(self.command, self.path, body))
+                reply = fake._next(self.command, self.path)
+                if callable(reply) and not isinstance(reply, type):
+                    reply = reply(body)
+                if reply is Lose:
+                    self.close_connection = True
+                    self.connection.shutdown(socket.SHUT_RDWR)
+                    return
+                if reply is Trickle:
+                    self._trickle()
+                    return
+                data = b'<html>' if reply is Garbage else encode_json(reply)
+                code = getattr(reply, 'result_code', ResultCode.COMPLETE)
+                self.send_response(RESULTS[code].http_status)
+                self.send_header('Content-Length', str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            def _trickle(self) -> None:
+                self.send_response(200)
+                self.send_header('Content-Length', '1000000')
+                self.end_headers()
+                with contextlib.suppress(OSError):
+                    while True:
+                        self.wfile.write(b' ')
+                        time.sleep(0.005)
+
+            do_GET = handle_any  # noqa: N815
+            do_POST = handle_any  # noqa: N815
+
+            def log_message(self, *arguments: Any) -> None:
+                pass
+
+        return Handler
+
+
+def closed_address() -> str:
+    """Give an address on which nothing listens."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
--- /dev/null
+++ b/tests/test_cli/test_caller_commands.py
@@ -0,0 +1,322 @@
+"""Guard against a caller that is told something untrue about its request."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from pistachioloft_cli import callers, transport
+from pistachioloft_core.codec import decode_json
+from pistachioloft_core.errors import RESULTS, ResultCode
+from pistachioloft_core.messages.public import (
+    AddressesReply,
+    CallerAddress,
+    CommandReply,
+    CommandRequest,
+    Coverage,
+    ErrorReply,
+    QueryReply,
+    QueryRequest,
+    Snapshot,
+)
+
+from .fake_instance import FakeInstance, Garbage, Lose, Trickle, closed_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .conftest import Run
+
+    Make = Callable[[], FakeInstance]
+
+ADDRESSES = '/v1/addresses'
+QUERY = '/v1/query'
+COMMAND = '/v1/command'
+
+
+def points_to(fake: FakeInstance, *targets: FakeInstance | str) -> FakeInstance:
+    """Let a fake instance give the addresses of others."""
+    texts = [each if isinstance(each, str) else each.address for each in targets]
+    entries = tuple(CallerAddress(f'e{n}', text, 'a') for n, text in enumerate(texts))
+    return fake.answer('GET', ADDRESSES, AddressesReply(entries, 5000))
+
+
+def query_reply(code: ResultCode, **fields: Any) -> Callable[[bytes], QueryReply]:
+    """Make a reply to whatever query arrives."""
+
+    def reply(body: bytes) -> QueryReply:
+        request = decode_json(body, QueryRequest)
+        status = RESULTS[code].run_status
+        return QueryReply(request.caller, request.request_id, code, status, '', **fields)
+
+    return reply
+
+
+def command_reply(code: ResultCode, **fields: Any) -> Callable[[bytes], CommandReply]:
+    """Make a reply to whatever command arrives."""
+
+    def reply(body: bytes) -> CommandReply:
+        request = decode_json(body, CommandRequest)
+        status = RESULTS[code].run_status
+        return CommandReply(request.caller, request.request_id, code, status, '', **fields)
+
+    return reply
+
+
+def complete(rows: tuple[dict[str, Any], ...] = ({'peg': 1},)) -> Callable[[bytes], QueryReply]:
+    """Make a complete reply."""
+    return query_reply(
+        ResultCode.COMPLETE, snapshot=Snapshot('ledger', 7), coverage=Coverage(2, 2), rows=rows
+    )
+
+
+def query(run: Run, at: FakeInstance | str, *more: str) -> Any:
+    address = at if isinstance(at, str) else at.address
+    return run('query', 'ledger', '{"peg": 1}', '--at', address, '--caller', 'yard', *more)
+
+
+def command(run: Run, at: FakeInstance | str, *more: str) -> Any:
+    address = at if isinstance(at, str) else at.address
+    return run(
+        'command', 'ledger', 's/1', '{"hold": 1}', '--at', address, '--caller', 'yard', *more
+    )
+
+
+def test_query_goes_to_the_given_addresses(run: Run, make: Make) -> None:
+    """Guard against a query to an instance that is not among the addresses to use."""
+    first, second = make(), make()
+    points_to(first, second)
+    second.answer('POST', QUERY, complete())
+    ended = query(run, first, '--priority', 'urgent', '--deadline-ms', '250')
+    assert ended.exit_code == 0
+    assert ended.out == '{"peg": 1}\n'
+    assert 'ledger version 7: 2 of 2 shards answered' in ended.err
+    (body,) = second.bodies(QUERY)
+    request = decode_json(body, QueryRequest)
+    assert (request.caller, request.deadline_ms, request.priority) == ('yard', 250, 'urgent')
+    assert first.bodies(QUERY) == []
+
+
+def test_partial_answer_names_missing_shards(run: Run, make: Make) -> None:
+    """Guard against a partial count that looks complete."""
+    fake = make()
+    coverage = Coverage(2, 1, ('s/9',))
+    reply = query_reply(ResultCode.PARTIAL, snapshot=Snapshot('ledger', 7), coverage=coverage)
+    points_to(fake, fake).answer('POST', QUERY, reply)
+    ended = query(run, fake)
+    assert ended.exit_code == 3
+    assert 'Missing shards: s/9' in ended.err
+
+
+def test_lost_query_is_sent_to_the_next_address(run: Run, make: Make) -> None:
+    """Guard against a query that fails because one instance left."""
+    first, second = make(), make()
+    points_to(first, closed_address(), first, second).answer('POST', QUERY, Lose)
+    second.answer('POST', QUERY, complete())
+    assert query(run, first).exit_code == 0
+    assert first.bodies(QUERY) == second.bodies(QUERY)
+
+
+def test_fenced_instance_leads_to_its_given_address(run: Run, make: Make) -> None:
+    """Guard against a caller stuck at an instance that cannot confirm its configuration."""
+    first, second = make(), make()
+    second.answer('POST', QUERY, complete())
+    elsewhere = (CallerAddress('e2', second.address, 'b'),)
+    fenced = query_reply(ResultCode.FENCED, addresses=elsewhere)
+    points_to(first, first).answer('POST', QUERY, fenced)
+    assert query(run, first).exit_code == 0
+
+
+def test_refusal_is_final_and_gives_its_retry_time(run: Run, make: Make) -> None:
+    """Guard against a command line that adds load to a system at its capacity."""
+    first, second = make(), make()
+    points_to(first, first, second)
+    first.answer('POST', QUERY, query_reply(ResultCode.OVERLOADED, retry_after_ms=70))
+    ended = query(run, first)
+    assert ended.exit_code == 1
+    assert 'Try again after 70 ms' in ended.err
+    assert second.seen == []
+
+
+def test_crossed_reply_is_not_shown(run: Run, make: Make) -> None:
+    """Guard against rows that belong to another request."""
+    fake = make()
+    status = RESULTS[ResultCode.COMPLETE].run_status
+    other = QueryReply('yard', 'other', ResultCode.COMPLETE, status, '', rows=({'peg': 2},))
+    points_to(fake, fake).answer('POST', QUERY, other)
+    ended = query(run, fake)
+    assert ended.exit_code == 4
+    assert ended.out == ''
+
+
+def test_error_reply_is_a_refusal(run: Run, make: Make) -> None:
+    """Guard against a refusal that is taken for a lost answer."""
+    fake = make()
+    refused = ErrorReply(
+        ResultCode.UNKNOWN_FIELD, RESULTS[ResultCode.UNKNOWN_FIELD].run_status, 'no field x'
+    )
+    points_to(fake, fake).answer('POST', QUERY, refused)
+    ended = query(run, fake)
+    assert ended.exit_code == 1
+    assert 'no field x' in ended.err
+    assert len(fake.bodies(QUERY)) == 1
+
+
+@pytest.mark.parametrize('lost', [Lose, Garbage])
+def test_lost_command_is_repeated_with_its_key(run: Run, make: Make, lost: type) -> None:
+    """Guard against a command that is sent again as a new one."""
+    fake = make()
+    repeated = command_reply(ResultCode.COMMAND_REPEATED, outcome={'held': 1})
+    points_to(fake, fake).answer('POST', COMMAND, lost, repeated)
+    ended = command(run, fake)
+    assert ended.exit_code == 0
+    assert ended.out == '{"held": 1}\n'
+    first, second = fake.bodies(COMMAND)
+    assert first == second
+
+
+@pytest.mark.parametrize(
+    ('after', 'exit_code'),
+    [
+        (ResultCode.KEY_EXPIRED, 4),
+        (ResultCode.OVERLOADED, 4),
+        (ResultCode.FENCED, 4),
+        (ResultCode.CLAIM_PENDING, 4),
+        (ResultCode.INTERNAL_ERROR, 4),
+        (ResultCode.KEY_REUSED, 1),
+        (ResultCode.COMMAND_RAN, 0),
+    ],
+)
+@pytest.mark.parametrize('kind', ['command', 'error'])
+def test_refusal_after_a_lost_answer(
+    run: Run, make: Make, after: ResultCode, exit_code: int, kind: str
+) -> None:
+    """Guard against `not run` for a command whose first send may have run."""
+    fake = make()
+    reply: Any = command_reply(after)
+    if kind == 'error' and after is not ResultCode.COMMAND_RAN:
+        reply = ErrorReply(after, RESULTS[after].run_status, '')
+    points_to(fake, fake).answer('POST', COMMAND, Lose, reply)
+    assert command(run, fake).exit_code == exit_code
+
+
+def test_command_lost_everywhere_is_unknown(run: Run, make: Make) -> None:
+    """Guard against `not reachable` for a command that was handed over."""
+    fake = make()
+    points_to(fake, fake, closed_address()).answer('POST', COMMAND, Lose)
+    ended = command(run, fake)
+    assert ended.exit_code == 4
+    assert len(set(fake.bodies(COMMAND))) == 1
+    assert '--key ' in ended.err
+
+
+def test_unknown_outcome_is_left_to_the_caller(run: Run, make: Make) -> None:
+    """Guard against a command line that hammers a claim without recorded outcome."""
+    fake = make()
+    for code in (ResultCode.CLAIM_PENDING, ResultCode.OUTCOME_UNKNOWN):
+        fake.seen.clear()
+        points_to(fake, fake).answer('POST', COMMAND, command_reply(code))
+        assert command(run, fake).exit_code == 4
+        assert len(fake.bodies(COMMAND)) == 1
+
+
+def test_given_key_is_used(run: Run, make: Make) -> None:
+    """Guard against a new key on a resend by hand."""
+    fake = make()
+    points_to(fake, fake).answer('POST', COMMAND, command_reply(ResultCode.COMMAND_RAN))
+    ended = command(run, fake, '--key', 'k1', '--key-issued-at-ms', '17')
+    assert ended.exit_code == 0
+    request = decode_json(fake.bodies(COMMAND)[0], CommandRequest)
+    assert (request.idempotency_key, request.key_issued_at_ms) == ('k1', 17)
+    assert command(run, fake, '--key', 'k1').exit_code == 2
+
+
+def test_nothing_reachable(run: Run, make: Make) -> None:
+    """Guard against an unknown outcome where nothing was handed over."""
+    fake = make()
+    points_to(fake, closed_address())
+    for send in (query, command):
+        assert send(run, fake).exit_code == 5
+        assert send(run, closed_address()).exit_code == 5
+
+
+def test_trickling_reply_is_given_up(run: Run, make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a sender that holds the command line by one byte at a time."""
+    monkeypatch.setattr(callers, 'ANSWER_GRACE_MS', 10)
+    monkeypatch.setattr(transport, 'CONNECT_TIMEOUT_MS', 100)
+    monkeypatch.setattr(transport, 'WAITING_NOTE_S', 0.0)
+    fake = make()
+    points_to(fake, fake).answer('POST', QUERY, Trickle)
+    ended = query(run, fake, '--deadline-ms', '50')
+    assert ended.exit_code == 4
+    assert 'arrived too slowly' in ended.err
+    assert f'Waiting for {fake.address}' in ended.err
+
+
+@pytest.mark.parametrize('exit_code', [0, 3, 1, 4, 5])
+def test_json_is_one_document(run: Run, make: Make, exit_code: int) -> None:
+    """Guard against output that a machine cannot read."""
+    fake = make()
+    reply = {
+        0: complete(),
+        3: query_reply(ResultCode.PARTIAL),
+        1: query_reply(ResultCode.OVERLOADED),
+        4: Lose,
+        5: None,
+    }[exit_code]
+    points_to(fake, fake if exit_code != 5 else closed_address()).answer('POST', QUERY, reply)
+    ended = query(run, fake, '--json')
+    assert ended.exit_code == exit_code
+    assert isinstance(ended.document, dict)
+    if exit_code == 0:
+        decode_json(ended.out.encode(), QueryReply)
+
+
+def test_addresses_asks_the_next_one(run: Run, make: Make) -> None:
+    """Guard against a caller without addresses because one instance left."""
+    first, second = make(), make()
+    first.answer('GET', ADDRESSES, Lose)
+    points_to(second, second)
+    ats = ('--at', closed_address(), '--at', first.address, '--at', second.address)
+    ended = run('addresses', '--caller', 'yard & co', *ats, '--json')
+    assert ended.exit_code == 0
+    assert ended.document['keep_ms'] == 5000
+    assert second.seen[0].target == '/v1/addresses?caller=yard+%26+co'
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ('query', 'ledger', '{', '--at', '127.0.0.1:1', '--caller', 'yard'),
+        ('query', 'ledger', '{}', '--at', 'localhost:1', '--caller', 'yard'),
+        ('query', 'ledger', '{}', '--caller', 'yard'),
+        ('query', 'l', '{}', '--at', '127.0.0.1:1', '--caller', 'y', '--priority', 'first'),
+        ('explain', '7'),
+        ('explain', 'conflicts'),
+    ],
+)
+def test_usage_mistake(run: Run, arguments: tuple[str, ...]) -> None:
+    """Guard against a mistyped command that is sent."""
+    assert run(*arguments).exit_code == 2
+
+
+def test_every_result_code_is_explained(run: Run) -> None:
+    """Guard against a result code that nobody can look up."""
+    for code, info in RESULTS.items():
+        for text in (str(int(code)), code.name.lower()):
+            ended = run('explain', text)
+            assert ended.exit_code == 0
+            assert info.summary in ended.out
+    assert json.loads(run('explain', '501', '--json').out)['exit_code'] == 6
+
+
+def test_data_check_without_the_daemon(
+    run: Run, tmp_path: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a traceback where the daemon package is not installed."""
+    monkeypatch.setitem(__import__('sys').modules, 'pistachioloft_daemon.storage', None)
+    ended = run('data', 'check', str(tmp_path))
+    assert ended.exit_code == 1
+    assert 'pistachioloft-daemon is not installed' in ended.err
--- /dev/null
+++ b/tests/test_cli/test_operator_commands.py
@@ -0,0 +1,356 @@
+"""Guard against an operator who trusts a configuration that is not in force."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from pistachioloft_core.codec import content_digest, decode_json
+from pistachioloft_core.errors import RESULTS, ResultCode
+from pistachioloft_core.messages.accepted import (
+    AcceptedConfiguration,
+    CallerEntry,
+    DrainInstance,
+    SubmitConfiguration,
+)
+from pistachioloft_core.messages.operator import (
+    ConfigReply,
+    EndpointStatus,
+    HistoryReply,
+    InForceReport,
+    InstanceForce,
+    OperatorReply,
+    StatusReply,
+    VoterStatus,
+)
+from pistachioloft_core.messages.public import ErrorReply
+from pistachioloft_core.version.register import RegisterText, parse_register
+
+from .fake_instance import FakeInstance, Lose, closed_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from .conftest import Run
+
+    Make = Callable[[], FakeInstance]
+
+TEXT = RegisterText(
+    instances=(
+        'instance,failure_domain,caller_address,peer_address,voter\n'
+        'e1,a,10.1.0.1:7000,10.1.0.1:7002,yes\n'
+        'e2,b,10.2.0.1:7000,10.2.0.1:7002,no\n'
+    ),
+    services='service\ns{1..2}\n',
+    rules="[callers]\nroutine = 'yard'\n",
+    collections="[ledger.7]\n's{1..2}' = 's/{1..2}'\n",
+)
+CONFIGURATION = parse_register(TEXT)
+
+
+def accepted(index: int, callers: tuple[str, ...] = ()) -> AcceptedConfiguration:
+    entries = tuple(CallerEntry(name) for name in callers)
+    configuration = replace(CONFIGURATION, callers=entries)
+    return AcceptedConfiguration(1, index, content_digest(configuration), configuration)
+
+
+OLD = accepted(4)
+NEW = accepted(5, ('yard',))
+
+
+def status(
+    given: AcceptedConfiguration,
+    states: tuple[str, ...] = ('in_force', 'in_force'),
+    endpoints: tuple[str, ...] = ('s1-a', 's1-b'),
+    can_lose: int = 1,
+    leader: bool = True,
+    digest: str = '',
+) -> StatusReply:
+    forces = tuple(
+        InstanceForce(f'e{n}', state, given.index, digest or given.digest)
+        for n, state in enumerate(states, 1)
+    )
+    everywhere = set(states) == {'in_force'}
+    report = InForceReport(given.index, given.digest, everywhere, forces)
+    return StatusReply(
+        instance='e1',
+        failure_domain='a',
+        serving=True,
+        stopping=False,
+        accepted_index=given.index,
+        accepted_digest=given.digest,
+        in_force=report if leader else None,
+        voters=VoterStatus('e1-x', 1, 9, ('e1-x',), (), can_lose) if leader else None,
+        live_instances=('e1', 'e2'),
+        endpoints=tuple(
+            EndpointStatus(name, 's1', 'a', '10.9.0.1:9', 'e1', False, True, 9.0, 0, 0, 5.0)
+            for name in endpoints
+        ),
+    )
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    register = tmp_path / 'register'
+    register.mkdir()
+    for name, suffix in (
+        ('instances', 'csv'),
+        ('services', 'csv'),
+        ('rules', 'toml'),
+        ('collections', 'toml'),
+    ):
+        (register / f'{name}.{suffix}').write_text(getattr(TEXT, name))
+    return register
+
+
+@pytest.fixture
+def fake(make: Make) -> FakeInstance:
+    instance = make()
+    instance.answer('GET', '/v1/config', ConfigReply(OLD))
+    instance.answer('POST', '/v1/config', OperatorReply(ResultCode.ACCEPTED, '', 5))
+    instance.answer('GET', '/v1/status', status(NEW))
+    return instance
+
+
+def submit(run: Run, folder: Path, fake: FakeInstance, *more: str) -> Any:
+    return run('config', 'submit', str(folder), '--at', fake.address, '--operator', 'ann', *more)
+
+
+def submitted(fake: FakeInstance) -> list[SubmitConfiguration]:
+    return [decode_json(body, SubmitConfiguration) for body in fake.bodies('/v1/config')]
+
+
+def test_submit_shows_the_difference_and_its_command_id(
+    run: Run, folder: Path, fake: FakeInstance
+) -> None:
+    """Guard against a change that is accepted unseen or cannot be sent again."""
+    ended = submit(run, folder, fake, '--note', 'yard joins')
+    assert ended.exit_code == 0
+    assert '+ caller yard: priority routine' in ended.out
+    assert 'Accepted as index 5' in ended.out
+    (message,) = submitted(fake)
+    assert (message.base_index, message.operator, message.note) == (4, 'ann', 'yard joins')
+    assert message.configuration == CONFIGURATION
+    assert f'--command-id {message.command_id} --base-index 4' in ended.err
+
+
+def test_lost_submit_is_repeated_with_its_command_id(
+    run: Run, folder: Path, fake: FakeInstance
+) -> None:
+    """Guard against a change that is submitted twice."""
+    repeated = OperatorReply(ResultCode.ACCEPTED_REPEATED, '', 5)
+    fake.answer('POST', '/v1/config', Lose, repeated)
+    assert submit(run, folder, fake).exit_code == 0
+    first, second = submitted(fake)
+    assert first == second
+
+
+def test_resend_by_hand_keeps_command_id_and_base(
+    run: Run, folder: Path, fake: FakeInstance
+) -> None:
+    """Guard against a resend that overwrites a change which the operator never saw."""
+    assert submit(run, folder, fake, '--command-id', 'c1', '--base-index', '3').exit_code == 0
+    (message,) = submitted(fake)
+    assert (message.command_id, message.base_index) == ('c1', 3)
+    assert submit(run, folder, fake, '--command-id', 'c1').exit_code == 2
+
+
+@pytest.mark.parametrize(
+    'unknown',
+    [
+        Lose,
+        OperatorReply(ResultCode.SUBMIT_UNKNOWN, ''),
+        ErrorReply(
+            ResultCode.OUTCOME_UNKNOWN, RESULTS[ResultCode.OUTCOME_UNKNOWN].run_status, 'late'
+        ),
+    ],
+)
+def test_unknown_submit(run: Run, folder: Path, fake: FakeInstance, unknown: Any) -> None:
+    """Guard against `refused` for a change that may be accepted."""
+    refused = OperatorReply(ResultCode.NO_QUORUM, '')
+    for replies in ((unknown,), (unknown, refused)):
+        fake.answer('POST', '/v1/config', *replies)
+        assert submit(run, folder, fake).exit_code == 4
+
+
+def test_refused_submit(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against `unknown` for a change that nobody accepted."""
+    fake.answer('POST', '/v1/config', OperatorReply(ResultCode.NO_QUORUM, ''))
+    assert submit(run, folder, fake).exit_code == 1
+    invalid = OperatorReply(ResultCode.INVALID_CONFIGURATION, '', 0, ('voters: none',))
+    fake.answer('POST', '/v1/config', Lose, invalid)
+    ended = submit(run, folder, fake)
+    assert ended.exit_code == 1
+    assert 'voters: none' in ended.err
+
+
+def test_conflict_shows_what_was_accepted_first(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against an operator who overwrites the change of another."""
+    other = accepted(5, ('field', 'yard'))
+    fake.answer('GET', '/v1/config', ConfigReply(OLD), ConfigReply(other))
+    fake.answer('POST', '/v1/config', Lose, OperatorReply(ResultCode.CONFLICT, '', 5))
+    ended = submit(run, folder, fake, '--json')
+    assert ended.exit_code == 6
+    assert ended.document['conflict_difference'] == ['- caller field']
+
+
+def test_wait_shows_progress_until_in_force_everywhere(
+    run: Run, folder: Path, fake: FakeInstance
+) -> None:
+    """Guard against `done` while an instance still serves the older configuration."""
+    older = status(OLD)
+    half = status(NEW, ('in_force', 'behind'))
+    fake.answer('GET', '/v1/status', older, Lose, half, status(NEW))
+    ended = submit(run, folder, fake, '--wait')
+    assert ended.exit_code == 0
+    assert 'in force on 1 of 2 instances; not on e2 (behind' in ended.err
+    assert 'In force everywhere.' in ended.out
+
+
+@pytest.mark.parametrize('state', ['behind', 'fenced', 'unknown'])
+def test_wait_names_instances_that_are_not(
+    run: Run, folder: Path, fake: FakeInstance, state: str
+) -> None:
+    """Guard against a wait that ends well although an instance is left out."""
+    fake.answer('GET', '/v1/status', status(NEW, ('in_force', state)))
+    ended = submit(run, folder, fake, '--wait', '--wait-limit-s', '0', '--json')
+    assert ended.exit_code == 7
+    assert f'e2 ({state}' in ended.err
+    assert ended.document['in_force']['everywhere'] is False
+
+
+def test_wait_without_the_leader(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against `done` where nobody knows what is in force."""
+    fake.answer('GET', '/v1/status', status(NEW, leader=False))
+    assert submit(run, folder, fake, '--wait', '--wait-limit-s', '0').exit_code == 7
+
+
+def test_unchanged_register_is_not_submitted(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against a history full of submissions that change nothing."""
+    fake.answer('GET', '/v1/config', ConfigReply(NEW))
+    ended = submit(run, folder, fake, '--wait')
+    assert ended.exit_code == 0
+    assert 'Nothing to submit' in ended.out
+    assert submitted(fake) == []
+
+
+def test_mistakes_are_listed_and_nothing_is_sent(
+    run: Run, folder: Path, fake: FakeInstance
+) -> None:
+    """Guard against a register with mistakes that reaches the system."""
+    (folder / 'collections.toml').write_text("[ledger.7]\ns3 = 's/1'\ns4 = 's/1'\n")
+    for words in (('check',), ('submit', '--at', fake.address), ('diff', '--at', fake.address)):
+        ended = run('config', words[0], str(folder), *words[1:], '--json')
+        assert ended.exit_code == 1
+        assert len(ended.document['mistakes']) == 3
+    (folder / 'rules.toml').unlink()
+    (folder / 'services.csv').write_bytes(b'\xff')
+    assert len(run('config', 'check', str(folder), '--json').document['mistakes']) == 2
+    assert fake.seen == []
+
+
+def test_check_diff_show_and_history(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against a read that changes something."""
+    fake.answer('GET', '/v1/config/history', HistoryReply(()))
+    at = ('--at', closed_address(), '--at', fake.address)
+    assert 'No mistakes: 2 instances, 1 voter' in run('config', 'check', str(folder)).out
+    assert run('config', 'diff', str(folder), *at).out == '+ caller yard: priority routine\n'
+    assert OLD.digest in run('config', 'show', *at).out
+    assert run('config', 'history', *at, '--json').document == {'entries': []}
+    assert submitted(fake) == []
+
+
+def test_status_shows_every_given_instance(run: Run, make: Make, fake: FakeInstance) -> None:
+    """Guard against a status that hides an instance which does not answer."""
+    follower = make().answer('GET', '/v1/status', status(OLD, leader=False))
+    ats = ('--at', follower.address, '--at', fake.address)
+    ended = run('status', *ats, '--endpoints')
+    assert ended.exit_code == 0
+    assert 'Index 5 is in force on 2 of 2 instances' in ended.out
+    assert 's1-a' in ended.out
+    gone = closed_address()
+    ended = run('status', *ats, '--at', gone)
+    assert ended.exit_code == 3
+    assert f'{gone}: gave no status' in ended.out
+    assert run('status', '--at', gone).exit_code == 5
+
+
+@pytest.mark.parametrize(('word', 'draining'), [('drain', True), ('undrain', False)])
+def test_drain_is_repeated_with_its_command_id(
+    run: Run, fake: FakeInstance, word: str, draining: bool
+) -> None:
+    """Guard against a drain that is lost, doubled or turned round."""
+    path = '/v1/instances/drain'
+    fake.answer('POST', path, Lose, OperatorReply(ResultCode.ACCEPTED_REPEATED, '', 6))
+    ended = run('instances', word, 'e2', '--at', fake.address, '--operator', 'ann')
+    assert ended.exit_code == 0
+    first, second = (decode_json(body, DrainInstance) for body in fake.bodies(path))
+    assert first == second == DrainInstance(first.command_id, 'e2', draining, 'ann')
+    unknown = OperatorReply(ResultCode.UNKNOWN_INSTANCE, '')
+    fake.answer('POST', path, unknown)
+    assert run('instances', word, 'e9', '--at', fake.address).exit_code == 1
+
+
+OTHER = replace(NEW, digest='0' * 32)
+
+
+@pytest.mark.parametrize(
+    ('config', 'reply', 'exit_code', 'text'),
+    [
+        (NEW, status(NEW), 0, 'The accepted configuration is the same'),
+        (accepted(6, ('yard', 'x')), None, 0, 'Newer submissions were accepted'),
+        (OLD, status(OLD), 6, 'REVERTED'),
+        (OTHER, status(OTHER), 6, 'REVERTED'),
+        (NEW, status(NEW, ('in_force', 'fenced')), 7, 'Fenced instances: e2'),
+        (NEW, status(NEW, ('in_force',)), 7, 'not on e2: missing'),
+        (NEW, status(NEW, digest='f' * 32), 7, 'not on e1: other_digest'),
+        (NEW, status(NEW, endpoints=('s1-b', 's1-c')), 3, 'missing: s1-a'),
+        (NEW, status(NEW, can_lose=0), 3, 'still be lost: 0 (before: 1)'),
+    ],
+)
+def test_rehearsal_report(
+    run: Run,
+    fake: FakeInstance,
+    tmp_path: Path,
+    config: AcceptedConfiguration,
+    reply: StatusReply | None,
+    exit_code: int,
+    text: str,
+) -> None:
+    """Guard against a rehearsal that ends well although something is not as before."""
+    file = str(tmp_path / 'before.json')
+    fake.answer('GET', '/v1/config', ConfigReply(NEW))
+    assert run('rehearsal', 'save', file, '--at', fake.address).exit_code == 0
+    fake.answer('GET', '/v1/config', ConfigReply(config))
+    fake.answer('GET', '/v1/status', reply or status(config))
+    ended = run('rehearsal', 'report', file, '--at', fake.address)
+    assert ended.exit_code == exit_code
+    assert text in ended.out
+
+
+def test_rehearsal_uses_the_newest_leader_and_index(
+    run: Run, make: Make, fake: FakeInstance, tmp_path: Path
+) -> None:
+    """Guard against the report of a former leader behind a partition."""
+    stale = make()
+    voters = VoterStatus('e9-x', 0, 9, ('e9-x',), (), 2)
+    stale.answer('GET', '/v1/status', replace(status(NEW), accepted_index=4, voters=voters))
+    stale.answer('GET', '/v1/config', ConfigReply(OLD))
+    fake.answer('GET', '/v1/config', ConfigReply(NEW))
+    file = str(tmp_path / 'before.json')
+    ats = ('--at', stale.address, '--at', fake.address)
+    ended = run('rehearsal', 'save', file, *ats, '--json')
+    assert ended.exit_code == 0
+    assert ended.document['accepted_index'] == 5
+    assert ended.document['can_lose_count'] == 1
+
+
+def test_rehearsal_file_that_is_damaged(run: Run, fake: FakeInstance, tmp_path: Path) -> None:
+    """Guard against a comparison with half a file."""
+    file = tmp_path / 'before.json'
+    for data in (b'', b'{"format": 1}'):
+        file.write_bytes(data)
+        assert run('rehearsal', 'report', str(file), '--at', fake.address).exit_code == 1
--- /dev/null
+++ b/tests/test_configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of configurations and registers."""
--- /dev/null
+++ b/tests/test_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings and logs."""
