Show what data check finds and count removed instances

Cause: data check printed the report's plain text and ended well on damage, and a rehearsal report left out removed instances that may still serve. The command line also took deadlines of 600 s, which instances refuse. Conclusion: data check is tested against a stand-in of the storage module; it needs a run against the real one once both are merged.

--- a/packages/cli/src/pistachioloft_cli/caller_commands.py
+++ b/packages/cli/src/pistachioloft_cli/caller_commands.py
@@ -29,7 +29,8 @@
 
 QUERY_DEADLINE_MS = 2_000
 COMMAND_DEADLINE_MS = 5_000
-DEADLINE_MAX_MS = 600_000
+# Instances refuse longer deadlines.
+DEADLINE_MAX_MS = 60_000
 
 DeadlineOption = typer.Option('--deadline-ms', min=1, max=DEADLINE_MAX_MS)
 
--- a/packages/cli/src/pistachioloft_cli/operators.py
+++ b/packages/cli/src/pistachioloft_cli/operators.py
@@ -138,7 +138,7 @@
                 output.progress(line)
                 return report
         else:
-            line = 'No given address reports on this change yet; the leader knows its progress.'
+            line = 'No given address has a report of the leader on this change yet.'
         if line != shown:
             output.progress(line)
             shown = line
--- a/packages/cli/src/pistachioloft_cli/program.py
+++ b/packages/cli/src/pistachioloft_cli/program.py
@@ -5,7 +5,7 @@
 import importlib
 from dataclasses import dataclass
 from pathlib import Path  # noqa: TC003
-from typing import Annotated, Any
+from typing import Annotated, Any, Protocol
 
 import typer
 
@@ -84,6 +84,20 @@
     )
 
 
+class FolderReport(Protocol):
+    """Describe what the daemon's storage says of a data folder."""
+
+    cluster_id: str
+    member_id: str
+    term: int
+    snapshot_index: int
+    last_index: int
+    entry_count: int
+    segment_count: int
+    torn_bytes: int
+    problems: tuple[Any, ...]
+
+
 @data_app.command('check')
 def check_data(
     folder: Annotated[Path, typer.Argument(exists=True, file_okay=False)], as_json: Json = False
@@ -91,15 +105,41 @@
     """Check the data folder of a stopped voter, without changing it."""
     output = Output(as_json)
     with output.failures():
-        try:
-            storage: Any = importlib.import_module(STORAGE_MODULE)
-            check_folder = storage.check_folder
-        except (ImportError, AttributeError):
-            detail = 'The package pistachioloft-daemon is not installed; data check needs it.'
-            raise CommandFailure(ExitCode.REFUSED, detail) from None
-        report = check_folder(folder)
-        output.lines(str(report))
+        report = _check_folder(folder)
+        output.lines(
+            f'Cluster {report.cluster_id or "unknown"}, member {report.member_id or "unknown"}',
+            f'Term {report.term}, snapshot at index {report.snapshot_index},'
+            f' last index {report.last_index}',
+            f'{report.entry_count} log entries in {report.segment_count} segments',
+        )
+        if report.torn_bytes:
+            output.lines(
+                f'The last record is torn: {report.torn_bytes} bytes, never promised to anyone,'
+                ' are cut off at the next start.'
+            )
+        for problem in report.problems:
+            output.lines(f'{problem.file}: offset {problem.offset_bytes}: {problem.detail}')
+        output.lines(
+            'Damaged: repair this voter as a new member; see docs/operations.md.'
+            if report.problems
+            else 'No problems.'
+        )
         output.document(report)
+        output.end(ExitCode.REFUSED if report.problems else ExitCode.DONE)
+
+
+def _check_folder(folder: Path) -> FolderReport:
+    try:
+        storage: Any = importlib.import_module(STORAGE_MODULE)
+        check_folder, storage_error = storage.check_folder, storage.StorageError
+    except (ImportError, AttributeError):
+        detail = 'The package pistachioloft-daemon is not installed; data check needs it.'
+        raise CommandFailure(ExitCode.REFUSED, detail) from None
+    try:
+        report: FolderReport = check_folder(str(folder))
+    except (OSError, storage_error) as error:
+        raise CommandFailure(ExitCode.REFUSED, f'The folder was not checked: {error}') from error
+    return report
 
 
 def main() -> None:
--- a/packages/cli/src/pistachioloft_cli/rehearsal.py
+++ b/packages/cli/src/pistachioloft_cli/rehearsal.py
@@ -56,13 +56,15 @@
     """Collect the state from the replies of all given addresses."""
     leader = view.leader_reply
     if leader is None or leader.in_force is None:
-        detail = 'No given address is that of the leader, which knows what is in force.'
+        detail = 'No given address has a report of the leader, which knows what is in force.'
         raise CommandFailure(ExitCode.NOT_IN_FORCE, detail)
     reported = {each.instance: each for each in leader.in_force.instances}
     instances = [
         _confirm(accepted, reported.pop(entry.instance, None), entry.instance)
         for entry in accepted.configuration.instances
     ]
+    # A removed instance may still serve until its lease has ended.
+    instances.extend(each for each in reported.values() if each.state != FORCE_FENCED)
     usable = {each.endpoint for each in leader.endpoints if each.usable and not each.draining}
     return RehearsalState(
         format=FORMAT,
--- a/tests/test_cli/test_caller_commands.py
+++ b/tests/test_cli/test_caller_commands.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import sys
+import types
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -26,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from pathlib import Path
 
     from .conftest import Run
 
@@ -312,11 +316,67 @@
     assert json.loads(run('explain', '501', '--json').out)['exit_code'] == 6
 
 
+STORAGE = 'pistachioloft_daemon.storage'
+
+
 def test_data_check_without_the_daemon(
-    run: Run, tmp_path: Any, monkeypatch: pytest.MonkeyPatch
+    run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guard against a traceback where the daemon package is not installed."""
-    monkeypatch.setitem(__import__('sys').modules, 'pistachioloft_daemon.storage', None)
+    monkeypatch.setitem(sys.modules, STORAGE, None)
     ended = run('data', 'check', str(tmp_path))
     assert ended.exit_code == 1
     assert 'pistachioloft-daemon is not installed' in ended.err
+
+
+@dataclass(frozen=True)
+class _Problem:
+    file: str = 'log-1.seg'
+    offset_bytes: int = 40
+    detail: str = 'checksum differs'
+
+
+@dataclass(frozen=True)
+class _Report:
+    problems: tuple[_Problem, ...]
+    cluster_id: str = 'c'
+    member_id: str = 'e1-x'
+    term: int = 3
+    snapshot_index: int = 0
+    last_index: int = 8
+    entry_count: int = 8
+    segment_count: int = 1
+    torn_bytes: int = 7
+
+
+@pytest.mark.parametrize(
+    ('result', 'exit_code', 'text'),
+    [
+        (_Report(()), 0, 'No problems.'),
+        (_Report((_Problem(),)), 1, 'log-1.seg: offset 40: checksum differs'),
+        (OSError('another process uses the folder'), 1, 'another process uses the folder'),
+    ],
+)
+def test_data_check_names_file_and_offset(
+    run: Run,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    result: Any,
+    exit_code: int,
+    text: str,
+) -> None:
+    """Guard against damage that is reported as a sound folder."""
+
+    def check_folder(folder: str) -> Any:
+        assert folder == str(tmp_path)
+        if isinstance(result, OSError):
+            raise result
+        return result
+
+    module = types.ModuleType(STORAGE)
+    monkeypatch.setattr(module, 'check_folder', check_folder, raising=False)
+    monkeypatch.setattr(module, 'StorageError', OSError, raising=False)
+    monkeypatch.setitem(sys.modules, STORAGE, module)
+    ended = run('data', 'check', str(tmp_path))
+    assert ended.exit_code == exit_code
+    assert text in ended.out + ended.err
--- a/tests/test_cli/test_operator_commands.py
+++ b/tests/test_cli/test_operator_commands.py
@@ -306,6 +306,8 @@
         (OTHER, status(OTHER), 6, 'REVERTED'),
         (NEW, status(NEW, ('in_force', 'fenced')), 7, 'Fenced instances: e2'),
         (NEW, status(NEW, ('in_force',)), 7, 'not on e2: missing'),
+        (NEW, status(NEW, ('in_force', 'in_force', 'behind')), 7, 'not on e3: behind'),
+        (NEW, status(NEW, ('in_force', 'in_force', 'fenced')), 0, 'on 2 of 2 instances'),
         (NEW, status(NEW, digest='f' * 32), 7, 'not on e1: other_digest'),
         (NEW, status(NEW, endpoints=('s1-b', 's1-c')), 3, 'missing: s1-a'),
         (NEW, status(NEW, can_lose=0), 3, 'still be lost: 0 (before: 1)'),
