--- a/packages/daemon/src/pistachioloft_daemon/instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/instance.py
@@ -196,9 +196,7 @@
 
     def _on_adopted(self, configuration: AcceptedConfiguration) -> None:
         self.accepted = configuration
-        membership.set_draining_instances(
-            self.soft_state.state, configuration.draining_instances
-        )
+        membership.set_draining_instances(self.soft_state.state, configuration.draining_instances)
         known = {peer.instance for peer in self.settings.peers}
         listed = set(known)
         for entry in configuration.configuration.instances:
--- a/packages/daemon/src/pistachioloft_daemon/owned.py
+++ b/packages/daemon/src/pistachioloft_daemon/owned.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +14,8 @@
 from .loop_timers import monotonic_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pistachioloft_core.messages.endpoint import SubReply
     from pistachioloft_core.messages.peer import (
         Attempt,
--- a/packages/daemon/src/pistachioloft_daemon/proposals.py
+++ b/packages/daemon/src/pistachioloft_daemon/proposals.py
@@ -30,7 +30,7 @@
 WAITING_LIMIT = 2048
 
 OutcomeCallback = Callable[[CommandOutcome | None], None]
-Send = Callable[[str, object], None]
+Send = Callable[[str, object], bool]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pistachioloft_daemon/requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/requests.py
@@ -45,9 +45,7 @@
 
     send_attempts: Callable[[str, tuple[Attempt, ...]], None]
     cancel_attempts: Callable[[str, tuple[str, ...]], None]
-    propose: Callable[
-        [str, AcceptedCommand, float, Callable[[CommandOutcome | None], None]], None
-    ]
+    propose: Callable[[str, AcceptedCommand, float, Callable[[CommandOutcome | None], None]], None]
     answered: Callable[[str], None]
     finished: Callable[[ResultCode, float], None]
 
@@ -67,7 +65,11 @@
     """Hold the requests in flight at this instance."""
 
     def __init__(
-        self, instance: str, incarnation: int, routing: RoutingState, timers: LoopTimers,
+        self,
+        instance: str,
+        incarnation: int,
+        routing: RoutingState,
+        timers: LoopTimers,
         hooks: RequestHooks,
     ) -> None:
         self.prefix = f'{instance}.{incarnation}'
@@ -96,9 +98,7 @@
         deadline_ms = now_ms + request.deadline_ms
         self.waiting[request_id] = Waiting(request, deadline_ms, urgent, now_ms, reply)
         if isinstance(request, QueryRequest):
-            offered = admission.offer_query(
-                self.admission, now_ms, request_id, urgent, deadline_ms
-            )
+            offered = admission.offer_query(self.admission, now_ms, request_id, urgent, deadline_ms)
             self._carry_out(request_id, offered)
         else:
             state, actions = command.start_command(
--- a/packages/daemon/src/pistachioloft_daemon/soft_state.py
+++ b/packages/daemon/src/pistachioloft_daemon/soft_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +14,8 @@
 from .loop_timers import monotonic_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pistachioloft_core.messages.endpoint import Announcement, AnnounceReply
     from pistachioloft_core.messages.peer import (
         CrashReport,
--- a/packages/daemon/src/pistachioloft_daemon/voter.py
+++ b/packages/daemon/src/pistachioloft_daemon/voter.py
@@ -23,6 +23,7 @@
 
 from .loop_timers import monotonic_ms, wall_clock_ms
 from .snapshot_transfer import SnapshotReceiver, snapshot_chunks
+from .storage import StorageError
 
 if TYPE_CHECKING:
     from pistachioloft_core.messages.accepted import AcceptedCommand
@@ -65,7 +66,7 @@
 class VoterHooks:
     """Name the callbacks that a voter calls on the loop's thread."""
 
-    send: Callable[[str, Any], None]
+    send: Callable[[str, Any], bool]
     applied: Callable[[AcceptedConfiguration], None]
     role_changed: Callable[[bool], None]
     failed: Callable[[str], None]
@@ -306,9 +307,7 @@
         self.applied_term = meta.term
         logger.info('%s snapshot installed at index %d', PREFIX, meta.index)
         self.hooks.applied(accepted.accepted_configuration(state))
-        for action in agreement.step(
-            self.state, monotonic_ms(), agreement.SnapshotInstalled(meta)
-        ):
+        for action in agreement.step(self.state, monotonic_ms(), agreement.SnapshotInstalled(meta)):
             await self._carry_out(action)
 
     def _role_changed(self, action: agreement.RoleChanged) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/web.py
+++ b/packages/daemon/src/pistachioloft_daemon/web.py
@@ -121,6 +121,8 @@
             }
         )
         cherrypy.server.unsubscribe()
+        # One line for each HTTP request would hide the routing decisions.
+        logging.getLogger('cherrypy').setLevel(logging.WARNING)
 
     def add(self, face: Face, address: str, thread_count: int) -> None:
         """Serve a face on an address with a bounded number of threads."""
--- a/tests/test_storage/test_crashes.py
+++ b/tests/test_storage/test_crashes.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, replace
 
 import pytest
-from memory_files import CrashError, MemoryFiles
 
 from pistachioloft_core.messages.agreement import HardState, LogEntry, Membership, SnapshotMeta
 from pistachioloft_daemon.storage import (
@@ -17,6 +16,7 @@
     open_storage,
     storage,
 )
+from tests.test_storage.memory_files import CrashError, MemoryFiles
 
 GROUP = Membership(('m1', 'm2', 'm3'))
 
--- /dev/null
+++ b/tools/cluster/demo.py
@@ -0,0 +1,151 @@
+"""Show the whole system with the sizes of both users, on loopback addresses."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from pistachioloft_core.messages.public import CommandRequest, QueryRequest
+from tools.searcher.behaviour import Behaviour
+from tools.searcher.host import Order
+
+from .layout import SITES, Site, announcements
+from .processes import Cluster
+
+INSTANCE_COUNT = 6
+VOTER_COUNT = 3
+QUERY_COUNT = 20
+DEADLINE_MS = 2000
+
+
+def show(site: Site, folder: Path) -> None:
+    """Run the demo of one site."""
+    print(f'\n== {site.name}: {INSTANCE_COUNT} instances, {len(announcements(site))} searchers')
+    cluster = Cluster(folder, site, INSTANCE_COUNT, VOTER_COUNT)
+    try:
+        cluster.initialise()
+        cluster.start_all()
+        print(f'   started {", ".join(cluster.plans)}; voters {", ".join(cluster.voters())}')
+        _submit(cluster)
+        cluster.start_searchers(Behaviour(5.0), host_count=2)
+        count = len(announcements(site))
+        seconds = cluster.wait(lambda: _usable(cluster) == count, 'the searchers')
+        print(f'   {count} searchers announced themselves, known everywhere after {seconds:.1f} s')
+        _query(cluster)
+        _command(cluster)
+        _lose_replica(cluster)
+        _stop(cluster)
+    finally:
+        cluster.stop()
+
+
+def _submit(cluster: Cluster) -> None:
+    content = cluster.configuration()
+    cluster.wait(
+        lambda: cluster.submit('e1', 'demo-1', 0, content)['result_code'] in (4, 5),
+        'the voters to accept the configuration',
+    )
+    started = time.monotonic()
+    cluster.wait(lambda: _everywhere(cluster), 'the configuration to be in force')
+    print(
+        f'   configuration accepted, in force everywhere after {time.monotonic() - started:.1f} s'
+    )
+
+
+def _everywhere(cluster: Cluster) -> bool:
+    status = cluster.status('e2')
+    return bool(status and status['in_force'] and status['in_force']['everywhere'])
+
+
+def _usable(cluster: Cluster) -> int:
+    counts = []
+    for name in cluster.plans:
+        status = cluster.status(name, endpoints=True)
+        counts.append(sum(each['usable'] for each in status['endpoints']) if status else 0)
+    return min(counts)
+
+
+def _addresses(cluster: Cluster, caller: str) -> list[str]:
+    plan = next(iter(cluster.plans.values()))
+    reply = cluster.get(plan.caller_address, f'/v1/addresses?caller={caller}')
+    return [each['address'] for each in reply['addresses']]
+
+
+def _query(cluster: Cluster) -> None:
+    site = cluster.site
+    for caller in (*site.urgent_callers, *site.routine_callers):
+        address = _addresses(cluster, caller)[0]
+        times, complete = [], 0
+        for number in range(QUERY_COUNT):
+            request = QueryRequest(
+                caller, f'{caller}-{number}', site.collection, {'text': 'gold'}, DEADLINE_MS
+            )
+            started = time.perf_counter()
+            reply = cluster.post(address, '/v1/query', request)
+            times.append((time.perf_counter() - started) * 1000)
+            complete += reply['result_code'] == 0
+        coverage = reply['coverage']
+        print(
+            f'   {caller}: {complete} of {QUERY_COUNT} answers whole, '
+            f'{coverage["answered_count"]} of {coverage["shard_count"]} shards, '
+            f'version {reply["snapshot"]["version"]}, '
+            f'median {sorted(times)[QUERY_COUNT // 2]:.0f} ms'
+        )
+
+
+def _command(cluster: Cluster) -> None:
+    site = cluster.site
+    caller = site.routine_callers[0]
+    issued_at_ms = time.time_ns() // 1_000_000
+    shard = f'{site.shared_services[0]}/0'
+    first, second = _addresses(cluster, caller)[:2]
+    for request_id, address in (('first', first), ('resent', second)):
+        request = CommandRequest(
+            caller, request_id, site.collection, shard, 'key-1', issued_at_ms, {'hold': 40},
+            DEADLINE_MS,
+        )  # fmt: skip
+        reply = cluster.post(address, '/v1/command', request)
+        print(f'   command {request_id}: code {reply["result_code"]}, {reply["detail"]}')
+    ran = sum(row['executed'].get('key-1', 0) for row in cluster.counters().values())
+    print(f'   the command ran {ran} time(s)')
+
+
+def _lose_replica(cluster: Cluster) -> None:
+    site = cluster.site
+    lost = tuple(each.endpoint for each in announcements(site) if each.endpoint.endswith('-s0'))
+    cluster.order(Order('kill', lost))
+    caller = site.urgent_callers[0]
+    codes: dict[Any, int] = {}
+    for number in range(QUERY_COUNT):
+        request = QueryRequest(
+            caller, f'lost-{number}', site.collection, {'text': 'gold'}, DEADLINE_MS
+        )
+        reply = cluster.post(_addresses(cluster, caller)[0], '/v1/query', request)
+        codes[reply['result_code']] = codes.get(reply['result_code'], 0) + 1
+    print(f'   {len(lost)} searchers killed, one of each service; answers by result code: {codes}')
+
+
+def _stop(cluster: Cluster) -> None:
+    for name in reversed(cluster.plans):
+        cluster.daemons[name].terminate()
+    codes = {name: process.wait(60) for name, process in cluster.daemons.items()}
+    print(f'   graceful stop, exit codes {codes}')
+
+
+def main() -> int:
+    """Run the demo of the wanted sites."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--site', action='append', choices=tuple(SITES))
+    options = parser.parse_args()
+    for name in options.site or SITES:
+        with tempfile.TemporaryDirectory() as folder:
+            show(SITES[name], Path(folder))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
