Serve HTTP without the process bus and close the peer socket before waiting

Ruled out: requests in flight, none were left; HTTP threads, all were idle. Conclusion: a pending receive is ended by closing its socket.

--- a/packages/daemon/src/pistachioloft_daemon/peers.py
+++ b/packages/daemon/src/pistachioloft_daemon/peers.py
@@ -20,6 +20,7 @@
 RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
 RECONNECT_LIMIT_MS = 500
+STOP_TIMEOUT_S = 1.0
 
 PeerHandler = Callable[[str, Any, int], None]
 
@@ -90,13 +91,13 @@
 
     async def stop(self) -> None:
         """Close all sockets."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
         for peer in list(self.addresses):
             self.disconnect(peer)
         if self.listener is not None:
+            # Closing ends the pending receive; cancelling it instead may never return.
             self.listener.close()
+        if self.task is not None:
+            await asyncio.wait({self.task}, timeout=STOP_TIMEOUT_S)
 
     def _dial(self, peer: str) -> None:
         sender = pynng.Push0(
--- a/packages/daemon/src/pistachioloft_daemon/program.py
+++ b/packages/daemon/src/pistachioloft_daemon/program.py
@@ -111,7 +111,9 @@
     logger.info('%s listening on %s', PREFIX, settings.caller_address)
     await stop_asked.wait()
     await instance.finish()
+    logger.info('%s stopping: closing the addresses', PREFIX)
     await loop.run_in_executor(None, servers.stop)
+    logger.info('%s stopping: closing connections and files', PREFIX)
     await instance.stop()
 
 
--- a/packages/daemon/src/pistachioloft_daemon/web.py
+++ b/packages/daemon/src/pistachioloft_daemon/web.py
@@ -6,13 +6,13 @@
 import logging
 import select
 import socket
+import threading
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import cherrypy
 from cheroot import wsgi
-from cherrypy.process.servers import ServerAdapter
 
 from pistachioloft_core.codec import decode_json, encode_json
 from pistachioloft_core.errors import RESULTS, CodedError, ResultCode
@@ -112,26 +112,20 @@
 
     def __init__(self) -> None:
         self.servers: list[wsgi.Server] = []
-        cherrypy.config.update(
-            {
-                'environment': 'embedded',
-                'log.screen': False,
-                'engine.autoreload.on': False,
-                'checker.on': False,
-            }
-        )
-        cherrypy.server.unsubscribe()
-        # One line for each HTTP request would hide the routing decisions.
-        logging.getLogger('cherrypy').setLevel(logging.WARNING)
+        self.threads: list[threading.Thread] = []
+        cherrypy.config.update({'environment': 'embedded', 'log.screen': False})
+        cherrypy.log.error_log.setLevel(logging.WARNING)
 
     def add(self, face: Face, address: str, thread_count: int) -> None:
         """Serve a face on an address with a bounded number of threads."""
         host, port = address.rsplit(':', 1)
         tree = cherrypy._cptree.Tree()
-        tree.mount(face, '/', {'/': {'request.process_request_body': False}})
-        bind_address = (host, int(port))
+        application = tree.mount(face, '/', {'/': {'request.process_request_body': False}})
+        application.log.error_log.setLevel(logging.WARNING)
+        # One line for each HTTP request would hide the routing decisions.
+        application.log.access = _log_nothing
         server = wsgi.Server(
-            bind_address,
+            (host, int(port)),
             tree,
             numthreads=thread_count,
             max=thread_count,
@@ -143,16 +137,27 @@
         server.max_request_header_size = HEADER_LIMIT_BYTES
         server.max_request_body_size = BODY_LIMIT_BYTES
         server.keep_alive_conn_limit = ACCEPT_QUEUE_COUNT
-        ServerAdapter(cherrypy.engine, server, bind_address).subscribe()
         self.servers.append(server)
 
     def start(self) -> None:
-        """Start to listen."""
-        cherrypy.engine.start()
+        """Bind all addresses, then begin to serve."""
+        for server in self.servers:
+            server.prepare()
+        for server in self.servers:
+            thread = threading.Thread(target=server.serve, name='http', daemon=True)
+            thread.start()
+            self.threads.append(thread)
 
     def stop(self) -> None:
         """Finish the requests in progress and close the sockets."""
-        cherrypy.engine.exit()
+        for server in self.servers:
+            server.stop()
+        for thread in self.threads:
+            thread.join(STOP_TIMEOUT_S)
+
+
+def _log_nothing() -> None:
+    """Write no access log."""
 
 
 def _start(
