--- a/packages/core/src/pistachioloft_core/request/command.py
+++ b/packages/core/src/pistachioloft_core/request/command.py
@@ -275,12 +275,8 @@
     command: CommandState, now_ms: float, outcome: CommandOutcome
 ) -> list[RequestAction]:
     # The release may have been committed before this grant, and then it closed nothing.
-    if (
-        outcome.claim_result == CLAIM_GRANTED
-        and command.attempt is None
-        and command.replied
-        and command.step in (Step.CLOSING, Step.DONE)
-    ):
+    released = command.close is not None and not command.close.ran
+    if outcome.claim_result == CLAIM_GRANTED and command.replied and released:
         return _close(command, now_ms, ran=False)
     return []
 
--- /dev/null
+++ b/tests/test_request/test_query_orders.py
@@ -0,0 +1,242 @@
+"""Guard the promises of a query against any order of replies, losses and changes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.errors import ResultCode, RunStatus
+from pistachioloft_core.messages.endpoint import Holding, ShardRows
+from pistachioloft_core.request.query import cancel_query
+from pistachioloft_core.version.snapshot import build_view
+from tests.test_request.request_support import (
+    COLLECTION,
+    QueryRun,
+    failed_result,
+    make_accepted,
+    make_cluster,
+    make_request,
+    make_routing,
+    ok_result,
+)
+
+if TYPE_CHECKING:
+    from pistachioloft_core.messages.accepted import AcceptedConfiguration
+    from pistachioloft_core.process.endpoint_view import EndpointView
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                'ok',
+                'ok',
+                'ok',
+                'repeat',
+                'other_version',
+                'other_endpoint',
+                'crossed_rows',
+                'half',
+                'refused',
+                'shed',
+                'not_held',
+                'unknown',
+                'crashed',
+                'failed',
+                'draining',
+                'wait',
+                'lose_endpoint',
+                'lose_owner',
+                'retire',
+                'repartition',
+                'hang_up',
+            )
+        ),
+        st.integers(0, 1_000),
+    ),
+    max_size=40,
+)
+
+
+class Scenario:
+    """Apply steps to one query and keep what an honest reply may say."""
+
+    def __init__(self, service_count: int, replica_count: int, seed: int) -> None:
+        self.accepted, self.endpoints = make_cluster(service_count, replica_count, 2)
+        self.maps = self._read_maps(self.accepted)
+        self.run = QueryRun(make_routing(self.accepted, self.endpoints, seed), make_request())
+        self.proved: set[str] = set()
+        self.delivered: list[Any] = []
+        self.hung_up = False
+
+    def _read_maps(self, accepted: AcceptedConfiguration) -> dict[int, tuple[str, ...]]:
+        (collection,) = accepted.configuration.collections
+        return {
+            entry.version: tuple(shard.shard for shard in entry.shards)
+            for entry in collection.versions
+        }
+
+    def apply(self, step: str, pick: int) -> None:
+        if step == 'wait':
+            self.run.advance(self.run.now_ms + pick % 60)
+        elif step == 'hang_up':
+            if pick % 10 == 0:
+                self.hung_up = self.hung_up or not self.run.replies
+                self.run.take(cancel_query(self.run.routing, self.run.query, self.run.now_ms))
+        elif step in ('lose_endpoint', 'lose_owner', 'retire', 'repartition'):
+            self._change(step, pick)
+        elif self.run.attempts:
+            self._deliver(step, self.run.attempts[pick % len(self.run.attempts)], pick)
+
+    def _change(self, step: str, pick: int) -> None:
+        endpoints: list[EndpointView] = list(self.endpoints)
+        if step == 'lose_endpoint' and endpoints:
+            del endpoints[pick % len(endpoints)]
+        elif step == 'lose_owner':
+            endpoints = [item for item in endpoints if item.owner != f'e{pick % 3 + 1}']
+        elif step == 'retire' and len(self.maps) > 1:
+            del self.maps[min(self.maps)]
+        elif step == 'repartition':
+            number = max(self.maps) + 1
+            shards = tuple(f'p{number}-{position}' for position in range(pick % 5 + 1))
+            self.maps[number] = shards
+            services = sorted({item.service for item in endpoints}) or ['s00']
+            endpoints = [
+                dataclasses.replace(
+                    item,
+                    holdings=(
+                        *item.holdings,
+                        Holding(
+                            COLLECTION,
+                            number,
+                            tuple(
+                                shard
+                                for position, shard in enumerate(shards)
+                                if services[position % len(services)] == item.service
+                            ),
+                        ),
+                    ),
+                )
+                for item in endpoints
+            ]
+            self.services = services
+        self.endpoints = tuple(endpoints)
+        services = sorted({item.service for item in self.endpoints}) or ['s00']
+        versions = {}
+        for number, shards in self.maps.items():
+            versions[number] = {
+                shard: shard[2:] if shard[0] == 'h' else services[position % len(services)]
+                for position, shard in enumerate(shards)
+            }
+        self.run.view(build_view(make_accepted(versions, 2), self.endpoints))
+
+    def _deliver(self, step: str, attempt: Any, pick: int) -> None:
+        if step in ('ok', 'repeat'):
+            result = ok_result(attempt)
+        elif step == 'other_version':
+            result = ok_result(attempt, version=attempt.version + 1 - 2 * (pick % 2))
+        elif step == 'other_endpoint':
+            result = ok_result(attempt, endpoint='elsewhere')
+        elif step == 'crossed_rows':
+            result = ok_result(attempt, results=(ShardRows('stray', ({'shard': 'stray'},)),))
+        elif step == 'half':
+            result = ok_result(attempt, results=ok_result(attempt).results[:-1])
+        else:
+            outcome, changes = {
+                'refused': ('not_started', {}),
+                'shed': ('not_started', {'retry_after_ms': 20}),
+                'not_held': ('not_started', {'detail': 'not_held'}),
+                'unknown': ('unknown', {}),
+                'crashed': ('unknown', {'crashed': True}),
+                'failed': ('failed', {}),
+                'draining': ('not_started', {'draining': True}),
+            }[step]
+            result = failed_result(attempt, outcome, **changes)
+        self.delivered.append((attempt.attempt_id, result))
+        self.run.result(result)
+        if step == 'repeat':
+            self.run.result(result)
+
+    def check(self) -> None:
+        run = self.run
+        run.advance(run.deadline_ms + 1_000)
+        reply = run.reply
+        assert run.reply_ms <= run.deadline_ms
+        if not self.hung_up:
+            self.check_reply(reply)
+        endpoints = [(item.endpoint, item.version, item.shards) for item in run.attempts]
+        assert len(endpoints) == len(set(endpoints)), 'an endpoint was asked twice'
+        assert run.query.open_count == 0
+        seen = run.routing.observed.endpoints.values()
+        assert all(item.in_flight == 0 for item in seen)
+
+    def check_reply(self, reply: Any) -> None:
+        if reply.run_status is RunStatus.NOT_RUN:
+            first: dict[str, Any] = {}
+            for attempt_id, result in self.delivered:
+                if result.endpoint != 'elsewhere':
+                    first.setdefault(attempt_id, result)
+            for attempt in self.run.attempts:
+                assert first[attempt.attempt_id].outcome == 'not_started'
+            assert reply.retry_after_ms is not None
+            return
+        assert reply.snapshot is not None
+        assert {row['version'] for row in reply.rows} <= {reply.snapshot.version}
+        shards = tuple(self.run.query.version.shards)  # type: ignore[union-attr]
+        known = self.maps.get(reply.snapshot.version)
+        assert known is None or shards == known
+        answered = [row['shard'] for row in reply.rows]
+        assert answered == [shard for shard in shards if shard in set(answered)]
+        coverage = reply.coverage
+        assert coverage.missing == tuple(shard for shard in shards if shard not in set(answered))
+        assert coverage.shard_count == len(shards)
+        assert coverage.answered_count == len(answered)
+        delivered = {
+            (result.version, rows.shard)
+            for _, result in self.delivered
+            if result.outcome == 'ok' and result.endpoint != 'elsewhere'
+            for rows in result.results
+        }
+        assert {(reply.snapshot.version, shard) for shard in answered} <= delivered
+        complete = not coverage.missing
+        assert (reply.result_code is ResultCode.COMPLETE) == complete
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(st.integers(1, 6), st.integers(1, 3), st.integers(0, 99), STEPS)
+def test_any_order_gives_one_true_reply(
+    service_count: int, replica_count: int, seed: int, steps: list[tuple[str, int]]
+) -> None:
+    """Guard against mixed snapshots, untrue coverage, rows twice and lost or double replies."""
+    scenario = Scenario(service_count, replica_count, seed)
+    for step, pick in steps:
+        scenario.apply(step, pick)
+    scenario.check()
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(1, 20), st.integers(2, 4), st.integers(0, 99), st.integers(1, 9))
+def test_any_one_lost_replica_of_each_shard_costs_no_coverage(
+    service_count: int, replica_count: int, seed: int, pick: int
+) -> None:
+    """Guard against a partial answer while each shard still has a replica."""
+    accepted, endpoints = make_cluster(service_count, replica_count)
+    routing = make_routing(accepted, endpoints, seed)
+    lost = {f's{n:02}-{(pick * (n + 1)) % replica_count}' for n in range(service_count)}
+    extra = 0
+    for number in range(12):
+        run = QueryRun(routing, make_request(), f'e1-{number}', 1_000.0 + 50.0 * number)
+        taken = 0
+        while taken < len(run.attempts):
+            attempt = run.attempts[taken]
+            taken += 1
+            if attempt.endpoint in lost:
+                run.fail(attempt, 'not_started')
+            else:
+                run.now_ms = 1_006.0 + 50.0 * number
+                run.answer(attempt)
+        assert run.reply.result_code is ResultCode.COMPLETE
+        extra += len(run.attempts) - service_count
+    assert extra <= 4 * service_count
--- /dev/null
+++ b/tests/test_suspects/test_suspects.py
@@ -0,0 +1,137 @@
+"""Guard against requests that crash one endpoint after another, and against blaming others."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.messages.peer import CrashReport, SuccessReport
+from pistachioloft_core.process.suspects import (
+    FORGET_AFTER_MS,
+    MAX_ENTRY_COUNT,
+    Standing,
+    SuspectState,
+    expire_suspects,
+    on_crash,
+    on_success,
+    reports_since,
+    standing,
+)
+
+
+def crash(endpoint: str, incarnation: int = 1, age_ms: float = 0.0) -> CrashReport:
+    return CrashReport('yard', 'digest', endpoint, incarnation, age_ms)
+
+
+def judge(state: SuspectState, now_ms: float) -> Standing:
+    return standing(state, now_ms, 'yard', 'digest')
+
+
+def test_second_incarnation_condemns() -> None:
+    """Guard against a request that crashes restarted endpoints for ever."""
+    state = SuspectState()
+    on_crash(state, 0.0, crash('a'))
+    assert judge(state, 1.0) is Standing.SUSPECTED
+    on_crash(state, 2.0, crash('a'))
+    assert judge(state, 3.0) is Standing.SUSPECTED
+    on_crash(state, 4.0, crash('a', 2))
+    assert judge(state, 5.0) is Standing.CONDEMNED
+    assert standing(state, 5.0, 'field', 'digest') is Standing.CLEAR
+
+
+def test_success_in_between_clears_a_bystander() -> None:
+    """Guard against condemning a request that was in flight at unrelated crashes."""
+    state = SuspectState()
+    on_crash(state, 0.0, crash('a'))
+    on_success(state, 50.0, SuccessReport('yard', 'digest', 0.0))
+    on_crash(state, 100.0, crash('b'))
+    assert judge(state, 101.0) is Standing.SUSPECTED
+
+
+def test_success_counts_before_its_crash_is_reported() -> None:
+    """Guard against a crash report that arrives after the success that disproves it."""
+    state = SuspectState()
+    on_success(state, 50.0, SuccessReport('yard', 'digest', 0.0))
+    on_crash(state, 300.0, crash('a', age_ms=290.0))
+    on_crash(state, 300.0, crash('b', age_ms=280.0))
+    assert judge(state, 301.0) is Standing.CLEAR
+
+
+def test_entries_expire_and_stay_bounded() -> None:
+    """Guard against a refusal without end and against memory without bound."""
+    state = SuspectState()
+    on_crash(state, 0.0, crash('a'))
+    on_crash(state, 1.0, crash('b'))
+    assert judge(state, FORGET_AFTER_MS) is Standing.SUSPECTED
+    expire_suspects(state, FORGET_AFTER_MS + 2.0)
+    assert not state.entries
+    for number in range(MAX_ENTRY_COUNT + 10):
+        on_crash(state, 0.0, CrashReport('yard', f'd{number}', 'a', 1, 0.0))
+    assert len(state.entries) == MAX_ENTRY_COUNT
+
+
+def test_peers_stop_passing_on_what_they_know() -> None:
+    """Guard against reports that travel between peers for ever or never age."""
+    states = [SuspectState(), SuspectState()]
+    on_crash(states[0], 0.0, crash('a'))
+    on_success(states[1], 0.0, SuccessReport('yard', 'other', 0.0))
+    since = [0.0, 0.0]
+    passed = 0
+    for turn in range(20):
+        now_ms = 250.0 * turn
+        giver = turn % 2
+        crashes, successes = reports_since(states[giver], now_ms, since[giver])
+        since[giver] = now_ms + 0.1
+        passed += len(crashes) + len(successes)
+        for report in crashes:
+            on_crash(states[1 - giver], now_ms, report)
+        for success in successes:
+            on_success(states[1 - giver], now_ms, success)
+    assert passed <= 4
+    assert all(judge(state, 5_000.0) is Standing.SUSPECTED for state in states)
+    assert all(judge(state, FORGET_AFTER_MS + 1.0) is Standing.CLEAR for state in states)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(('crash', 'success')),
+        st.sampled_from(('a', 'b', 'c')),
+        st.integers(1, 2),
+        st.integers(0, 2),
+    ),
+    max_size=12,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(EVENTS, st.integers(0, 1_000))
+def test_instances_agree_with_the_true_course(
+    events: list[tuple[str, str, int, int]], turn: int
+) -> None:
+    """Guard against a standing that depends on the order in which reports arrive."""
+    states = [SuspectState() for _ in range(3)]
+    crashes: dict[tuple[str, int], float] = {}
+    success_ms = -1.0
+    now_ms = 0.0
+    for kind, endpoint, incarnation, at in events:
+        now_ms += 200.0
+        if kind == 'crash':
+            if (endpoint, incarnation) in crashes:
+                continue  # an incarnation crashes once
+            crashes[(endpoint, incarnation)] = now_ms
+            on_crash(states[at], now_ms, crash(endpoint, incarnation))
+        else:
+            success_ms = now_ms
+            on_success(states[at], now_ms, SuccessReport('yard', 'digest', 0.0))
+    for round_number in range(4):
+        now_ms += 250.0
+        for giver in range(3):
+            taker = (giver + 1 + (turn + round_number) % 2) % 3
+            reports, successes = reports_since(states[giver], now_ms, 0.0)
+            for success in successes:
+                on_success(states[taker], now_ms, success)
+            for report in reports:
+                on_crash(states[taker], now_ms, report)
+    later = sum(time_ms > success_ms for time_ms in crashes.values())
+    expected = (Standing.CLEAR, Standing.SUSPECTED, Standing.CONDEMNED)[min(later, 2)]
+    assert [judge(state, now_ms) for state in states] == [expected] * 3
