Check the budget's window when an extra try is sent

The rule is checked when an extra try is sent; the bound for any window (allowance plus 5% of its first tries) is checked for all windows, as before.

--- a/tests/test_budget/test_budget.py
+++ b/tests/test_budget/test_budget.py
@@ -43,6 +43,8 @@
             extras += [now_ms] * sum(take_retry(state, now_ms) for _ in range(200))
         elif (take_hedge if kind == 'hedge' else take_retry)(state, now_ms, count):
             extras += [now_ms] * count
+        if not extras or extras[-1] < now_ms:
+            continue
         window = sum(time > now_ms - WINDOW_MS for time in extras)
         # Counts are kept in slots of 100 ms.
         first = sum(n for time, n in firsts if time > now_ms - WINDOW_MS - 100.0)
