Print every option that a resend needs

Cause: the voters keep the outcome of a command id together with a digest of the whole command, so a resend with another operator or note is refused. Before: the hint named the command id and the base index. Conclusion: a hint can be pasted behind the original command.

--- a/packages/cli/src/pistachioloft_cli/config_commands.py
+++ b/packages/cli/src/pistachioloft_cli/config_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shlex
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -163,8 +164,10 @@
             operator=operator_name(operator),
             note=note,
         )
-        again = f'--command-id {identifier} --base-index {message.base_index}'
-        output.progress(f'To send this change again, add {again}')
+        again = ('--command-id', identifier, '--base-index', str(message.base_index))
+        # A command id stands for the whole command, so operator and note have to be the same.
+        words = (*again, '--operator', message.operator, '--note', note)
+        output.progress(f'To send this change again, use {shlex.join(words)}')
         answer = send_change(message, '/v1/config', tuple(at), output)
         _end_submit(message, answer, lines, tuple(at), wait_limit_s if wait else None, output)
 
--- a/packages/cli/src/pistachioloft_cli/system_commands.py
+++ b/packages/cli/src/pistachioloft_cli/system_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shlex
 import time
 from dataclasses import dataclass
 from pathlib import Path  # noqa: TC003
@@ -147,7 +148,8 @@
     message = DrainInstance(
         draft.command_id, draft.instance, draft.draining, operator_name(operator)
     )
-    output.progress(f'To send this change again, add --command-id {message.command_id}')
+    words = ('--command-id', message.command_id, '--operator', message.operator)
+    output.progress(f'To send this change again, use {shlex.join(words)}')
     with output.failures():
         answer = send_change(message, '/v1/instances/drain', tuple(at), output)
         exit_code = end_of_change(answer)
--- a/tests/test_cli/test_operator_commands.py
+++ b/tests/test_cli/test_operator_commands.py
@@ -134,7 +134,8 @@
     (message,) = submitted(fake)
     assert (message.base_index, message.operator, message.note) == (4, 'ann', 'yard joins')
     assert message.configuration == CONFIGURATION
-    assert f'--command-id {message.command_id} --base-index 4' in ended.err
+    again = f"--command-id {message.command_id} --base-index 4 --operator ann --note 'yard joins'"
+    assert again in ended.err
 
 
 def test_lost_submit_is_repeated_with_its_command_id(
