Submit the first configuration and log libraries at warning only

Cause: a run of the command line against six real instances showed that a new cluster refuses to show its empty configuration, so that the first one could not be submitted; that `--wait` said "in force everywhere" with one instance killed, because the leader counts a fenced instance as done; and that 6,799 of the log lines were CherryPy's lines for announcements. Before: the first submit ends with exit code 1. Conclusion: base index 0 is used only if the leader itself reports index 0.

--- a/packages/cli/src/pistachioloft_cli/config_commands.py
+++ b/packages/cli/src/pistachioloft_cli/config_commands.py
@@ -23,6 +23,8 @@
 from .operators import (
     describe_force,
     end_of_change,
+    in_force_on_all,
+    read_base,
     read_config,
     read_history,
     send_change,
@@ -116,7 +118,7 @@
     output = Output(as_json)
     with output.failures():
         configuration = read_register(folder)
-        base = read_config(tuple(at), output)
+        base = read_base(tuple(at), output)
         lines = difference(base.configuration, configuration)
         _show_difference(lines, base.index, output)
         output.document(DifferenceResult(base.index, lines))
@@ -151,7 +153,7 @@
         raise typer.BadParameter('give both --command-id and --base-index, or none')
     with output.failures():
         configuration = read_register(folder)
-        base = read_config(tuple(at), output)
+        base = read_base(tuple(at), output)
         lines = difference(base.configuration, configuration)
         _show_difference(lines, base.index, output)
         if command_id is None and not lines:
@@ -246,7 +248,7 @@
 
 
 def _end_wait(report: InForceReport | None, output: Output) -> ExitCode:
-    if report is not None and report.everywhere:
+    if report is not None and in_force_on_all(report):
         output.lines('In force everywhere.')
         return ExitCode.DONE
     if report is None:
--- a/packages/cli/src/pistachioloft_cli/operators.py
+++ b/packages/cli/src/pistachioloft_cli/operators.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.codec import encode_json
+from pistachioloft_core.messages.accepted import AcceptedConfiguration, Configuration
 from pistachioloft_core.messages.operator import (
     FORCE_IN_FORCE,
     ConfigReply,
@@ -24,11 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from pistachioloft_core.messages.accepted import (
-        AcceptedConfiguration,
-        DrainInstance,
-        SubmitConfiguration,
-    )
+    from pistachioloft_core.messages.accepted import DrainInstance, SubmitConfiguration
 
     from .output import Output
 
@@ -73,6 +70,16 @@
     return answer.reply.accepted
 
 
+def read_base(at: tuple[str, ...], output: Output) -> AcceptedConfiguration:
+    """Read the configuration from which a change is made; a new cluster has an empty one."""
+    leader = read_status(at).leader_reply
+    if leader is not None and leader.in_force is not None and leader.in_force.index == 0:
+        # Instances take no work and show no configuration until the first one is accepted.
+        output.progress('The voters have not accepted any configuration yet.')
+        return AcceptedConfiguration(0, 0, '', Configuration())
+    return read_config(at, output)
+
+
 def read_history(at: tuple[str, ...], output: Output) -> HistoryReply:
     """Read the accepted submissions."""
     answer = exchange(Call('GET', '/v1/config/history', HistoryReply), at, output.progress)
@@ -117,7 +124,8 @@
     view = read_status(at, with_endpoints)
     if not view.replies:
         tries = tuple(Try(address, False, 'gave no status') for address in view.unreachable)
-        raise CommandFailure(ExitCode.NOT_REACHABLE, 'No address gave its status.', tries)
+        detail = f'No status from {", ".join(view.unreachable)}.'
+        raise CommandFailure(ExitCode.NOT_REACHABLE, detail, tries)
     return view
 
 
@@ -134,7 +142,7 @@
         if report is not None and report.index >= index:
             last = report
             line = describe_force(report)
-            if report.everywhere:
+            if in_force_on_all(report):
                 output.progress(line)
                 return report
         else:
@@ -147,6 +155,11 @@
         time.sleep(WAIT_POLL_MS / 1000)
 
 
+def in_force_on_all(report: InForceReport) -> bool:
+    """Tell whether no instance is left out, not even a fenced one that takes no work."""
+    return report.everywhere and all(each.state == FORCE_IN_FORCE for each in report.instances)
+
+
 def describe_force(report: InForceReport) -> str:
     """Say where a configuration is in force and where it is not."""
     others = [each for each in report.instances if each.state != FORCE_IN_FORCE]
@@ -155,4 +168,6 @@
     if others:
         names = ', '.join(f'{each.instance} ({each.state}, index {each.index})' for each in others)
         line = f'{line}; not on {names}'
+    if others and report.everywhere:
+        line = f'{line}. Every instance that takes work has it'
     return f'{line}.'
--- a/packages/cli/src/pistachioloft_cli/output.py
+++ b/packages/cli/src/pistachioloft_cli/output.py
@@ -57,8 +57,6 @@
         try:
             yield
         except CommandFailure as failure:
-            for each in failure.tries:
-                self.progress(f'  {each.address}: {each.detail}')
             for mistake in failure.mistakes:
                 self.progress(f'  {mistake}')
             self.progress(failure.detail)
--- a/packages/cli/src/pistachioloft_cli/rehearsal.py
+++ b/packages/cli/src/pistachioloft_cli/rehearsal.py
@@ -130,6 +130,8 @@
     ]
     if report.reverted:
         lines.append('REVERTED: the configuration accepted before is no longer the accepted one.')
+    elif report.changed and before.accepted_digest == after.accepted_digest:
+        lines.append('The content is the same; it was accepted again, or instances were drained.')
     elif report.changed:
         lines.append('Newer submissions were accepted since; see config history.')
     else:
--- a/packages/daemon/src/pistachioloft_daemon/logs.py
+++ b/packages/daemon/src/pistachioloft_daemon/logs.py
@@ -187,12 +187,19 @@
     return logging.getLogger(f'pistachioloft.{part}')
 
 
+def _is_wanted(record: logging.LogRecord) -> bool:
+    # Libraries log every HTTP request: a trial of under a minute with 6 instances and 106 endpoints
+    # wrote 6,799 such lines for announcements.
+    return record.levelno >= logging.WARNING or record.name.startswith('pistachioloft')
+
+
 def configure_logs(
     level: str, stream: TextIO | None = None, queue_record_count: int = QUEUE_RECORD_COUNT
 ) -> LogHandle:
     """Send all log records to standard error through a bounded queue."""
     handler = _BoundedHandler(queue.Queue(queue_record_count))
     handler.setFormatter(_MessageFormatter())
+    handler.addFilter(_is_wanted)
     target = _LineWriter(stream)
     target.setFormatter(LineFormatter())
     listener = _Listener(handler, target)
--- a/tests/test_cli/test_operator_commands.py
+++ b/tests/test_cli/test_operator_commands.py
@@ -12,6 +12,7 @@
 from pistachioloft_core.messages.accepted import (
     AcceptedConfiguration,
     CallerEntry,
+    Configuration,
     DrainInstance,
     SubmitConfiguration,
 )
@@ -138,6 +139,29 @@
     assert again in ended.err
 
 
+def test_first_submit_needs_no_configuration_in_force(
+    run: Run, folder: Path, fake: FakeInstance
+) -> None:
+    """Guard against a new cluster that can never get its first configuration."""
+    empty = AcceptedConfiguration(0, 0, '', Configuration())
+    fenced = ErrorReply(ResultCode.FENCED, RESULTS[ResultCode.FENCED].run_status, 'none yet')
+    fake.answer('GET', '/v1/config', fenced)
+    fake.answer('GET', '/v1/status', status(empty, ()), status(NEW))
+    ended = submit(run, folder, fake, '--wait')
+    assert ended.exit_code == 0
+    assert '+ instance e1' in ended.out
+    assert submitted(fake)[0].base_index == 0
+
+
+def test_fenced_instances_give_no_base(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against a submission that takes an unknown configuration for an empty one."""
+    fenced = ErrorReply(ResultCode.FENCED, RESULTS[ResultCode.FENCED].run_status, 'no lease')
+    fake.answer('GET', '/v1/config', fenced)
+    fake.answer('GET', '/v1/status', status(NEW, leader=False))
+    assert submit(run, folder, fake).exit_code == 1
+    assert submitted(fake) == []
+
+
 def test_lost_submit_is_repeated_with_its_command_id(
     run: Run, folder: Path, fake: FakeInstance
 ) -> None:
@@ -223,6 +247,19 @@
     assert ended.document['in_force']['everywhere'] is False
 
 
+def test_wait_names_a_fenced_instance(run: Run, folder: Path, fake: FakeInstance) -> None:
+    """Guard against `everywhere` while an instance is down and has not got the change."""
+    reply = status(NEW, ('in_force', 'fenced'))
+    assert reply.in_force is not None
+    # The leader counts a fenced instance as harmless, since it takes no work.
+    reply = replace(reply, in_force=replace(reply.in_force, everywhere=True))
+    fake.answer('GET', '/v1/status', reply)
+    ended = submit(run, folder, fake, '--wait', '--wait-limit-s', '0')
+    assert ended.exit_code == 7
+    assert 'e2 (fenced' in ended.err
+    assert 'Every instance that takes work has it' in ended.err
+
+
 def test_wait_without_the_leader(run: Run, folder: Path, fake: FakeInstance) -> None:
     """Guard against `done` where nobody knows what is in force."""
     fake.answer('GET', '/v1/status', status(NEW, leader=False))
@@ -303,6 +340,7 @@
     [
         (NEW, status(NEW), 0, 'The accepted configuration is the same'),
         (accepted(6, ('yard', 'x')), None, 0, 'Newer submissions were accepted'),
+        (replace(NEW, index=6), None, 0, 'The content is the same'),
         (OLD, status(OLD), 6, 'REVERTED'),
         (OTHER, status(OTHER), 6, 'REVERTED'),
         (NEW, status(NEW, ('in_force', 'fenced')), 7, 'Fenced instances: e2'),
--- a/tests/test_settings/test_logs.py
+++ b/tests/test_settings/test_logs.py
@@ -70,6 +70,19 @@
     assert re.match(head + r'error \[storage\] Write failed\. \| Traceback .*disk full', second)
 
 
+def test_libraries_log_warnings_only() -> None:
+    """Guard against a log that is filled with a line for each HTTP request."""
+    stream = io.StringIO()
+    handle = configure_logs('debug', stream)
+    access = logging.getLogger('cherrypy.access')
+    access.setLevel(logging.INFO)
+    access.info('POST /v1/announce')
+    access.warning('slow')
+    handle.stop()
+    (line,) = stream.getvalue().splitlines()
+    assert line.endswith('warning [process] slow')
+
+
 def test_logger_names_map_to_parts() -> None:
     """Guard against a module whose records carry the prefix of another part."""
     assert part_of('pistachioloft_core.process.agreement.raft') == 'agreement'
