--- a/packages/cli/src/pistachioloft_cli/program.py
+++ b/packages/cli/src/pistachioloft_cli/program.py
@@ -65,7 +65,7 @@
         detail = f'no result code {code!r}; docs/result-codes.md lists them'
         raise typer.BadParameter(detail, param_hint='CODE') from None
     info = RESULTS[result]
-    advice = 'Sending it again gives the same result.' if info.final else 'It may be sent again.'
+    advice = 'It is final.' if info.final else 'It may be sent again.'
     output.lines(
         f'{int(result)} {result.name.lower()}: {info.summary}',
         f'The request: {info.run_status.value.replace("_", " ")}. {advice}',
