Wait for a change as long as an instance does

Cause: an instance waits up to 8 s for the voters and then says that the outcome is unknown; the command line gave up after 5 s and took the answer for lost. Before: with two of three voters killed, a submission ended after 24.8 s with three answers timed out. Conclusion: the exit code, 4, is the same; its reason is the one the instance gives.

--- a/packages/cli/src/pistachioloft_cli/operators.py
+++ b/packages/cli/src/pistachioloft_cli/operators.py
@@ -20,7 +20,7 @@
 
 from .callers import refusal
 from .exits import CommandFailure, ExitCode, Try, exit_code_of
-from .transport import Answer, Call, exchange
+from .transport import CHANGE_ANSWER_MS, Answer, Call, exchange
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,7 +29,7 @@
 
     from .output import Output
 
-STATUS_ANSWER_MS = 2_000
+STATUS_ANSWER_MS = 2_500
 # An accepted change is due within 2 s on 7 instances; five polls show its progress.
 WAIT_POLL_MS = 400
 
@@ -92,7 +92,14 @@
     message: SubmitConfiguration | DrainInstance, path: str, at: tuple[str, ...], output: Output
 ) -> Answer[OperatorReply]:
     """Send a change; its command id makes it safe to send it again."""
-    call = Call('POST', path, OperatorReply, body=encode_json(message), changes=True)
+    call = Call(
+        'POST',
+        path,
+        OperatorReply,
+        body=encode_json(message),
+        answer_ms=CHANGE_ANSWER_MS,
+        changes=True,
+    )
     return exchange(call, at, output.progress)
 
 
--- a/packages/cli/src/pistachioloft_cli/transport.py
+++ b/packages/cli/src/pistachioloft_cli/transport.py
@@ -23,8 +23,10 @@
 T = TypeVar('T')
 
 CONNECT_TIMEOUT_MS = 1_000
-OPERATOR_ANSWER_MS = 5_000
-OPERATOR_TOTAL_MS = 20_000
+OPERATOR_ANSWER_MS = 3_000
+# An instance waits up to 8 s for the voters, then says that the outcome is unknown.
+CHANGE_ANSWER_MS = 10_000
+OPERATOR_TOTAL_MS = 30_000
 ROUND_COUNT = 2
 WAITING_NOTE_S = 1.0
 ROUND_PAUSE_MS = 200
