--- a/packages/cli/src/pistachioloft_cli/config_commands.py
+++ b/packages/cli/src/pistachioloft_cli/config_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shlex
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,6 +23,8 @@
 from .operators import (
     describe_force,
     end_of_change,
+    in_force_on_all,
+    read_base,
     read_config,
     read_history,
     send_change,
@@ -115,7 +118,7 @@
     output = Output(as_json)
     with output.failures():
         configuration = read_register(folder)
-        base = read_config(tuple(at), output)
+        base = read_base(tuple(at), output)
         lines = difference(base.configuration, configuration)
         _show_difference(lines, base.index, output)
         output.document(DifferenceResult(base.index, lines))
@@ -150,7 +153,7 @@
         raise typer.BadParameter('give both --command-id and --base-index, or none')
     with output.failures():
         configuration = read_register(folder)
-        base = read_config(tuple(at), output)
+        base = read_base(tuple(at), output)
         lines = difference(base.configuration, configuration)
         _show_difference(lines, base.index, output)
         if command_id is None and not lines:
@@ -163,8 +166,10 @@
             operator=operator_name(operator),
             note=note,
         )
-        again = f'--command-id {identifier} --base-index {message.base_index}'
-        output.progress(f'To send this change again, add {again}')
+        again = ('--command-id', identifier, '--base-index', str(message.base_index))
+        # A command id stands for the whole command, so operator and note have to be the same.
+        words = (*again, '--operator', message.operator, '--note', note)
+        output.progress(f'To send this change again, use {shlex.join(words)}')
         answer = send_change(message, '/v1/config', tuple(at), output)
         _end_submit(message, answer, lines, tuple(at), wait_limit_s if wait else None, output)
 
@@ -243,7 +248,7 @@
 
 
 def _end_wait(report: InForceReport | None, output: Output) -> ExitCode:
-    if report is not None and report.everywhere:
+    if report is not None and in_force_on_all(report):
         output.lines('In force everywhere.')
         return ExitCode.DONE
     if report is None:
