Describe each result in one line

Cause: results were printed in four slightly different ways, and a detail that repeats the summary was printed twice. Before: "submit_unknown (503): The change may be accepted; resend it with the same command id." with the same sentence behind it. Conclusion: every command uses the same description.

--- a/packages/cli/src/pistachioloft_cli/caller_commands.py
+++ b/packages/cli/src/pistachioloft_cli/caller_commands.py
@@ -9,7 +9,6 @@
 
 import typer
 
-from pistachioloft_core.errors import RESULTS
 from pistachioloft_core.messages.public import (
     PRIORITY_CLASSES,
     CommandReply,
@@ -19,7 +18,7 @@
     QueryRequest,
 )
 
-from .callers import end_of, find_addresses, refusal, send_command, send_query
+from .callers import describe_result, end_of, find_addresses, refusal, send_command, send_query
 from .exits import ExitCode
 from .options import Caller, CallerAt, Json, new_identifier
 from .output import Output, table
@@ -92,10 +91,7 @@
 def _show_query(reply: QueryReply, output: Output) -> None:
     for row in reply.rows:
         output.lines(json.dumps(row, ensure_ascii=False, sort_keys=True))
-    info = RESULTS[reply.result_code]
-    output.progress(f'{info.code.name.lower()} ({int(info.code)}): {info.summary}')
-    if reply.detail:
-        output.progress(reply.detail)
+    output.progress(describe_result(reply.result_code, reply.detail))
     if reply.snapshot is not None and reply.coverage is not None:
         coverage = reply.coverage
         output.progress(
@@ -155,10 +151,9 @@
 
 def _show_command(answer: Answer[CommandReply], output: Output) -> None:
     reply = answer.reply
-    info = RESULTS[reply.result_code]
     if isinstance(reply, CommandReply) and reply.outcome is not None:
         output.lines(json.dumps(reply.outcome, ensure_ascii=False, sort_keys=True))
-    output.progress(f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {reply.detail}')
+    output.progress(describe_result(reply.result_code, reply.detail))
     if end_of(answer, repeats=True) is ExitCode.UNKNOWN:
         output.progress('The outcome is unknown; send the command again with the same key.')
     if reply.retry_after_ms is not None:
--- a/packages/cli/src/pistachioloft_cli/callers.py
+++ b/packages/cli/src/pistachioloft_cli/callers.py
@@ -6,7 +6,7 @@
 from urllib.parse import urlencode
 
 from pistachioloft_core.codec import encode_json
-from pistachioloft_core.errors import RESULTS
+from pistachioloft_core.errors import RESULTS, ResultCode
 from pistachioloft_core.messages.public import (
     AddressesReply,
     CommandReply,
@@ -85,11 +85,17 @@
 
 def refusal(reply: ErrorReply, tries: tuple[Try, ...] = ()) -> CommandFailure:
     """Make a failure of a reply that refuses a request."""
-    info = RESULTS[reply.result_code]
-    detail = f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {reply.detail}'
+    detail = describe_result(reply.result_code, reply.detail)
     if reply.retry_after_ms is not None:
         detail = f'{detail} Try again after {reply.retry_after_ms} ms.'
-    return CommandFailure(exit_code_of(reply.result_code), detail.strip(), tries)
+    return CommandFailure(exit_code_of(reply.result_code), detail, tries)
+
+
+def describe_result(code: ResultCode, detail: str = '') -> str:
+    """Describe a result in one line."""
+    summary = RESULTS[code].summary
+    line = f'{code.name.lower()} ({int(code)}): {summary}'
+    return line if detail in ('', summary) else f'{line} {detail}'
 
 
 def _addresses(reply: AddressesReply) -> tuple[str, ...]:
--- a/packages/cli/src/pistachioloft_cli/config_commands.py
+++ b/packages/cli/src/pistachioloft_cli/config_commands.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from pistachioloft_core.errors import RESULTS, ResultCode
+from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.accepted import SubmitConfiguration
 from pistachioloft_core.messages.operator import (
     InForceReport,
@@ -19,6 +19,7 @@
 from pistachioloft_core.util.describe import count_of
 from pistachioloft_core.version.configuration import difference
 
+from .callers import describe_result
 from .exits import CommandFailure, ExitCode
 from .operators import (
     describe_force,
@@ -221,8 +222,7 @@
 
 def _show_reply(answer: Answer[OperatorReply], output: Output) -> None:
     reply = answer.reply
-    info = RESULTS[reply.result_code]
-    output.progress(f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {reply.detail}')
+    output.progress(describe_result(reply.result_code, reply.detail))
     if isinstance(reply, OperatorReply):
         for mistake in reply.mistakes:
             output.progress(f'  {mistake}')
--- a/packages/cli/src/pistachioloft_cli/system_commands.py
+++ b/packages/cli/src/pistachioloft_cli/system_commands.py
@@ -12,10 +12,11 @@
 import typer
 
 from pistachioloft_core.codec import decode_json, encode_json
-from pistachioloft_core.errors import RESULTS, CodedError
+from pistachioloft_core.errors import CodedError
 from pistachioloft_core.messages.accepted import DrainInstance
 from pistachioloft_core.messages.public import ErrorReply  # noqa: TC001
 
+from .callers import describe_result
 from .exits import CommandFailure, ExitCode
 from .operators import (
     StatusView,
@@ -153,9 +154,7 @@
     with output.failures():
         answer = send_change(message, '/v1/instances/drain', tuple(at), output)
         exit_code = end_of_change(answer)
-        info = RESULTS[answer.reply.result_code]
-        line = f'{info.code.name.lower()} ({int(info.code)}): {info.summary} {answer.reply.detail}'
-        output.lines(line.strip())
+        output.lines(describe_result(answer.reply.result_code, answer.reply.detail))
         if exit_code is ExitCode.UNKNOWN:
             output.progress('The outcome is unknown; send it again with the same command id.')
         output.document(DrainResult(int(exit_code), message.command_id, answer.reply))
