--- a/packages/core/src/pistachioloft_core/process/agreement/lease.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/lease.py
@@ -80,5 +80,10 @@
     """Return how many more voters can be lost, 0 where this member cannot know."""
     if not has_lease(state, now_ms):
         return 0
-    live_count = sum(is_live(state, now_ms, voter) for voter in state.membership.voters)
-    return max(0, live_count - majority(state))
+    # Until a change is committed, a new leader may go by either membership.
+    pending = state.membership_index > state.commit_index
+    spare_counts = []
+    for _, membership in state.memberships[-2 if pending else -1 :]:
+        live_count = sum(is_live(state, now_ms, voter) for voter in membership.voters)
+        spare_counts.append(live_count - (len(membership.voters) // 2 + 1))
+    return max(0, min(spare_counts))
--- a/packages/core/src/pistachioloft_core/process/agreement/limits.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/limits.py
@@ -9,7 +9,9 @@
 # fifth, so that clocks whose rates differ by up to that much cannot make two leases overlap.
 LEASE_MS = 0.8 * ELECTION_TIMEOUT_MIN_MS
 TRANSFER_TIMEOUT_MS = ELECTION_TIMEOUT_MAX_MS
-SNAPSHOT_RETRY_MS = 10_000.0
+# The adapter ignores a request for a transfer that is running, so a retry costs nothing; a
+# transfer that failed in a partition must not keep a voter behind for long.
+SNAPSHOT_RETRY_MS = 1_000.0
 MAX_APPEND_ENTRIES = 256
 MAX_APPEND_BYTES = 256 * 1024
 MAX_IN_FLIGHT_ENTRIES = 2048
--- a/packages/core/src/pistachioloft_core/process/agreement/repair.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/repair.py
@@ -82,12 +82,13 @@
 
 def _ready_learners(state: AgreementState, now_ms: float) -> list[str]:
     """Return the live learners that hold nearly all committed entries."""
-    needed_index = state.commit_index - CAUGHT_UP_LAG_ENTRIES
+    # A learner votes for a candidate that has its promotion only if it knows its own admission;
+    # without it, the loss of another voter right after the promotion leaves no majority.
+    needed_index = max(state.membership_index, state.commit_index - CAUGHT_UP_LAG_ENTRIES)
     return [
         learner
         for learner in state.membership.learners
-        if is_live(state, now_ms, learner)
-        and state.progress[learner].match_index >= max(1, needed_index)
+        if is_live(state, now_ms, learner) and state.progress[learner].match_index >= needed_index
     ]
 
 
--- a/packages/core/src/pistachioloft_core/process/agreement/replication.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/replication.py
@@ -195,13 +195,18 @@
         reverse=True,
     )
     index = matches[majority(state) - 1]
-    if index <= state.commit_index or state.log.term_at(index) != state.term:
+    if index <= state.commit_index or not in_own_term(state, index):
         return
     apply_up_to(state, effects, index)
     if state.commit_index >= state.membership_index and not is_voter(state):
         _retire(state, effects, now_ms)
 
 
+def in_own_term(state: AgreementState, index: int) -> bool:
+    """Tell whether an entry is of the current term; only such entries are counted."""
+    return state.log.term_at(index) == state.term
+
+
 def _retire(state: AgreementState, effects: Effects, now_ms: float) -> None:
     """Hand over after the own removal is committed."""
     broadcast(state, effects, now_ms)
--- /dev/null
+++ b/tests/test_agreement/test_agreement_liveness.py
@@ -0,0 +1,164 @@
+"""Guard against a group that does not elect, replicate, repair or recover."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.messages.agreement import AppendRequest, HardState
+from pistachioloft_core.process import agreement as ag
+from pistachioloft_core.process.agreement import log, replication
+from tests.test_agreement.cluster import Cluster, Disk
+
+
+@pytest.mark.parametrize('voter_count', [1, 2, 3, 5])
+def test_restart_of_all_keeps_hundreds_of_entries(voter_count: int) -> None:
+    """Guard against a restart that falls back to older settings."""
+    cluster = Cluster(2, voter_count)
+    leader = cluster.commit(*(f'entry-{number}' for number in range(700)))
+    assert ag.can_lose(cluster.state(leader), cluster.now_ms) == (voter_count - 1) // 2
+    before = dict(cluster.committed)
+    for name in cluster.members:
+        cluster.crash(name)
+    cluster.settle()
+    assert before.items() <= cluster.committed.items()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_transfer_moves_leadership_at_once_or_not_at_all(seed: int) -> None:
+    """Guard against a planned stop that waits for an election, or a transfer that hangs."""
+    cluster = Cluster(seed, 3)
+    leader = cluster.commit('before')
+    target, other = (name for name in cluster.members if name != leader)
+    cluster.feed(leader, ag.TransferLeadership(target))
+    cluster.run(50)
+    assert cluster.leader() == target
+    cluster.commit('after')
+    cluster.crash(other)
+    cluster.feed(target, ag.TransferLeadership(other))
+    cluster.propose(target, 'during')
+    assert cluster.rejected['during'].reason == 'transferring'
+    cluster.run(4000)
+    cluster.settle()
+
+
+@pytest.mark.parametrize('action_count', range(14))
+def test_leader_crash_between_actions_loses_nothing(action_count: int) -> None:
+    """Guard against a commit that depends on what the leader has not made durable yet."""
+    cluster = Cluster(action_count, 3)
+    leader = cluster.commit('before')
+    cluster.members[leader].actions_left = action_count
+    for number in range(3):
+        cluster.propose(leader, f'entry-{number}')
+    cluster.run(400)
+    cluster.crash(leader)
+    assert cluster.commit('after') != leader
+    cluster.settle()
+
+
+@pytest.mark.parametrize('retained', [0, 20])
+def test_lagging_voter_catches_up_by_snapshot(
+    retained: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a voter that stays behind once the entries it lacks are compacted."""
+    monkeypatch.setattr(replication, 'RETAINED_ENTRIES', retained)
+    cluster = Cluster(3, 3)
+    cluster.snapshot_every = 25
+    leader = cluster.commit('before')
+    late, fresh = (name for name in cluster.members if name != leader)
+    for count, lagging in ((100, late), (10, late), (100, fresh)):
+        cluster.crash(lagging)
+        for number in range(count):
+            cluster.commit(f'{count}-{lagging}-{number}')
+        cluster.restart(lagging)
+        cluster.run(2000)
+        assert len(cluster.members[lagging].applied) == len(cluster.committed)
+    assert 2 <= cluster.transfer_count <= 3
+    cluster.settle()
+
+
+def test_append_messages_are_bounded() -> None:
+    """Guard against an append message that holds up the link."""
+    cluster = Cluster(4, 3)
+    leader = cluster.leader()
+    payloads = [b'x'] * 600 + [b'x' * 100_000] * 6 + [b'x' * 300_000]
+    batch = tuple(ag.Propose(f'{i}', payload, i) for i, payload in enumerate(payloads))
+    cluster.feed(leader, ag.ProposeBatch(batch))
+    cluster.run(2000)
+    assert all(cluster.is_committed(f'{number}') for number in range(len(payloads)))
+    appends = [
+        send.message.entries for _, send in cluster.sent if type(send.message) is AppendRequest
+    ]
+    assert max(len(entries) for entries in appends) == log.MAX_APPEND_ENTRIES
+    for entries in appends:
+        assert len(entries) <= 1 or sum(len(e.payload) for e in entries) <= log.MAX_APPEND_BYTES
+
+
+def test_members_follow_the_wanted_instances() -> None:
+    """Guard against voters that differ from the accepted voter instances."""
+    cluster = Cluster(5, 1)
+    for letter in 'bcd':
+        cluster.add(f'{letter}-0', Disk(HardState(0, None), ()))
+    for wanted in ('abc', 'bcd', 'd', 'abcd'):
+        cluster.wanted = tuple(wanted)
+        cluster.run(15_000)
+        voters = ag.membership(cluster.state(cluster.leader())).voters
+        assert sorted(voters) == [f'{letter}-0' for letter in wanted]
+    cluster.settle()
+
+
+FAULTS = ('crash', 'isolate', 'mend', 'wipe', 'propose', 'propose', 'transfer', 'lossy')
+PAUSES_MS = (0.5, 4.0, 30.0, 150.0, 700.0, 2500.0)
+COURSES = st.lists(
+    # The last position stands for the newest leader.
+    st.tuples(st.sampled_from(FAULTS), st.integers(0, 5), st.sampled_from(PAUSES_MS)),
+    max_size=40,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32), st.sampled_from((3, 5)), COURSES)
+def test_any_course_of_faults_keeps_what_is_committed(
+    seed: int, voter_count: int, course: list[tuple[str, int, float]]
+) -> None:
+    """Guard against lost, changed or repeated entries and against a group that stays stuck."""
+    cluster = Cluster(seed, voter_count)
+    cluster.wanted = tuple('abcde'[:voter_count])
+    cluster.snapshot_every = 10
+    with mock.patch.object(replication, 'RETAINED_ENTRIES', 3):
+        for number, (fault, position, pause_ms) in enumerate(course):
+            letter = cluster.wanted[position % voter_count]
+            name = max(n for n in cluster.members if n[0] == letter)
+            if position == 5 and cluster.leaders:
+                name = cluster.leaders[max(cluster.leaders)]
+            inflict(cluster, fault, name, number)
+            cluster.run(pause_ms)
+        cluster.settle()
+    payloads = [entry.payload for entry in cluster.committed.values() if entry.payload]
+    assert len(payloads) == len(set(payloads)), 'a proposal was committed twice'
+    for proposal_id in cluster.rejected:
+        assert proposal_id.encode() not in payloads, 'a rejected proposal was committed'
+
+
+def inflict(cluster: Cluster, fault: str, name: str, number: int) -> None:
+    """Apply one fault or request to a member."""
+    match fault:
+        case 'crash':
+            cluster.crash(name)
+        case 'wipe' if len(cluster.members) < 3 * len(cluster.wanted) // 2:
+            cluster.wipe(name)
+        case 'isolate':
+            cluster.isolate(name, *cluster.random.sample(list(cluster.members), number % 2))
+        case 'mend':
+            cluster.mend()
+        case 'lossy':
+            cluster.loss, cluster.delay_ms = 0.2, (0.5, 150.0)
+        case 'propose':
+            for proposer in cluster.running():
+                cluster.propose(proposer, f'{number}-{proposer}')
+        case 'transfer':
+            for leader in cluster.leaders.values():
+                cluster.feed(leader, ag.TransferLeadership(None))
--- /dev/null
+++ b/tests/test_agreement/test_agreement_safety.py
@@ -0,0 +1,263 @@
+"""Guard against broken rules of consensus, and show that each check can fail."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from pistachioloft_core.messages.agreement import (
+    ENTRY_COMMAND,
+    HardState,
+    LogEntry,
+    VoteReply,
+    VoteRequest,
+)
+from pistachioloft_core.process import agreement as ag
+from pistachioloft_core.process.agreement import election, log, replication
+from pistachioloft_core.process.agreement.state import is_voter
+from tests.test_agreement.cluster import Cluster, Disk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# The package exports the function `step` over the module of that name.
+step_module = sys.modules[ag.step.__module__]
+
+
+def vote_is_kept_over_a_crash() -> None:
+    """Guard against two votes of a voter in a term, around a crash."""
+    cluster = Cluster(1, 3)
+    cluster.isolate('a-0')
+    for candidate in ('b-0', 'c-0'):
+        cluster.run(700)
+        request = VoteRequest(9, candidate, 100, 8, pre_vote=False)
+        cluster.feed('a-0', ag.Received(candidate, request))
+        cluster.crash('a-0')
+        cluster.restart('a-0')
+    votes = [send for sender, send in cluster.sent if sender == 'a-0']
+    chosen = {v.to for v in votes if v.message == VoteReply(9, 'a-0', True, pre_vote=False)}
+    assert len(chosen) == 1, f'votes in one term for {sorted(chosen)}'
+
+
+def broken_link_leaves_the_leader() -> None:
+    """Guard against a voter that helps to replace a leader which it hears."""
+    cluster = Cluster(3, 3)
+    leader = cluster.commit('before')
+    other = next(name for name in cluster.members if name != leader)
+    cluster.blocked |= {(leader, other), (other, leader)}
+    cluster.run(5000)
+    assert cluster.leader() == leader, 'the leader was replaced while a quorum heard it'
+    cluster.commit('after')
+    cluster.settle()
+
+
+def lease_counts_from_sending() -> None:
+    """Guard against late answers that stretch a lease into the next leader's term."""
+    for seed in range(8):
+        cluster = Cluster(seed, 3)
+        leader = cluster.commit('before')
+        cluster.extra_delay_ms[leader] = 500.0
+        cluster.run(150)
+        cluster.blocked |= {(leader, name) for name in cluster.members}
+        cluster.run(3000)
+        assert cluster.leader() != leader
+
+
+def stale_leader_accepts_nothing() -> None:
+    """Guard against a leader that is cut off for ten minutes and still takes proposals."""
+    cluster = Cluster(4, 5)
+    old = cluster.commit('before')
+    cluster.isolate(old)
+    cluster.run(500)
+    for number in range(20):
+        cluster.propose(old, f'stale-{number}')
+        assert f'stale-{number}' in cluster.rejected, 'a stale leader accepted a proposal'
+        assert not ag.has_lease(cluster.state(old), cluster.now_ms)
+        cluster.run(30_000)
+    assert cluster.commit('after') != old
+    cluster.settle()
+
+
+def returning_voter_does_not_disturb() -> None:
+    """Guard against a voter that unseats the leader when it comes back."""
+    cluster = Cluster(5, 3)
+    leader = cluster.commit('before')
+    cluster.isolate(next(name for name in cluster.members if name != leader))
+    cluster.run(60_000)
+    term = cluster.state(leader).term
+    cluster.heal()
+    for _ in range(50):
+        cluster.run(100)
+        assert ag.has_lease(cluster.state(leader), cluster.now_ms), 'the leader was disturbed'
+    assert cluster.state(leader).term == term
+    cluster.settle()
+
+
+def wiped_voter_does_not_vote_before_promotion() -> None:
+    """Guard against a vote of a voter that lost its disk and is in no membership yet."""
+    cluster = Cluster(6, 3)
+    leader = cluster.commit('before')
+    lost, other = (name for name in cluster.members if name != leader)
+    cluster.crash(leader)
+    cluster.crash(other)
+    fresh = cluster.wipe(lost)
+    for pre_vote in (True, False):
+        request = VoteRequest(50, 'a-9', 900, 49, pre_vote, not pre_vote, 900)
+        cluster.feed(fresh, ag.Received('a-9', request))
+    cluster.run(10_000)
+    votes = [send.message for sender, send in cluster.sent if sender == fresh]
+    assert len(votes) == 2, 'a member of no membership stood for election'
+    for vote in votes:
+        assert isinstance(vote, VoteReply)
+        assert not vote.granted, 'a member of no membership voted'
+
+
+def only_a_complete_log_wins() -> None:
+    """Guard against a leader that lacks committed entries."""
+    for seed in range(6):
+        cluster = Cluster(seed, 5)
+        leader = cluster.commit('before')
+        others = [name for name in cluster.members if name != leader]
+        cluster.isolate(*others[:2])
+        cluster.commit('entry')
+        cluster.crash(leader)
+        cluster.crash(others[2])
+        cluster.heal()
+        assert cluster.leader() == others[3], 'a voter without the committed entry leads'
+        cluster.settle()
+
+
+def old_entry_is_not_counted_as_committed() -> None:
+    """Guard against an entry of an earlier term that a quorum holds and that is lost later."""
+    names = ('a-0', 'b-0', 'c-0', 'd-0', 'e-0')
+    cluster = Cluster(10, 5)
+    old = LogEntry(2, 2, ENTRY_COMMAND, 0, b'term 2')
+    rival = LogEntry(3, 2, ENTRY_COMMAND, 0, b'term 3')
+    for name, entries in zip(names, ((old,), (old,), (), (), (rival,)), strict=True):
+        cluster.crash(name)
+        cluster.members[name].disk.persist(ag.Persist(HardState(3, 'e-0'), None, entries))
+    for name in names[:3]:
+        cluster.restart(name)
+    while 2 not in cluster.committed:
+        assert cluster.now_ms < 20_000, 'nothing is committed'
+        cluster.run(0.5)
+    cluster.isolate(*names[:2])
+    for name in names[3:]:
+        cluster.restart(name)
+    cluster.run(8000)
+    cluster.settle()
+
+
+def isolated_leader_undoes_what_it_proposed() -> None:
+    """Guard against proposals of a cut-off leader that are committed or stay in force."""
+    cluster = Cluster(11, 3)
+    old = cluster.commit('before')
+    cluster.isolate(old)
+    change = ag.MembershipChange(ag.ADD_LEARNER, 'd-0')
+    cluster.feed(old, ag.ChangeMembership('stray', change, 0))
+    cluster.propose(old, 'stray-command')
+    assert ag.membership(cluster.state(old)).learners == ('d-0',)
+    cluster.run(5000)
+    cluster.settle()
+    assert not cluster.is_committed('stray-command')
+    assert ag.membership(cluster.state(old)).learners == (), 'a dropped change is in force'
+
+
+def delayed_handover_makes_no_second_lease() -> None:
+    """Guard against a leader that keeps its lease while its successor is elected."""
+    for seed in range(8):
+        cluster = Cluster(seed, 3)
+        leader = cluster.commit('before')
+        target = next(name for name in cluster.members if name != leader)
+        cluster.run(100)
+        cluster.blocked |= {(name, leader) for name in cluster.members}
+        cluster.feed(leader, ag.TransferLeadership(target))
+        cluster.run(300)
+        assert cluster.leader() == target
+
+
+def second_loss_after_repair_is_survived() -> None:
+    """Guard against a repair that leaves the group unable to lose another voter."""
+    for seed in range(6):
+        cluster = Cluster(seed, 3)
+        cluster.wanted = ('a', 'b', 'c')
+        leader = cluster.commit(*(f'entry-{number}' for number in range(100)))
+        lost, other = (name for name in cluster.members if name != leader)
+        fresh = cluster.wipe(lost)
+        cluster.extra_delay_ms[fresh] = 20.0
+        cluster.run(1250)
+        while ag.can_lose(cluster.state(leader), cluster.now_ms) < 1:
+            assert cluster.now_ms < 20_000, 'the group was not repaired'
+            cluster.run(0.1)
+        assert set(ag.membership(cluster.state(leader)).voters) == {leader, other, fresh}
+        # What it sent last is lost too, so the new member may lack its promotion.
+        gone = leader if seed % 2 else other
+        cluster.crash(gone)
+        cluster.isolate(gone)
+        cluster.commit('after')
+        cluster.settle()
+
+
+def keep_vote_in_memory_only(disk: Disk, action: ag.Persist) -> None:
+    PERSIST(disk, ag.Persist(None, action.truncate_from, action.entries))
+
+
+def count_lease_from_reply(_: Any, progress: Any, heartbeat_id: int, now_ms: float) -> None:
+    progress.heard_ms = progress.answered_ms = now_ms
+
+
+def skip_pre_vote(state: Any, effects: Any, now_ms: float) -> None:
+    election.start_election(state, effects, now_ms, transfer=False)
+
+
+def keep_lease(state: Any, effects: Any) -> None:
+    FINISH_TRANSFER(state, effects)
+    state.lease_given_up = False
+
+
+PERSIST, FINISH_TRANSFER = Disk.persist, replication.finish_transfer
+# Scenario, then the rule that is broken and how.
+GUARDS: list[tuple[Callable[[], None], Any, str, Any]] = [
+    (vote_is_kept_over_a_crash, Disk, 'persist', keep_vote_in_memory_only),
+    (broken_link_leaves_the_leader, election, 'hears_leader', lambda *_: False),
+    (lease_counts_from_sending, replication, 'note_answer', count_lease_from_reply),
+    (stale_leader_accepts_nothing, step_module, '_refusal', lambda *_: None),
+    (returning_voter_does_not_disturb, step_module, 'start_pre_vote', skip_pre_vote),
+    (wiped_voter_does_not_vote_before_promotion, election, 'may_vote', lambda *_: True),
+    (only_a_complete_log_wins, election, '_is_up_to_date', lambda *_: True),
+    (old_entry_is_not_counted_as_committed, replication, 'in_own_term', lambda *_: True),
+    (isolated_leader_undoes_what_it_proposed, replication, 'majority', lambda _: 1),
+    (
+        isolated_leader_undoes_what_it_proposed,
+        replication,
+        'truncate_log',
+        lambda state, index: state.log.truncate_from(index),
+    ),
+    (delayed_handover_makes_no_second_lease, step_module, 'finish_transfer', keep_lease),
+    (second_loss_after_repair_is_survived, election, 'may_vote', lambda state, _: is_voter(state)),
+]
+
+
+@pytest.fixture(autouse=True)
+def _single_entries(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Send entries one by one, so that a fault can act between two of them."""
+    monkeypatch.setattr(log, 'MAX_APPEND_ENTRIES', 1)
+
+
+@pytest.mark.parametrize('scenario', [guard[0] for guard in GUARDS])
+def test_scenario_holds(scenario: Callable[[], None]) -> None:
+    """Guard against the failure that the scenario names."""
+    scenario()
+
+
+@pytest.mark.parametrize(('scenario', 'owner', 'rule', 'broken'), GUARDS)
+def test_scenario_finds_the_broken_rule(
+    scenario: Callable[[], None], owner: Any, rule: str, broken: Any, monkeypatch: Any
+) -> None:
+    """Guard against a scenario that passes whatever the rules are."""
+    monkeypatch.setattr(owner, rule, broken)
+    with pytest.raises((AssertionError, ag.AgreementError)) as caught:
+        scenario()
+    print(f'{rule}: {caught.value}')
