Check claim and dispatch exhaustively and replay the runs against the code

Cause: a second execution needs several resends, lost answers and crashes in one order, which sampled tests can miss. Before: no specification. After: claim_specification.py models one key, four attempts of two entry instances, messages that arrive late, repeatedly or never, crashes and the end of the key's lifetime. Four seeded faults of the specification are found (release after an unknown outcome, dispatch before the commit, grant of a held claim, revived key), each within 14 steps. Conclusion: with the released answer for an attempt that has left its claim, no run of the model executes twice or reports a run as not run.

--- /dev/null
+++ b/tests/test_specification/claim_specification.py
@@ -0,0 +1,233 @@
+"""Specification of claim and dispatch for one key, as a transition system for Z3."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import z3
+
+ATTEMPTS = range(4)
+IDLE, WAITING, GRANTED, DISPATCHED, ENDED = range(5)
+NONE, HELD, RELEASED, RAN = range(4)
+NOT_SETTLED, SETTLED_PENDING, SETTLED_RELEASED = range(3)
+RESULTS = ('', 'granted', 'repeated', 'pending', 'released', 'expired')
+
+FAULT_RELEASE_UNKNOWN = 'released after an unknown outcome'
+FAULT_EARLY_DISPATCH = 'dispatched before the claim is committed'
+FAULT_GRANT_HELD = 'granted while another attempt holds the claim'
+FAULT_REVIVED_KEY = 'granted again after the lifetime of the key'
+FAULTS = (FAULT_RELEASE_UNKNOWN, FAULT_EARLY_DISPATCH, FAULT_GRANT_HELD, FAULT_REVIVED_KEY)
+
+# Fields of each attempt. Messages stay in flight: delivery may come late, repeatedly or never.
+_FLAGS = ('open_sent', 'grant_sent', 'ran_sent', 'release_sent', 'handed', 'executed', 'rejected')
+_FIELDS = {
+    **{f'{flag}{i}': z3.BoolSort() for flag in _FLAGS for i in ATTEMPTS},
+    **{f'status{i}': z3.BitVecSort(3) for i in ATTEMPTS},
+    **{f'settled{i}': z3.BitVecSort(2) for i in ATTEMPTS},
+    'claim': z3.BitVecSort(2),
+    'holder': z3.BitVecSort(2),
+    'expired': z3.BoolSort(),
+    'result': z3.BitVecSort(3),
+}
+State = dict[str, z3.ExprRef]
+
+
+@dataclass(frozen=True)
+class Action:
+    """Give one step: when it is possible and what it changes."""
+
+    name: str
+    attempt: int
+    guard: z3.BoolRef
+    changes: State
+
+
+def make_state(label: str) -> State:
+    return {name: z3.Const(f'{name}@{label}', sort) for name, sort in _FIELDS.items()}
+
+
+def is_initial(state: State) -> z3.BoolRef:
+    return z3.And(*(z3.Not(v) if z3.is_bool(v) else v == 0 for v in state.values()))
+
+
+def is_safe(state: State) -> z3.BoolRef:
+    """Demand at most one execution, and none of an attempt that was released as not run."""
+    runs = [(state[f'executed{i}'], 1) for i in ATTEMPTS]
+    truthful = [z3.Not(z3.And(state[f'release_sent{i}'], state[f'executed{i}'])) for i in ATTEMPTS]
+    return z3.And(z3.PbLe(runs, 1), *truthful)
+
+
+def actions(s: State, fault: str = '') -> list[Action]:
+    """List all steps from a state."""
+    found = [Action('expire', 0, z3.Not(s['expired']), {'expired': z3.BoolVal(True)})]
+    for i in ATTEMPTS:
+        found += _entry_actions(s, i, fault) + _log_actions(s, i, fault)
+    return found
+
+
+def _entry_actions(s: State, i: int, fault: str) -> list[Action]:
+    def step(name: str, guard: z3.BoolRef, status: int | None = None, flag: str = '') -> Action:
+        changes: State = {f'{flag}{i}': z3.BoolVal(True)} if flag else {}
+        if status is not None:
+            changes[f'status{i}'] = z3.BitVecVal(status, 3)
+        return Action(name, i, guard, changes)
+
+    status, handed = s[f'status{i}'], s[f'handed{i}']
+    untouched = z3.And(handed, z3.Not(s[f'executed{i}']), z3.Not(s[f'rejected{i}']))
+    # Attempts are alike, so only those sequences are searched that use them in order.
+    in_order = s[f'open_sent{i - 1}'] if i else z3.BoolVal(True)
+    may_dispatch = status == GRANTED
+    if fault == FAULT_EARLY_DISPATCH:
+        may_dispatch = z3.Or(may_dispatch, status == WAITING)
+    not_run = z3.Or(status == GRANTED, z3.And(status == DISPATCHED, s[f'rejected{i}']))
+    if fault == FAULT_RELEASE_UNKNOWN:
+        not_run = z3.Or(status == GRANTED, status == DISPATCHED)
+    active = z3.And(status != IDLE, status != ENDED)
+    return [
+        step('send_open', z3.And(status == IDLE, in_order), WAITING, 'open_sent'),
+        step('get_grant', z3.And(s[f'grant_sent{i}'], status == WAITING), GRANTED),
+        step('dispatch', may_dispatch, DISPATCHED, 'handed'),
+        step('execute', untouched, None, 'executed'),
+        step('reject', untouched, None, 'rejected'),
+        step('send_ran', z3.And(status == DISPATCHED, s[f'executed{i}']), ENDED, 'ran_sent'),
+        step('send_release', not_run, ENDED, 'release_sent'),
+        step('crash', active, ENDED),
+    ]
+
+
+def _log_actions(s: State, i: int, fault: str) -> list[Action]:
+    holds = z3.And(s['claim'] == HELD, s['holder'] == i, z3.Not(s['expired']))
+    ran: State = {'claim': z3.If(holds, z3.BitVecVal(RAN, 2), s['claim'])}
+    released: State = {'claim': z3.If(holds, z3.BitVecVal(RELEASED, 2), s['claim'])}
+    return [
+        Action('apply_open', i, s[f'open_sent{i}'], _open(s, i, fault)),
+        Action('apply_ran', i, s[f'ran_sent{i}'], ran),
+        Action('apply_release', i, s[f'release_sent{i}'], released),
+    ]
+
+
+def _open(s: State, i: int, fault: str) -> State:
+    claim, settled = s['claim'], s[f'settled{i}']
+    is_holder = s['holder'] == i
+    result = _choose(
+        [
+            (s['expired'], 'granted' if fault == FAULT_REVIVED_KEY else 'expired'),
+            (claim == NONE, 'granted'),
+            (claim == RAN, 'repeated'),
+            (z3.And(is_holder, claim == HELD), 'granted'),
+            (is_holder, 'released'),
+            (settled == SETTLED_PENDING, 'pending'),
+            (settled == SETTLED_RELEASED, 'released'),
+            (claim == HELD, 'granted' if fault == FAULT_GRANT_HELD else 'pending'),
+        ],
+        'granted',
+    )
+    granted, pending = (result == RESULTS.index(name) for name in ('granted', 'pending'))
+    changes: State = {
+        'result': result,
+        'claim': z3.If(granted, z3.BitVecVal(HELD, 2), claim),
+        'holder': z3.If(granted, z3.BitVecVal(i, 2), s['holder']),
+        f'grant_sent{i}': z3.Or(s[f'grant_sent{i}'], granted),
+        f'settled{i}': z3.If(pending, z3.BitVecVal(SETTLED_PENDING, 2), settled),
+    }
+    for other in ATTEMPTS:
+        if other != i:
+            left = z3.And(granted, claim == RELEASED, s['holder'] == other)
+            before = s[f'settled{other}']
+            changes[f'settled{other}'] = z3.If(left, z3.BitVecVal(SETTLED_RELEASED, 2), before)
+    return changes
+
+
+def _choose(cases: list[tuple[z3.BoolRef, str]], otherwise: str) -> z3.BitVecRef:
+    value = z3.BitVecVal(RESULTS.index(otherwise), 3)
+    for condition, name in reversed(cases):
+        value = z3.If(condition, z3.BitVecVal(RESULTS.index(name), 3), value)
+    return value
+
+
+def takes(s: State, t: State, chosen: z3.BitVecRef, fault: str = '') -> z3.BoolRef:
+    """Relate two successive states by the chosen step; 0 repeats the state."""
+    possible = actions(s, fault)
+    constraints = [z3.ULE(chosen, len(possible))]
+    values = dict(s)
+    for number, action in enumerate(possible, start=1):
+        constraints.append(z3.Implies(chosen == number, action.guard))
+        for name, value in action.changes.items():
+            values[name] = z3.If(chosen == number, value, values[name])
+    return z3.And(*constraints, *(t[name] == value for name, value in values.items()))
+
+
+def is_consistent(s: State) -> z3.BoolRef:
+    """State where the grant of each attempt is remembered; holds in every run."""
+    constraints = []
+    for i in ATTEMPTS:
+        granted, settled = s[f'grant_sent{i}'], s[f'settled{i}']
+        held_once = z3.Or(s['holder'] == i, settled == SETTLED_RELEASED)
+        never_left = z3.And(granted, settled == NOT_SETTLED)
+        fresh = z3.Not(z3.Or(granted, settled != NOT_SETTLED))
+        constraints += [
+            z3.ULE(s[f'status{i}'], ENDED),
+            s[f'open_sent{i}'] == (s[f'status{i}'] != IDLE),
+            z3.ULE(settled, SETTLED_RELEASED),
+            z3.Implies(granted, held_once),
+            z3.Implies(s['claim'] == NONE, fresh),
+            z3.Implies(z3.And(s['claim'] != NONE, s['holder'] == i), never_left),
+        ]
+    return z3.And(*constraints)
+
+
+def progress(s: State) -> list[z3.BoolRef]:
+    """List what cannot be undone: 7 conditions for each attempt, and the expiry."""
+    counted = [s['expired']]
+    for i in ATTEMPTS:
+        status, settled = s[f'status{i}'], s[f'settled{i}']
+        closed = z3.And(s['holder'] == i, z3.UGE(s['claim'], RELEASED))
+        counted += [
+            s[f'open_sent{i}'],
+            z3.Or(s[f'grant_sent{i}'], settled == SETTLED_PENDING),
+            z3.UGE(status, GRANTED),
+            z3.UGE(status, DISPATCHED),
+            z3.UGE(status, ENDED),
+            z3.Or(s[f'executed{i}'], s[f'rejected{i}']),
+            z3.Or(closed, settled == SETTLED_RELEASED),
+        ]
+    return counted
+
+
+def stalls() -> z3.BoolRef:
+    """Describe a step from a consistent state that changes the state without progress."""
+    s, t = make_state('before'), make_state('after')
+    changed = z3.Or(*(s[name] != t[name] for name in s if name != 'result'))
+    pairs = list(zip(progress(s), progress(t), strict=True))
+    undone = z3.Or(*(z3.And(before, z3.Not(after)) for before, after in pairs))
+    unmoved = z3.And(*(before == after for before, after in pairs))
+    fails = z3.Or(z3.Not(is_consistent(t)), undone, z3.And(changed, unmoved))
+    return z3.And(is_consistent(s), takes(s, t, z3.BitVec('chosen', 6)), fails)
+
+
+class Unrolled:
+    """Hold all runs of a given number of steps."""
+
+    def __init__(self, step_count: int, fault: str = '') -> None:
+        self.solver = z3.SolverFor('QF_FD')
+        self.states = [make_state(str(number)) for number in range(step_count + 1)]
+        self.chosen = [z3.BitVec(f'chosen@{number}', 6) for number in range(step_count)]
+        self.solver.add(is_initial(self.states[0]))
+        for number, chosen in enumerate(self.chosen):
+            s, t = self.states[number : number + 2]
+            self.solver.add(takes(s, t, chosen, fault))
+
+    def find(self, *goals: z3.BoolRef) -> list[tuple[str, int, str]] | None:
+        """Return the steps (name, attempt, claim result) of a run that meets the goals."""
+        if self.solver.check(*goals) == z3.unsat:
+            return None
+        model = self.solver.model()
+        steps = []
+        for number, chosen in enumerate(self.chosen):
+            choice = model.eval(chosen, model_completion=True).as_long()
+            if choice:
+                action = actions(self.states[number])[choice - 1]
+                after = model.eval(self.states[number + 1]['result'], model_completion=True)
+                result = RESULTS[after.as_long()] if action.name == 'apply_open' else ''
+                steps.append((action.name, action.attempt, result))
+        return steps
--- /dev/null
+++ b/tests/test_specification/test_claim_specification.py
@@ -0,0 +1,88 @@
+"""
+Check claim and dispatch exhaustively and compare the code with the specification.
+
+Z3 was chosen because its finite-domain solver covers all runs of the bounded system at once and
+returns a run for each fault; a search by hand would have to visit each interleaving.
+"""
+
+from __future__ import annotations
+
+import random
+
+import claim_specification as spec
+import pytest
+import z3
+
+from pistachioloft_core.messages.accepted import CloseClaim, OpenClaim
+from pistachioloft_core.version import accepted, claims
+
+# Four attempts of two entry instances. Each step that changes the state makes one of the 29
+# conditions of progress() true for good, so longer runs only repeat states.
+STEP_COUNT = 29
+
+
+def replay(steps, source):
+    """Apply the committed commands of a run to the code and return where the results differ."""
+    state, index, time_ms = accepted.AcceptedState(), 0, 1000
+    for number, (name, attempt, expected) in enumerate(steps):
+        attempt_id, holder = f'a{attempt}', f'e{attempt % 2}'
+        if name == 'expire':
+            time_ms += claims.KEY_LIFETIME_MS
+        elif name.startswith('apply_'):
+            command = CloseClaim('c', 'k', attempt_id, name == 'apply_ran', attempt)
+            if name == 'apply_open':
+                command = OpenClaim('c', 'k', 1000, 'digest', attempt_id, holder)
+            index += 1
+            outcome = accepted.apply_command(state, 1, index, time_ms, command)
+            if name == 'apply_open' and outcome.claim_result != expected:
+                return number, expected, outcome.claim_result
+        if source.random() < 0.3:
+            state = accepted.decode_snapshot(accepted.encode_snapshot(state))
+    return None
+
+
+def test_no_run_executes_twice_or_reports_a_run_as_not_run() -> None:
+    """Guard against a second execution in any run of four attempts with one key."""
+    runs = spec.Unrolled(STEP_COUNT)
+    assert runs.find(z3.Not(spec.is_safe(runs.states[-1]))) is None
+
+
+def test_no_run_is_longer_than_the_checked_bound() -> None:
+    """Guard against a bound that leaves out runs."""
+    solver = z3.SolverFor('QF_FD')
+    initial = spec.make_state('initial')
+    assert solver.check(spec.is_initial(initial), z3.Not(spec.is_consistent(initial))) == z3.unsat
+    assert len(spec.progress(initial)) == STEP_COUNT
+    assert solver.check(spec.stalls()) == z3.unsat
+
+
+@pytest.mark.parametrize('fault', spec.FAULTS)
+def test_seeded_fault_is_found(fault) -> None:
+    """Guard against a specification that cannot see the faults it is written for."""
+    runs = spec.Unrolled(14, fault)
+    steps = runs.find(z3.Not(spec.is_safe(runs.states[-1])))
+    assert steps is not None
+    if fault in (spec.FAULT_GRANT_HELD, spec.FAULT_REVIVED_KEY):
+        assert replay(steps, random.Random(1)) is not None
+
+
+def test_code_follows_the_specification() -> None:
+    """Guard against a state machine that answers otherwise than the checked specification."""
+    source = random.Random(7)
+    runs = spec.Unrolled(16)
+    last = runs.states[-1]
+    numbers = {(a.name, a.attempt): n for n, a in enumerate(spec.actions(last), start=1)}
+    applied = [number for (name, _), number in numbers.items() if name.startswith('apply_')]
+    # A release that arrives again after the claim has passed to another attempt.
+    late = [('apply_release', 0), ('apply_open', 1), ('apply_release', 0), ('apply_open', 2)]
+    goal_lists = [[runs.chosen[p] == numbers[step] for p, step in enumerate(late, start=8)]]
+    for number in range(40):
+        places = source.sample(range(6, 16), 2)
+        goals = [runs.chosen[place] == source.choice(applied) for place in places]
+        goal_lists.append([*goals, last['result'] == 1 + number % (len(spec.RESULTS) - 1)])
+    found = [steps for goals in goal_lists if (steps := runs.find(*goals)) is not None]
+    assert [replay(steps, source) for steps in found] == [None] * len(found)
+    answered = {(attempt, result) for steps in found for _, attempt, result in steps if result}
+    assert {result for _, result in answered} == set(spec.RESULTS) - {''}
+    assert len(found) >= 15
+    assert len(answered) >= 15
