Keep replies that the log cannot hold from ending a voter

Cause: a reply with an integer over 64 bits or with deep nesting, or an unreadable committed entry, raised while a voter encoded or applied it. Before: encode_command raised on such a reply and apply raised on such an entry. Conclusion: every committed entry has an outcome on every replica.

--- a/packages/core/src/pistachioloft_core/version/accepted.py
+++ b/packages/core/src/pistachioloft_core/version/accepted.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -21,7 +21,11 @@
     OpenClaim,
     SubmitConfiguration,
 )
-from .claims import Claim, ClaimTable, close_claim, expire_claims, open_claim
+from ..messages.agreement import ENTRY_COMMAND
+from .claims import Claim, ClaimTable, close_claim, expire_claims, is_storable, open_claim
+
+if TYPE_CHECKING:
+    from ..messages.agreement import LogEntry
 
 COMMAND_FORMAT = 1
 SNAPSHOT_FORMAT = 1
@@ -116,12 +120,26 @@
             return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.accepted.index)
 
 
+def apply_entry(state: AcceptedState, entry: LogEntry) -> CommandOutcome:
+    """Apply one committed log entry of any kind; every replica must apply all entries."""
+    command: AcceptedCommand = NoOperation()
+    if entry.kind == ENTRY_COMMAND:
+        try:
+            command = decode_command(entry.payload)
+        except CodedError as error:
+            # An unreadable entry is refused; raising would end every voter that applies it.
+            apply_command(state, entry.term, entry.index, entry.time_ms, command)
+            return CommandOutcome(error.code, error.detail)
+    return apply_command(state, entry.term, entry.index, entry.time_ms, command)
+
+
 def encode_command(command: AcceptedCommand) -> bytes:
-    """Encode a command for the log with its type."""
+    """Encode a command for the log with its type; a reply that is not storable is left out."""
+    if isinstance(command, CloseClaim) and not is_storable(command.outcome):
+        command = replace(command, outcome=None)
     try:
         return encode_packed((COMMAND_FORMAT, type(command).__name__, command))
-    except (TypeError, ValueError, OverflowError) as error:
-        # JSON allows integers that the packed form, with 64 bits, does not.
+    except (TypeError, ValueError, OverflowError, RecursionError) as error:
         raise CodedError(ResultCode.OUT_OF_RANGE, f'command cannot be stored: {error}') from error
 
 
--- a/packages/core/src/pistachioloft_core/version/claims.py
+++ b/packages/core/src/pistachioloft_core/version/claims.py
@@ -4,6 +4,7 @@
 
 import heapq
 from dataclasses import dataclass, replace
+from typing import Any
 
 from ..codec import decode_packed, encode_packed
 from ..errors import ResultCode
@@ -27,6 +28,10 @@
 KEY_FUTURE_LIMIT_MS = 60 * 1000
 OUTCOME_LIMIT_BYTES = 64 * 1024
 
+# Decoders recurse; a deeper reply could be readable on one replica and not on another, whose
+# stack is deeper when it applies the command.
+OUTCOME_LIMIT_DEPTH = 64
+
 # A claim costs about 0.35 KB of objects besides the text and the outcome that the byte limit
 # counts, so that a full table stays near 40 MB of the 64 MB that a daemon may use.
 CLAIM_LIMIT_COUNT = 65_536
@@ -81,6 +86,27 @@
         return text + len(self.outcome or b'')
 
 
+def is_storable(outcome: Any) -> bool:
+    """Tell whether the log can hold a reply; otherwise close the claim without a reply."""
+    level = [outcome]
+    for _ in range(OUTCOME_LIMIT_DEPTH):
+        level = [
+            inner
+            for value in level
+            if isinstance(value, dict | list | tuple)
+            for inner in (value.values() if isinstance(value, dict) else value)
+        ]
+        if not level:
+            break
+    else:
+        return False
+    try:
+        return len(encode_packed(outcome)) <= OUTCOME_LIMIT_BYTES
+    except (TypeError, ValueError, OverflowError):
+        # JSON allows integers that the packed form, with 64 bits, does not.
+        return False
+
+
 class ClaimTable:
     """Hold all claims whose keys are within their lifetime."""
 
@@ -153,10 +179,12 @@
     if not command.ran:
         table.claims[claim.caller, claim.idempotency_key] = replace(claim, state=RELEASED)
         return _closed(repeated=False)
-    packed = encode_packed(command.outcome)
-    with_outcome = replace(claim, state=RAN, outcome=packed)
-    if len(packed) > OUTCOME_LIMIT_BYTES or not _store(table, with_outcome):
-        table.claims[claim.caller, claim.idempotency_key] = replace(claim, state=RAN)
+    ran = replace(claim, state=RAN)
+    if command.outcome is not None and is_storable(command.outcome):
+        with_outcome = replace(ran, outcome=encode_packed(command.outcome))
+        if _store(table, with_outcome):
+            return _closed(repeated=False)
+    table.claims[claim.caller, claim.idempotency_key] = ran
     return _closed(repeated=False)
 
 
@@ -235,7 +263,7 @@
     stored = claim.outcome is not None
     return CommandOutcome(
         ResultCode.COMMAND_REPEATED,
-        '' if stored else 'the command ran; its reply was too large to keep',
+        '' if stored else 'the command ran; its reply was not kept',
         repeated=True,
         claim_result=CLAIM_REPEATED,
         claim_outcome=decode_packed(claim.outcome, object) if claim.outcome is not None else None,
--- a/packages/daemon/src/pistachioloft_daemon/storage/storage.py
+++ b/packages/daemon/src/pistachioloft_daemon/storage/storage.py
@@ -67,7 +67,7 @@
 
 
 class Storage:
-    """Append to one data folder; after a failed write or sync it only raises."""
+    """Append to one data folder, one call at a time; after a failed write it only raises."""
 
     def __init__(self, files: FileOperations, folder: str, lock: int, meta: FolderMeta) -> None:
         self._files = files
