--- a/packages/core/src/pistachioloft_core/process/budget.py
+++ b/packages/core/src/pistachioloft_core/process/budget.py
@@ -59,6 +59,12 @@
     return _take(state, now_ms, count, RETRY_RESERVE_COUNT)
 
 
+def hedge_scarcity(state: BudgetState) -> float:
+    """Return how far the balance for hedges is spent, from 0 (full) to 1 (empty)."""
+    kept = (state.balance - RETRY_RESERVE_COUNT) / (ALLOWANCE_COUNT - RETRY_RESERVE_COUNT)
+    return 1.0 - max(0.0, kept)
+
+
 def _take(state: BudgetState, now_ms: float, count: int, reserve: float) -> bool:
     slot = state.slot(now_ms)
     if state.balance - count < reserve:
--- a/packages/core/src/pistachioloft_core/process/latency.py
+++ b/packages/core/src/pistachioloft_core/process/latency.py
@@ -12,6 +12,9 @@
 # take about 15 ms, so a hedge sent after 30 ms is for a late sub-request only.
 DEFAULT_P95_MS = 30.0
 DEFAULT_MEDIAN_MS = 10.0
+# Where nearly all replies take equally long, one in 20 is past the percentile without
+# being late; hedging these spent the budget that stragglers need.
+LATE_FACTOR = 1.25
 
 
 class ServiceLatency:
@@ -41,7 +44,8 @@
             self._since_sort = 0
             ordered = sorted(self._samples)
             self.median_ms = ordered[count // 2]
-            self.p95_ms = ordered[min(count - 1, (count * 95) // 100)]
+            p95_ms = ordered[min(count - 1, (count * 95) // 100)]
+            self.p95_ms = max(p95_ms, LATE_FACTOR * self.median_ms)
 
 
 class LatencyState:
--- a/packages/core/src/pistachioloft_core/request/query.py
+++ b/packages/core/src/pistachioloft_core/request/query.py
@@ -163,6 +163,9 @@
         observe_failure(routing, attempt.endpoint, now_ms, result)
     if result.crashed or result.outcome == OUTCOME_UNKNOWN:
         query.doubted.add(result.endpoint)
+        if not result.crashed:
+            # The connection was lost; the endpoint may answer on another.
+            attempt.family.allow_again(result.endpoint)
     if result.crashed:
         query.crash_count += 1
         attempt.family.crash_count += 1
--- a/packages/core/src/pistachioloft_core/request/query_state.py
+++ b/packages/core/src/pistachioloft_core/request/query_state.py
@@ -28,7 +28,7 @@
 class Family:
     """Hold the attempts that were made for the shards of one first try."""
 
-    __slots__ = ('attempts', 'crash_count', 'shards', 'tried', 'troubled')
+    __slots__ = ('again', 'attempts', 'crash_count', 'repeated', 'shards', 'tried', 'troubled')
 
     def __init__(self, shards: tuple[str, ...]) -> None:
         self.shards = shards
@@ -36,6 +36,14 @@
         self.troubled = False
         self.attempts: list[AttemptState] = []
         self.tried: set[str] = set()
+        self.again: set[str] = set()
+        self.repeated: set[str] = set()
+
+    def allow_again(self, endpoint: str) -> None:
+        """Let an endpoint be asked a second time, if no untried one is left."""
+        if endpoint not in self.repeated:
+            self.repeated.add(endpoint)
+            self.again.add(endpoint)
 
 
 class AttemptState:
@@ -217,6 +225,7 @@
     attempt.check_at_ms = now_ms + service_latency(routing.latencies, endpoint.service).p95_ms
     family.attempts.append(attempt)
     family.tried.add(endpoint.endpoint)
+    family.again.discard(endpoint.endpoint)
     query.attempts[attempt.attempt_id] = attempt
     query.open_count += 1
     record_sent(routing.observed, endpoint, now_ms)
--- /dev/null
+++ b/tests/test_request/test_admission.py
@@ -0,0 +1,146 @@
+"""Guard against queries that are held or admitted in the wrong order."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.messages.peer import AttemptResult
+from pistachioloft_core.request.actions import WakeAt
+from pistachioloft_core.request.admission import (
+    AdmissionState,
+    Admit,
+    Refuse,
+    observe_wait,
+    offer_query,
+    on_admission_timer,
+    on_query_done,
+)
+
+
+def admitted(actions: list[Any]) -> list[str]:
+    return [action.query_id for action in actions if isinstance(action, Admit)]
+
+
+def refused(actions: list[Any]) -> list[Refuse]:
+    return [action for action in actions if isinstance(action, Refuse)]
+
+
+def fill(state: AdmissionState, now_ms: float = 0.0) -> list[str]:
+    """Offer routine queries until one has to wait."""
+    names: list[str] = []
+    while True:
+        name = f'f{len(names)}'
+        if not admitted(offer_query(state, now_ms, name, False, now_ms + 1e6)):
+            on_query_done(state, now_ms, name)
+            return names
+        names.append(name)
+
+
+def test_one_place_in_ten_goes_to_routine_queries_while_both_wait() -> None:
+    """Guard against urgent load that starves routine work, and against the reverse."""
+    state = AdmissionState()
+    running = fill(state)
+    for number in range(2):
+        running += admitted(offer_query(state, 0.0, f'x{number}', True, 1e6))
+    order: list[str] = []
+    for number in range(60):
+        offer_query(state, 0.0, f'u{number}', True, 1e6)
+        offer_query(state, 0.0, f'r{number}', False, 1e6)
+    for _ in range(60):
+        taken = admitted(on_query_done(state, 0.0, running.pop(0)))
+        order += taken
+        running += taken
+    assert len(order) == 60
+    assert sum(name.startswith('r') for name in order) == 6
+    for start in range(0, 60, 10):
+        assert sum(name.startswith('r') for name in order[start : start + 10]) == 1
+
+
+def test_waiting_ends_with_a_refusal_within_5_ms() -> None:
+    """Guard against a query that is held although the system has given it up."""
+    state = AdmissionState()
+    fill(state)
+    actions = offer_query(state, 10.0, 'late', False, 1e6)
+    (wake,) = [action for action in actions if isinstance(action, WakeAt)]
+    assert wake.time_ms <= 15.0
+    (refusal,) = refused(on_admission_timer(state, wake.time_ms))
+    assert (refusal.query_id, refusal.code) == ('late', ResultCode.OVERLOADED)
+    assert refusal.retry_after_ms > 0
+
+
+def test_deadline_below_the_service_time_is_refused_at_once() -> None:
+    """Guard against work for an answer that nobody can get in time."""
+    state = AdmissionState()
+    observe_wait(state, 0.0, AttemptResult('a', 'x', 'ok', service_ms=50.0))
+    (refusal,) = refused(offer_query(state, 1.0, 'short', True, 40.0))
+    assert refusal.code is ResultCode.DEADLINE_TOO_SHORT
+    assert admitted(offer_query(state, 5_000.0, 'later', True, 5_040.0)) == ['later']
+
+
+def test_limit_follows_the_queue_wait() -> None:
+    """Guard against a limit that ignores what the owners report."""
+    state = AdmissionState()
+    names = fill(state)
+    for turn in range(100):
+        observe_wait(state, 100.0 * turn, AttemptResult('a', 'x', 'ok', '', '', 0, (), None, 30, 6))
+    assert state.limit == 1.0
+    for name in names:
+        on_query_done(state, 10_000.0, name)
+    for turn in range(100, 200):
+        fill(state, 100.0 * turn)
+        observe_wait(state, 100.0 * turn, AttemptResult('a', 'x', 'ok', '', '', 0, (), None, 1, 6))
+    assert state.limit > 50.0
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('urgent', 'routine', 'routine', 'done', 'leave', 'time')),
+        st.integers(0, 999),
+    ),
+    max_size=120,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(STEPS)
+def test_every_query_is_admitted_or_refused_once_in_time(steps: list[tuple[str, int]]) -> None:
+    """Guard against lost queries, second verdicts and an exceeded limit."""
+    state = AdmissionState()
+    now_ms = 0.0
+    offered: dict[str, float] = {}
+    verdicts: dict[str, str] = {}
+    left: set[str] = set()
+    wakes: list[float] = []
+
+    def take(actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, WakeAt):
+                wakes.append(action.time_ms)
+            elif isinstance(action, Admit | Refuse):
+                assert action.query_id not in verdicts
+                assert action.query_id not in left
+                assert now_ms <= offered[action.query_id] + 5.0
+                verdicts[action.query_id] = type(action).__name__
+
+    for number, (kind, pick) in enumerate((*steps, ('time', 999))):
+        if kind in ('urgent', 'routine'):
+            offered[f'q{number}'] = now_ms
+            take(offer_query(state, now_ms, f'q{number}', kind == 'urgent', now_ms + 1e6))
+        elif kind == 'time':
+            until_ms = now_ms + pick % 10 + (100 if pick == 999 else 0)
+            while due := [time for time in wakes if time <= until_ms]:
+                now_ms = max(now_ms, min(due))
+                wakes.remove(min(due))
+                take(on_admission_timer(state, now_ms))
+            now_ms = until_ms
+        elif offered:
+            name = sorted(offered)[pick % len(offered)]
+            if (kind == 'done') == (name in state.in_flight):
+                left.update(() if name in verdicts else (name,))
+                take(on_query_done(state, now_ms, name))
+        assert len(state.in_flight) <= state.limit * 1.25 + 1
+    assert set(offered) == set(verdicts) | left
