Keep answers whole when one replica of every shard is lost

A retry of an attempt that reached no endpoint was charged to the retry budget; the owner tried each of its dead connections in turn; and a request in flight at crashes in one lost failure domain was condemned. Ruled out: planning, which named a living replica for each shard. Conclusion: a retry counts as extra load only if its attempt reached an endpoint.

--- a/packages/core/src/pistachioloft_core/connection/crash.py
+++ b/packages/core/src/pistachioloft_core/connection/crash.py
@@ -139,7 +139,8 @@
         key = (attempt.caller, attempt.content_digest)
         if key not in reported:
             reported.add(key)
-            report = CrashReport(*key, endpoint.name, incarnation, 0.0)
+            domain = endpoint.announcement.failure_domain
+            report = CrashReport(*key, endpoint.name, incarnation, 0.0, domain)
             actions.append(ReportCrash(report))
         if not flight.answered:
             fail_flight(state, endpoint, now_ms, flight, detail, actions, crashed=True)
--- a/packages/core/src/pistachioloft_core/connection/owner.py
+++ b/packages/core/src/pistachioloft_core/connection/owner.py
@@ -207,9 +207,14 @@
 
 
 def on_failure(
-    state: OwnerState, now_ms: float, connection_id: str, bytes_sent: bool, detail: str
+    state: OwnerState,
+    now_ms: float,
+    connection_id: str,
+    bytes_sent: bool,
+    detail: str,
+    refused: bool = False,
 ) -> list[OwnerAction]:
-    """Account for a sub-request that failed on its connection, which is then closed."""
+    """Account for a failed sub-request; `refused` means that no new connection was accepted."""
     endpoint, conn = _find(state, connection_id)
     if endpoint is None or conn is None or conn.state is ConnectionState.CLOSING:
         return []
@@ -222,6 +227,11 @@
         if not flight.answered:
             _send_again(state, endpoint, now_ms, flight.queued, detail, actions)
     pool.close_connection(endpoint, conn, detail, actions)
+    if refused:
+        _close_idle(endpoint, detail, actions)
+        pool.note_open_failure(endpoint, now_ms)
+        crash.note_refused(state, endpoint, now_ms, actions)
+        results.refuse_unreachable(state, endpoint, detail, actions)
     _settle(state, endpoint, now_ms, actions)
     return actions
 
@@ -336,7 +346,7 @@
         return 'no time is left'
     if pool.connection_target(endpoint.announcement) < 1:
         return 'the connection limit of the endpoint is too small'
-    if endpoint.open_failures and not pool.has_open_connection(endpoint):
+    if results.is_unreachable(endpoint):
         return 'the endpoint does not accept connections'
     finish_ms = dispatch.expected_finish_ms(endpoint, now_ms, attempt, deadline_ms)
     if finish_ms is not None and finish_ms > deadline_ms:
@@ -367,6 +377,14 @@
     return endpoint, endpoint.connections.get(connection_id) if endpoint else None
 
 
+def _close_idle(endpoint: OwnedEndpoint, detail: str, actions: list[OwnerAction]) -> None:
+    # The other connections of a process that is gone fail one by one, each at the cost of an
+    # attempt; a process that still runs gets new ones after the first delay.
+    for conn in list(endpoint.connections.values()):
+        if endpoint_state.is_idle(conn):
+            pool.close_connection(endpoint, conn, detail, actions)
+
+
 def _note_refused(
     state: OwnerState,
     endpoint: OwnedEndpoint,
@@ -377,8 +395,7 @@
     pool.note_open_failure(endpoint, now_ms)
     crash.note_refused(state, endpoint, now_ms, actions)
     if not pool.has_open_connection(endpoint):
-        text = f'the endpoint does not accept connections: {detail}'
-        results.refuse_all(state, endpoint, now_ms, text, actions)
+        results.refuse_unreachable(state, endpoint, detail, actions)
 
 
 def _take_reply(
--- a/packages/core/src/pistachioloft_core/connection/results.py
+++ b/packages/core/src/pistachioloft_core/connection/results.py
@@ -13,7 +13,7 @@
 )
 from . import queue
 from .actions import DECISION_REFUSE, LogDecision, Result
-from .endpoint_state import current_slot_limit, in_flight_count
+from .endpoint_state import ConnectionState, current_slot_limit, in_flight_count
 
 if TYPE_CHECKING:
     from ..messages.endpoint import SubReply
@@ -25,8 +25,18 @@
 UNLEARNED_RETRY_MS = 50.0
 
 
-def retry_after_ms(endpoint: OwnedEndpoint, now_ms: float) -> int:
-    """Estimate when the present work of an endpoint is done."""
+def is_unreachable(endpoint: OwnedEndpoint) -> bool:
+    """Tell whether the endpoint refuses connections and none is open."""
+    return bool(endpoint.open_failures) and not any(
+        conn.state is ConnectionState.OPEN and not conn.retiring
+        for conn in endpoint.connections.values()
+    )
+
+
+def retry_after_ms(endpoint: OwnedEndpoint, now_ms: float) -> int | None:
+    """Estimate when the present work of an endpoint is done; none if it is unreachable."""
+    if is_unreachable(endpoint):
+        return None
     mean_ms = endpoint.query_times.mean_ms or UNLEARNED_RETRY_MS
     work = len(endpoint.queue) + in_flight_count(endpoint)
     return max(1, math.ceil(work * mean_ms / current_slot_limit(endpoint, now_ms)))
@@ -45,6 +55,7 @@
         version=attempt.version,
         draining=draining,
         retry_after_ms=retry_ms,
+        handed_over=False,
     )
     log = LogDecision(DECISION_REFUSE, attempt.endpoint, f'{attempt.attempt_id}: {detail}')
     return [log, Result(attempt.origin, result)]
@@ -77,6 +88,16 @@
         refuse_queued(state, endpoint, now_ms, queued, detail, actions)
 
 
+def refuse_unreachable(
+    state: OwnerState, endpoint: OwnedEndpoint, detail: str, actions: list[OwnerAction]
+) -> None:
+    """Refuse every waiting attempt, since the endpoint accepts no connection."""
+    text = f'the endpoint does not accept connections: {detail}'
+    for queued in queue.drain_all(endpoint.queue):
+        if state.attempt_endpoints.pop(queued.attempt.attempt_id, None) is not None:
+            actions.extend(refuse(queued.attempt, text, None, endpoint.draining))
+
+
 def fail_flight(
     state: OwnerState,
     endpoint: OwnedEndpoint,
--- a/packages/core/src/pistachioloft_core/messages/peer.py
+++ b/packages/core/src/pistachioloft_core/messages/peer.py
@@ -69,6 +69,7 @@
     draining: bool = False
     crashed: bool = False
     retry_after_ms: int | None = None
+    handed_over: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +159,7 @@
     endpoint: str
     incarnation: int
     age_ms: float
+    failure_domain: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/process/suspects.py
+++ b/packages/core/src/pistachioloft_core/process/suspects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 from ..messages.peer import CrashReport, SuccessReport
@@ -13,6 +14,11 @@
 CONDEMNING_CRASH_COUNT = 2
 # More crashes of one request than this change nothing about its standing.
 MAX_CRASH_COUNT = 4
+# When this many endpoints of one failure domain crash within this time, and none elsewhere,
+# the failure domain was lost; a request that crashes endpoints meets them in every domain.
+COMMON_CAUSE_COUNT = 3
+COMMON_CAUSE_MS = 1_000.0
+MAX_RECENT_COUNT = 512
 # Successes that follow each other closer than this are passed on as one.
 NEWER_SUCCESS_MS = 100.0
 
@@ -36,13 +42,22 @@
         self.changed_at_ms = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class RecentCrash:
+    """Hold when and where an endpoint incarnation crashed."""
+
+    time_ms: float
+    failure_domain: str
+
+
 class SuspectState:
     """Hold the suspects by caller and content digest, the oldest change first."""
 
-    __slots__ = ('entries',)
+    __slots__ = ('entries', 'recent')
 
     def __init__(self) -> None:
         self.entries: dict[tuple[str, str], SuspectEntry] = {}
+        self.recent: dict[tuple[str, int], RecentCrash] = {}
 
 
 def on_crash(state: SuspectState, now_ms: float, report: CrashReport) -> None:
@@ -51,6 +66,11 @@
         return
     entry = state.entries.get((report.caller, report.content_digest))
     crash = (report.endpoint, report.incarnation)
+    if crash not in state.recent:
+        time_ms = now_ms - report.age_ms
+        state.recent[crash] = RecentCrash(time_ms, report.failure_domain)
+        while len(state.recent) > MAX_RECENT_COUNT:
+            del state.recent[next(iter(state.recent))]
     # A known crash must not count as a change, or peers would pass it on to each other
     # for ever.
     if entry is not None and crash in entry.crashes:
@@ -71,7 +91,7 @@
         # Ages are only ever overestimated, so a report that comes back is not newer.
         newer_ms = success_at_ms - entry.success_at_ms
         clears = newer_ms > 0 and any(
-            time_ms <= success_at_ms for time_ms in _open_crashes(entry, now_ms)
+            time_ms <= success_at_ms for time_ms in _open_crashes(state, entry, now_ms)
         )
         if not clears and newer_ms <= NEWER_SUCCESS_MS:
             return
@@ -84,7 +104,7 @@
     entry = state.entries.get((caller, content_digest))
     if entry is None:
         return Standing.CLEAR
-    count = len(_open_crashes(entry, now_ms))
+    count = len(_open_crashes(state, entry, now_ms))
     if count >= CONDEMNING_CRASH_COUNT:
         return Standing.CONDEMNED
     return Standing.SUSPECTED if count else Standing.CLEAR
@@ -111,17 +131,38 @@
         if entry.changed_at_ms < since_ms:
             break
         for (endpoint, incarnation), time_ms in entry.crashes.items():
-            crashes.append(CrashReport(caller, digest, endpoint, incarnation, now_ms - time_ms))
+            recent = state.recent.get((endpoint, incarnation))
+            domain = recent.failure_domain if recent is not None else ''
+            age_ms = now_ms - time_ms
+            crashes.append(CrashReport(caller, digest, endpoint, incarnation, age_ms, domain))
         if entry.success_at_ms is not None:
             successes.append(SuccessReport(caller, digest, now_ms - entry.success_at_ms))
     return tuple(crashes), tuple(successes)
 
 
-def _open_crashes(entry: SuspectEntry, now_ms: float) -> list[float]:
+def _open_crashes(state: SuspectState, entry: SuspectEntry, now_ms: float) -> list[float]:
     floor_ms = now_ms - FORGET_AFTER_MS
     if entry.success_at_ms is not None and entry.success_at_ms > floor_ms:
         floor_ms = entry.success_at_ms
-    return [time_ms for time_ms in entry.crashes.values() if time_ms > floor_ms]
+    return [
+        time_ms
+        for crash, time_ms in entry.crashes.items()
+        if time_ms > floor_ms and not _has_common_cause(state, crash)
+    ]
+
+
+def _has_common_cause(state: SuspectState, crash: tuple[str, int]) -> bool:
+    found = state.recent.get(crash)
+    if found is None or not found.failure_domain:
+        return False
+    near = [
+        (endpoint, other.failure_domain)
+        for (endpoint, _), other in state.recent.items()
+        if abs(other.time_ms - found.time_ms) <= COMMON_CAUSE_MS
+    ]
+    endpoints = {endpoint for endpoint, _ in near}
+    domains = {domain for _, domain in near}
+    return len(endpoints) >= COMMON_CAUSE_COUNT and domains == {found.failure_domain}
 
 
 def _touch(state: SuspectState, now_ms: float, caller: str, digest: str) -> SuspectEntry:
--- a/packages/core/src/pistachioloft_core/request/query.py
+++ b/packages/core/src/pistachioloft_core/request/query.py
@@ -171,6 +171,8 @@
         attempt.family.crash_count += 1
     if result.retry_after_ms is not None:
         query.retry_after_ms = max(query.retry_after_ms or 0, result.retry_after_ms)
+    elif not result.handed_over:
+        attempt.family.free_retry = True
 
 
 def _proceed(
--- a/packages/core/src/pistachioloft_core/request/query_state.py
+++ b/packages/core/src/pistachioloft_core/request/query_state.py
@@ -28,10 +28,21 @@
 class Family:
     """Hold the attempts that were made for the shards of one first try."""
 
-    __slots__ = ('again', 'attempts', 'crash_count', 'repeated', 'shards', 'tried', 'troubled')
+    __slots__ = (
+        'again',
+        'attempts',
+        'crash_count',
+        'free_retry',
+        'repeated',
+        'shards',
+        'tried',
+        'troubled',
+    )
 
     def __init__(self, shards: tuple[str, ...]) -> None:
         self.shards = shards
+        # The last attempt reached no endpoint, so another one is no extra load.
+        self.free_retry = False
         self.crash_count = 0
         self.troubled = False
         self.attempts: list[AttemptState] = []
--- a/packages/core/src/pistachioloft_core/request/recovery.py
+++ b/packages/core/src/pistachioloft_core/request/recovery.py
@@ -45,8 +45,9 @@
                 if replan:
                     return actions + replan
             continue
-        if not take_retry(routing.budget, now_ms, len(planned)):
+        if not family.free_retry and not take_retry(routing.budget, now_ms, len(planned)):
             continue
+        family.free_retry = False
         query.waiting.remove(family)
         actions += send_planned(routing, query, now_ms, planned, family=family)
         names = ', '.join(item.endpoint.endpoint for item in planned)
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -43,7 +43,7 @@
     opened: Callable[[str], None]
     closed: Callable[[str, str], None]
     replied: Callable[[str, SubReply], None]
-    failed: Callable[[str, bool, str], None]
+    failed: Callable[[str, bool, str, bool], None]
     probed: Callable[[str], None]
 
 
@@ -90,7 +90,7 @@
         """Send a sub-request on an idle connection."""
         connection = self.connections.get(connection_id)
         if connection is None:
-            self.events.failed(connection_id, False, 'connection is closed')
+            self.events.failed(connection_id, False, 'connection is closed', False)
             return
         connection.task = self._spawn(self._exchange(connection, request))
 
@@ -187,7 +187,8 @@
         if self.connections.pop(connection.connection_id, None) is None:
             return
         self._spawn(connection.session.close())
-        self.events.failed(connection.connection_id, bytes_sent, detail)
+        refused = not bytes_sent
+        self.events.failed(connection.connection_id, bytes_sent, detail, refused)
 
     def _drop(self, connection: Connection, detail: str) -> None:
         if self.connections.pop(connection.connection_id, None) is None:
--- a/packages/daemon/src/pistachioloft_daemon/owned.py
+++ b/packages/daemon/src/pistachioloft_daemon/owned.py
@@ -103,9 +103,11 @@
             self.hooks.draining(reply.endpoint, reply.incarnation)
         self._carry_out(owner.on_reply(self.state, monotonic_ms(), connection_id, reply))
 
-    def _failed(self, connection_id: str, bytes_sent: bool, detail: str) -> None:
+    def _failed(self, connection_id: str, bytes_sent: bool, detail: str, refused: bool) -> None:
         now_ms = monotonic_ms()
-        self._carry_out(owner.on_failure(self.state, now_ms, connection_id, bytes_sent, detail))
+        self._carry_out(
+            owner.on_failure(self.state, now_ms, connection_id, bytes_sent, detail, refused)
+        )
         # A failed exchange ends its connection, and the client has closed it already.
         self._carry_out(owner.on_connection_closed(self.state, now_ms, connection_id, detail))
 
--- a/tests/test_owner/test_crashes.py
+++ b/tests/test_owner/test_crashes.py
@@ -130,3 +130,17 @@
     harness.advance(60)
     assert harness.results['a'].outcome == 'unknown'
     assert len(harness.sent) == 1
+
+
+def test_refused_connection_gives_back_all_attempts_at_once() -> None:
+    """Guard against finding out connection by connection that an endpoint is gone."""
+    harness = Harness()
+    harness.add()
+    for name in ('a', 'b', 'c'):
+        harness.submit(name)
+    connection_id = harness.connection_of('a')
+    del harness.carried[connection_id]
+    harness.call(owner.on_failure, connection_id, False, 'connection refused', True)
+    refused = [each for each in harness.results.values() if not each.handed_over]
+    assert {each.attempt_id for each in refused} == {'a', 'c'}
+    assert all(each.retry_after_ms is None for each in refused)
--- a/tests/test_request/test_query.py
+++ b/tests/test_request/test_query.py
@@ -172,3 +172,17 @@
     assert QueryRun(routing).reply.result_code is ResultCode.NO_ENDPOINT
     request = dataclasses.replace(make_request(), collection=f'{COLLECTION}-x')
     assert QueryRun(routing, request).reply.result_code is ResultCode.UNKNOWN_COLLECTION
+
+
+def test_unreachable_endpoints_cost_no_budget() -> None:
+    """Guard against partial answers when more endpoints are lost than the budget allows."""
+    routing = make_routing(*make_cluster(service_count=100))
+    routing.budget.balance = 0.0
+    run = QueryRun(routing)
+    first_tries = list(run.attempts)
+    for attempt in first_tries:
+        run.fail(attempt, 'not_started', handed_over=False)
+    for attempt in run.attempts[len(first_tries) :]:
+        run.answer(attempt)
+    assert run.reply.result_code is ResultCode.COMPLETE
+    assert routing.budget.extra_count == 0
--- a/tests/test_suspects/test_suspects.py
+++ b/tests/test_suspects/test_suspects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -135,3 +137,27 @@
     later = sum(time_ms > success_ms for time_ms in crashes.values())
     expected = (Standing.CLEAR, Standing.SUSPECTED, Standing.CONDEMNED)[min(later, 2)]
     assert [judge(state, now_ms) for state in states] == [expected] * 3
+
+
+def test_a_lost_failure_domain_condemns_nobody() -> None:
+    """Guard against refusing every request that was in flight when a whole domain was lost."""
+    state = SuspectState()
+    for number in range(3):
+        on_crash(state, number * 10.0, replace(crash(f's{number}'), failure_domain='north'))
+    assert judge(state, 100.0) is Standing.CLEAR
+
+
+def test_crashes_in_several_failure_domains_still_condemn() -> None:
+    """Guard against a request that crashes endpoints everywhere and passes as a lost domain."""
+    state = SuspectState()
+    for number, domain in enumerate(('north', 'north', 'north', 'south')):
+        on_crash(state, number * 10.0, replace(crash(f's{number}'), failure_domain=domain))
+    assert judge(state, 100.0) is Standing.CONDEMNED
+
+
+def test_two_crashes_in_one_failure_domain_still_condemn() -> None:
+    """Guard against sparing a request whose shard has both replicas in one failure domain."""
+    state = SuspectState()
+    for number in range(2):
+        on_crash(state, number * 10.0, replace(crash(f's{number}'), failure_domain='north'))
+    assert judge(state, 100.0) is Standing.CONDEMNED
--- a/tools/searcher/host.py
+++ b/tools/searcher/host.py
@@ -80,8 +80,8 @@
     async def order(self, request: web.Request) -> web.Response:
         """Carry out one order."""
         order = msgspec.json.decode(await request.read(), type=Order)
-        for name in order.endpoints or tuple(self.searchers):
-            await self._apply(order, self.searchers[name])
+        names = order.endpoints or tuple(self.searchers)
+        await asyncio.gather(*(self._apply(order, self.searchers[name]) for name in names))
         return web.Response(text='{}')
 
     async def _apply(self, order: Order, searcher: Searcher) -> None:
