Describe the promises of the request path as features

The simulated cluster moves to tools/virtual_cluster.py, where it prints latency and extra load for a load and a share of stragglers.

--- /dev/null
+++ b/tests/features/test_not_run_means_not_run.py
@@ -0,0 +1,66 @@
+"""Guard against 'not run' for what may have run."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pytest_bdd import parsers, scenarios, then, when
+
+from pistachioloft_core.errors import ResultCode, RunStatus
+from tests.test_request.test_command import CommandRun
+
+scenarios('not_run_means_not_run.feature')
+
+
+@when('every endpoint sheds the query')
+def shed(world: dict[str, Any]) -> None:
+    for attempt in tuple(world['run'].attempts):
+        world['run'].fail(attempt, 'not_started', retry_after_ms=30)
+
+
+@when('a command is sent')
+def command(world: dict[str, Any]) -> None:
+    world['command'] = CommandRun(world['routing'], 'e1-1')
+
+
+@when('the claim is granted')
+def granted(world: dict[str, Any]) -> None:
+    world['command'].grant()
+
+
+@when('the deadline of the command passes')
+def passed(world: dict[str, Any]) -> None:
+    world['command'].advance(world['command'].deadline_ms)
+
+
+@then('the query is refused as not run with a retry-after time')
+def refused(world: dict[str, Any]) -> None:
+    reply = world['run'].reply
+    assert (reply.run_status, reply.retry_after_ms) == (RunStatus.NOT_RUN, 30)
+
+
+@then('the query may have run')
+def open_end(world: dict[str, Any]) -> None:
+    assert world['run'].reply.run_status is RunStatus.UNKNOWN
+
+
+@then('the command is refused as not run')
+def command_refused(world: dict[str, Any]) -> None:
+    assert world['command'].replies[0].run_status is RunStatus.NOT_RUN
+
+
+@then('the outcome of the command is unknown')
+def command_unknown(world: dict[str, Any]) -> None:
+    assert world['command'].code is ResultCode.OUTCOME_UNKNOWN
+
+
+@then(parsers.parse('{count} endpoint was given the command'))
+def given_command(world: dict[str, Any], count: str) -> None:
+    assert len(world['command'].attempts) == {'no': 0, 'one': 1}[count]
+
+
+@then(parsers.parse('the claim is {end}'))
+def claim(world: dict[str, Any], end: str) -> None:
+    assert [item.ran for item in world['command'].closes()] == (
+        [False] if end == 'released' else []
+    )
--- /dev/null
+++ b/tests/features/test_true_coverage.py
@@ -0,0 +1,29 @@
+"""Guard against answers that claim more than they cover."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pytest_bdd import scenarios, then
+
+from pistachioloft_core.errors import ResultCode
+
+scenarios('true_coverage.feature')
+
+
+@then('the answer is partial and names the second shard')
+def partial(world: dict[str, Any]) -> None:
+    reply = world['run'].reply
+    assert reply.result_code is ResultCode.PARTIAL
+    assert 'h-s01' in reply.coverage.missing
+    assert reply.coverage.answered_count == len(reply.rows) == 3 - len(reply.coverage.missing)
+
+
+@then('the reply came at once')
+def at_once(world: dict[str, Any]) -> None:
+    assert world['run'].reply_ms == 1_000.0
+
+
+@then('the reply came before the deadline')
+def in_time(world: dict[str, Any]) -> None:
+    assert world['run'].reply_ms < world['run'].deadline_ms
--- /dev/null
+++ b/tests/features/test_urgent_before_routine.py
@@ -0,0 +1,62 @@
+"""Guard against urgent queries that wait behind routine ones, and against starvation."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from pistachioloft_core.request.admission import AdmissionState, offer_query, on_query_done
+
+scenarios('urgent_before_routine.feature')
+
+
+@pytest.fixture
+def state() -> AdmissionState:
+    return AdmissionState()
+
+
+@given(parsers.parse('an instance at its limit with {count:d} routine queries that wait'))
+def full(state: AdmissionState, count: int) -> None:
+    # Urgent queries may use 2 places more than the 8 of the limit.
+    for number in range(10):
+        offer_query(state, 0.0, f'running-{number}', True, 1e6)
+    for number in range(count):
+        offer_query(state, 0.0, f'routine-{number}', False, 1e6)
+    assert len(state.in_flight) == 10
+
+
+@when('an urgent query arrives')
+def one(state: AdmissionState) -> None:
+    offer_query(state, 0.0, 'urgent-0', True, 1e6)
+
+
+@when(parsers.parse('{count:d} urgent queries arrive'))
+def many(state: AdmissionState, count: int) -> None:
+    for number in range(count):
+        offer_query(state, 0.0, f'urgent-{number}', True, 1e6)
+
+
+@when('a query finishes')
+def finish(state: AdmissionState) -> None:
+    on_query_done(state, 0.0, 'running-0')
+
+
+@when(parsers.parse('{count:d} queries finish'))
+def finish_many(state: AdmissionState, count: int) -> None:
+    for number in range(count):
+        name = f'running-{number}' if number < 10 else f'urgent-{number - 10}'
+        assert name in state.in_flight
+        on_query_done(state, 0.0, name)
+
+
+@then('the urgent query is in flight')
+def urgent_runs(state: AdmissionState) -> None:
+    assert 'urgent-0' in state.in_flight
+
+
+@then(parsers.parse('{count:d} of the routine queries are in flight'))
+def routine_runs(state: AdmissionState, count: int) -> None:
+    names: Any = [name for name in state.in_flight if name.startswith('routine')]
+    assert len(names) == count
--- a/tests/test_request/request_support.py
+++ b/tests/test_request/request_support.py
@@ -1,4 +1,4 @@
-"""Builders and a virtual cluster for the tests of the request decisions."""
+"""Builders and a driver for the tests of the request decisions."""
 
 from __future__ import annotations
 
@@ -6,85 +6,22 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from pistachioloft_core.messages.accepted import (
-    AcceptedConfiguration,
-    CallerEntry,
-    CollectionEntry,
-    Configuration,
-    ServiceEntry,
-    ShardEntry,
-    VersionEntry,
-)
-from pistachioloft_core.messages.endpoint import Holding, ShardRows
+from pistachioloft_core.messages.endpoint import ShardRows
 from pistachioloft_core.messages.peer import Attempt, AttemptResult
-from pistachioloft_core.messages.public import QueryReply, QueryRequest
-from pistachioloft_core.process.endpoint_view import EndpointView
 from pistachioloft_core.request.actions import CancelAttempts, Finished, SendAttempts, WakeAt
 from pistachioloft_core.request.query import on_attempt_result, on_timer, start_query
 from pistachioloft_core.request.routing import RoutingState, update_view
 from pistachioloft_core.version.snapshot import ClusterView, build_view
+from tools.virtual_cluster import (
+    make_request,
+)
 
 if TYPE_CHECKING:
+    from pistachioloft_core.messages.accepted import AcceptedConfiguration
+    from pistachioloft_core.messages.public import QueryReply, QueryRequest
+    from pistachioloft_core.process.endpoint_view import EndpointView
     from pistachioloft_core.request.query_state import QueryState
 
-COLLECTION = 'catalogue'
-
-
-def make_accepted(versions: dict[int, dict[str, str]], index: int = 1) -> AcceptedConfiguration:
-    """Build a configuration from the shard and service names of each version."""
-    entries = tuple(
-        VersionEntry(number, tuple(ShardEntry(*pair) for pair in shards.items()))
-        for number, shards in versions.items()
-    )
-    services = sorted({name for shards in versions.values() for name in shards.values()})
-    configuration = Configuration(
-        services=tuple(ServiceEntry(name) for name in services),
-        callers=(CallerEntry('field', 'urgent'), CallerEntry('yard', 'routine')),
-        collections=(CollectionEntry(COLLECTION, entries),),
-    )
-    return AcceptedConfiguration(1, index, f'digest-{index}', configuration)
-
-
-def make_endpoint(
-    name: str, service: str, holdings: dict[int, tuple[str, ...]], **changes: Any
-) -> EndpointView:
-    """Build an endpoint that holds shards of versions."""
-    fields: dict[str, Any] = {
-        'endpoint': name,
-        'incarnation': 1,
-        'service': service,
-        'failure_domain': 'd1',
-        'owner': 'e1',
-        'holdings': tuple(Holding(COLLECTION, number, held) for number, held in holdings.items()),
-        'slot_count': 2,
-        'reported_slots_in_use': 0,
-        'in_flight_count': 0,
-        'queue_length': 0,
-        'latency_ms': 6.0,
-    }
-    fields.update(changes)
-    return EndpointView(**fields)
-
-
-def make_cluster(
-    service_count: int = 4, replica_count: int = 2, version_count: int = 1, owner_count: int = 3
-) -> tuple[AcceptedConfiguration, tuple[EndpointView, ...]]:
-    """Build services with one shard each, held by every replica in every version."""
-    numbers = range(1, version_count + 1)
-    names = [f's{position:02}' for position in range(service_count)]
-    accepted = make_accepted({number: {f'h-{name}': name for name in names} for number in numbers})
-    endpoints = tuple(
-        make_endpoint(
-            f'{name}-{replica}',
-            name,
-            dict.fromkeys(numbers, (f'h-{name}',)),
-            owner=f'e{(position + replica) % owner_count + 1}',
-        )
-        for position, name in enumerate(names)
-        for replica in range(replica_count)
-    )
-    return accepted, endpoints
-
 
 def make_routing(
     accepted: AcceptedConfiguration, endpoints: tuple[EndpointView, ...], seed: int = 1
@@ -95,12 +32,9 @@
     return routing
 
 
-def make_request(query: Any = 'q', deadline_ms: int = 200, caller: str = 'yard') -> QueryRequest:
-    return QueryRequest(caller, 'r1', COLLECTION, query, deadline_ms)
-
-
 def ok_result(attempt: Attempt, **changes: Any) -> AttemptResult:
     """Build the result of an endpoint that answered all shards with one row each."""
+    version = changes.get('version', attempt.version)
     fields: dict[str, Any] = {
         'attempt_id': attempt.attempt_id,
         'endpoint': attempt.endpoint,
@@ -108,8 +42,7 @@
         'collection': attempt.collection,
         'version': attempt.version,
         'results': tuple(
-            ShardRows(shard, ({'shard': shard, 'version': attempt.version},))
-            for shard in attempt.shards
+            ShardRows(shard, ({'shard': shard, 'version': version},)) for shard in attempt.shards
         ),
     }
     fields.update(changes)
--- a/tests/test_request/test_cluster.py
+++ b/tests/test_request/test_cluster.py
@@ -4,7 +4,7 @@
 
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.request import hedge
-from tests.test_request.cluster_sim import Cluster
+from tools.virtual_cluster import Cluster
 
 # 10 services of 2 endpoints with 2 slots and 6 ms.
 CAPACITY_PER_SECOND = 10 * 2 * 2 / 10 / 0.006
--- a/tests/test_request/test_command.py
+++ b/tests/test_request/test_command.py
@@ -23,14 +23,13 @@
     start_command,
 )
 from tests.test_request.request_support import (
-    COLLECTION,
     failed_result,
-    make_cluster,
     make_routing,
     ok_result,
     replies,
     sent_attempts,
 )
+from tools.virtual_cluster import COLLECTION, make_cluster
 
 if TYPE_CHECKING:
     from pistachioloft_core.request.routing import RoutingState
--- a/tests/test_request/test_query.py
+++ b/tests/test_request/test_query.py
@@ -10,14 +10,13 @@
 from pistachioloft_core.messages.endpoint import ShardRows
 from pistachioloft_core.request.query import cancel_query
 from pistachioloft_core.version.snapshot import build_view
-from tests.test_request.request_support import (
+from tests.test_request.request_support import QueryRun, make_routing
+from tools.virtual_cluster import (
     COLLECTION,
-    QueryRun,
     make_accepted,
     make_cluster,
     make_endpoint,
     make_request,
-    make_routing,
 )
 
 
--- a/tests/test_request/test_query_orders.py
+++ b/tests/test_request/test_query_orders.py
@@ -12,52 +12,19 @@
 from pistachioloft_core.messages.endpoint import Holding, ShardRows
 from pistachioloft_core.request.query import cancel_query
 from pistachioloft_core.version.snapshot import build_view
-from tests.test_request.request_support import (
-    COLLECTION,
-    QueryRun,
-    failed_result,
-    make_accepted,
-    make_cluster,
-    make_request,
-    make_routing,
-    ok_result,
-)
+from tests.test_request.request_support import QueryRun, failed_result, make_routing, ok_result
+from tools.virtual_cluster import COLLECTION, make_accepted, make_cluster, make_request
 
 if TYPE_CHECKING:
     from pistachioloft_core.messages.accepted import AcceptedConfiguration
     from pistachioloft_core.process.endpoint_view import EndpointView
 
-STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(
-            (
-                'ok',
-                'ok',
-                'ok',
-                'repeat',
-                'other_version',
-                'other_endpoint',
-                'crossed_rows',
-                'half',
-                'refused',
-                'shed',
-                'not_held',
-                'unknown',
-                'crashed',
-                'failed',
-                'draining',
-                'wait',
-                'lose_endpoint',
-                'lose_owner',
-                'retire',
-                'repartition',
-                'hang_up',
-            )
-        ),
-        st.integers(0, 1_000),
-    ),
-    max_size=40,
-)
+KINDS = (
+    'ok', 'ok', 'ok', 'repeat', 'other_version', 'other_endpoint', 'crossed_rows', 'half',
+    'refused', 'shed', 'not_held', 'unknown', 'crashed', 'failed', 'draining', 'wait',
+    'lose_endpoint', 'lose_owner', 'retire', 'repartition', 'hang_up',
+)  # fmt: skip
+STEPS = st.lists(st.tuples(st.sampled_from(KINDS), st.integers(0, 1_000)), max_size=40)
 
 
 class Scenario:
--- a/tests/test_request/cluster_sim.py
+++ b/tools/virtual_cluster.py
@@ -1,4 +1,4 @@
-"""A cluster in virtual time, driven by the real request decisions."""
+"""Measure the request decisions in a cluster in virtual time: python -m tools.virtual_cluster."""
 
 from __future__ import annotations
 
@@ -7,7 +7,16 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from pistachioloft_core.messages.endpoint import ShardRows
+from pistachioloft_core.messages.accepted import (
+    AcceptedConfiguration,
+    CallerEntry,
+    CollectionEntry,
+    Configuration,
+    ServiceEntry,
+    ShardEntry,
+    VersionEntry,
+)
+from pistachioloft_core.messages.endpoint import Holding, ShardRows
 from pistachioloft_core.messages.peer import Attempt, AttemptResult, CrashReport
 from pistachioloft_core.process.suspects import on_crash
 from pistachioloft_core.request.actions import CancelAttempts, Finished, SendAttempts, WakeAt
@@ -24,16 +33,79 @@
 from pistachioloft_core.request.query_state import QueryState, query_id_of
 from pistachioloft_core.request.routing import RoutingState, update_view
 from pistachioloft_core.version.snapshot import build_view
-from tests.test_request.request_support import make_cluster, make_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pistachioloft_core.messages.public import QueryReply
+from pistachioloft_core.messages.public import QueryRequest
+from pistachioloft_core.process.endpoint_view import EndpointView
 
+COLLECTION = 'catalogue'
 HOP_MS = 0.5
 
 
+def make_accepted(versions: dict[int, dict[str, str]], index: int = 1) -> AcceptedConfiguration:
+    """Build a configuration from the shard and service names of each version."""
+    entries = tuple(
+        VersionEntry(number, tuple(ShardEntry(*pair) for pair in shards.items()))
+        for number, shards in versions.items()
+    )
+    services = sorted({name for shards in versions.values() for name in shards.values()})
+    configuration = Configuration(
+        services=tuple(ServiceEntry(name) for name in services),
+        callers=(CallerEntry('field', 'urgent'), CallerEntry('yard', 'routine')),
+        collections=(CollectionEntry(COLLECTION, entries),),
+    )
+    return AcceptedConfiguration(1, index, f'digest-{index}', configuration)
+
+
+def make_endpoint(
+    name: str, service: str, holdings: dict[int, tuple[str, ...]], **changes: Any
+) -> EndpointView:
+    """Build an endpoint that holds shards of versions."""
+    fields: dict[str, Any] = {
+        'endpoint': name,
+        'incarnation': 1,
+        'service': service,
+        'failure_domain': 'd1',
+        'owner': 'e1',
+        'holdings': tuple(Holding(COLLECTION, number, held) for number, held in holdings.items()),
+        'slot_count': 2,
+        'reported_slots_in_use': 0,
+        'in_flight_count': 0,
+        'queue_length': 0,
+        'latency_ms': 6.0,
+    }
+    fields.update(changes)
+    return EndpointView(**fields)
+
+
+def make_cluster(
+    service_count: int = 4, replica_count: int = 2, version_count: int = 1, owner_count: int = 3
+) -> tuple[AcceptedConfiguration, tuple[EndpointView, ...]]:
+    """Build services with one shard each, held by every replica in every version."""
+    numbers = range(1, version_count + 1)
+    names = [f's{position:02}' for position in range(service_count)]
+    accepted = make_accepted({number: {f'h-{name}': name for name in names} for number in numbers})
+    endpoints = tuple(
+        make_endpoint(
+            f'{name}-{replica}',
+            name,
+            dict.fromkeys(numbers, (f'h-{name}',)),
+            owner=f'e{(position + replica) % owner_count + 1}',
+        )
+        for position, name in enumerate(names)
+        for replica in range(replica_count)
+    )
+    return accepted, endpoints
+
+
+def make_request(query: Any = 'q', deadline_ms: int = 200, caller: str = 'yard') -> QueryRequest:
+    """Build a query of the collection."""
+    return QueryRequest(caller, 'r1', COLLECTION, query, deadline_ms)
+
+
 @dataclasses.dataclass
 class Endpoint:
     """Run attempts in slots, the urgent first, and refuse what is too late."""
@@ -102,10 +174,12 @@
             update_view(routing, build_view(self.accepted, alive))
 
     def at(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
         self._sequence += 1
         heapq.heappush(self._events, (self.now_ms + delay_ms, self._sequence, action))
 
     def run(self, until_ms: float = float('inf')) -> None:
+        """Run the events up to a time."""
         while self._events and self._events[0][0] <= until_ms:
             self.now_ms, _, action = heapq.heappop(self._events)
             action()
@@ -130,6 +204,7 @@
             )
 
     def offer(self, name: str, urgent: bool, deadline_ms: int, admission: bool, query: Any) -> None:
+        """Offer a query to a random instance."""
         place = self.random.randrange(len(self.routings))
         query_id = f'{self.routings[place].instance}-{name}-{len(self.offered)}'
         request = make_request(query, deadline_ms)
@@ -142,6 +217,7 @@
         self.admit(place, offer_query(state, self.now_ms, query_id, urgent, deadline))
 
     def admit(self, place: int, actions: list[Any]) -> None:
+        """Carry out the actions of the admission."""
         for action in actions:
             if isinstance(action, Admit):
                 self.start(action.query_id)
@@ -157,6 +233,7 @@
                 )
 
     def start(self, query_id: str) -> None:
+        """Start an admitted query."""
         offered_ms, urgent, request, place = self.offered[query_id]
         query, actions = start_query(
             self.routings[place],
@@ -173,6 +250,7 @@
         self.carry(query_id, actions, first=True)
 
     def carry(self, query_id: str, actions: list[Any], *, first: bool = False) -> None:
+        """Carry out the actions of a query."""
         place, query = self.queries[query_id]
         for action in actions:
             if isinstance(action, SendAttempts):
@@ -198,6 +276,7 @@
                 self.admit(place, on_query_done(self.admissions[place], self.now_ms, query_id))
 
     def arrive(self, attempt: Attempt) -> None:
+        """Take an attempt at its endpoint."""
         endpoint = self.endpoints[attempt.endpoint]
         if not endpoint.alive:
             self.back(attempt, 'not_started')
@@ -211,6 +290,7 @@
         self.work(endpoint)
 
     def work(self, endpoint: Endpoint) -> None:
+        """Fill the free slots of an endpoint."""
         while endpoint.queue and len(endpoint.running) < endpoint.slot_count:
             item = min(endpoint.queue, key=lambda waiting: waiting[:2])
             endpoint.queue.remove(item)
@@ -225,6 +305,7 @@
             self.at(took_ms, lambda a=attempt, t=took_ms: self.done(endpoint, a, t))
 
     def done(self, endpoint: Endpoint, attempt: Attempt, took_ms: float) -> None:
+        """Answer an attempt."""
         found = endpoint.running.pop(attempt.attempt_id, None)
         if found is None or not endpoint.alive:
             return
@@ -242,6 +323,7 @@
         self.work(endpoint)
 
     def withdraw(self, attempt_id: str) -> None:
+        """Cancel an attempt at its endpoint."""
         for endpoint in self.endpoints.values():
             endpoint.queue = [item for item in endpoint.queue if item[2].attempt_id != attempt_id]
             if endpoint.running.pop(attempt_id, None):
@@ -269,6 +351,7 @@
         endpoint.queue.clear()
 
     def revive(self, name: str) -> None:
+        """Restart an endpoint as a new incarnation."""
         endpoint = self.endpoints[name]
         if not endpoint.alive:
             endpoint.alive = True
@@ -276,25 +359,50 @@
             self.publish()
 
     def back(self, attempt: Attempt, outcome: str, **fields: Any) -> None:
+        """Send a result to the origin of its attempt."""
         result = AttemptResult(attempt.attempt_id, attempt.endpoint, outcome, **fields)
         self.at(2 * HOP_MS, lambda: self.take(result))
 
     def take(self, result: AttemptResult) -> None:
+        """Hand a result to its query."""
         query_id = query_id_of(result.attempt_id)
         place, query = self.queries[query_id]
         observe_wait(self.admissions[place], self.now_ms, result)
         self.carry(query_id, on_attempt_result(self.routings[place], query, self.now_ms, result))
 
     def extra_share(self) -> float:
+        """Return the extra sub-requests relative to the first tries."""
         return self.extra_count / self.first_count
 
     def percentile_ms(self, share: float) -> float:
+        """Return a percentile of the time to a reply."""
         times = sorted(item.ended_ms - item.offered_ms for item in self.ended if item.reply)
         return times[int(share * (len(times) - 1))]
 
     def codes(self) -> dict[str, int]:
+        """Count the replies by their code."""
         counts: dict[str, int] = {}
         for item in self.ended:
             code = item.reply.result_code.name if item.reply else 'REFUSED'
             counts[code] = counts.get(code, 0) + 1
         return counts
+
+
+def main() -> None:
+    """Print latency, extra load and replies at several loads."""
+    for rate in (100.0, 200.0, 300.0):
+        for share in (0.0, 0.02):
+            cluster = Cluster(service_count=20)
+            cluster.straggler_share = share
+            cluster.load(2_500, rate)
+            cluster.run()
+            cluster.ended = sorted(cluster.ended, key=lambda item: item.offered_ms)[500:]
+            print(
+                f'{rate:.0f}/s, {share:.0%} stragglers: p50 {cluster.percentile_ms(0.5):.1f} ms, '
+                f'p99 {cluster.percentile_ms(0.99):.1f} ms, '
+                f'{cluster.extra_share():.1%} extra, {cluster.codes()}'
+            )
+
+
+if __name__ == '__main__':
+    main()
