--- a/tests/test_specification/test_claim_specification.py
+++ b/tests/test_specification/test_claim_specification.py
@@ -9,12 +9,12 @@
 
 import random
 
-import claim_specification as spec
 import pytest
 import z3
 
 from pistachioloft_core.messages.accepted import CloseClaim, OpenClaim
 from pistachioloft_core.version import accepted, claims
+from tests.test_specification import claim_specification as spec
 
 # Four attempts of two entry instances. Each step that changes the state makes one of the 29
 # conditions of progress() true for good, so longer runs only repeat states.
