Refuse integers over 64 bits and end storage writes before closing

Cause: a request or an endpoint's reply with an integer over 64 bits was accepted and then raised OverflowError while a batch for another instance was encoded, which dropped the whole batch. A voter that stopped could close its storage while an append ran in another thread. Before: encode_peer raised OverflowError. Conclusion: what cannot travel is refused where it is read.

--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import hashlib
+import re
 import types
 import typing
 from typing import TYPE_CHECKING, Any, TypeVar, cast, get_args, get_origin, get_type_hints
@@ -20,6 +21,10 @@
 T = TypeVar('T')
 
 PEER_FORMAT = 1
+# MessagePack, which carries messages between instances, has integers of 64 bits.
+INTEGER_LOWEST = -(2**63)
+INTEGER_HIGHEST = 2**64 - 1
+_LONG_NUMBER = re.compile(rb'[0-9]{19}')
 
 _PEER_TYPES: dict[str, type] = {
     kind.__name__: kind
@@ -66,6 +71,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise CodedError(ResultCode.MALFORMED, f'not valid JSON: {error}') from error
     _refuse_unknown_fields(raw, kind, kind.__name__)
+    _refuse_large_integers(data, raw)
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
@@ -75,7 +81,9 @@
 def decode_json_reply(data: bytes, kind: type[T]) -> T:
     """Decode a JSON reply and ignore unknown fields, since its sender may be newer."""
     try:
-        return cast(T, _json_decoder(cast('Hashable', kind)).decode(data))
+        if _LONG_NUMBER.search(data):
+            _refuse_large_integers(data, msgspec.json.decode(data))
+        return cast('T', _json_decoder(cast('Hashable', kind)).decode(data))
     except msgspec.ValidationError as error:
         raise CodedError(ResultCode.WRONG_TYPE, str(error)) from error
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -125,6 +133,20 @@
     return hashlib.sha256(data).hexdigest()[:32]
 
 
+def _refuse_large_integers(data: bytes, raw: Any) -> None:
+    if not _LONG_NUMBER.search(data):
+        return
+    pending = [raw]
+    while pending:
+        value = pending.pop()
+        if isinstance(value, dict):
+            pending.extend(value.values())
+        elif isinstance(value, list):
+            pending.extend(value)
+        elif isinstance(value, int) and not INTEGER_LOWEST <= value <= INTEGER_HIGHEST:
+            raise CodedError(ResultCode.OUT_OF_RANGE, 'an integer does not fit in 64 bits')
+
+
 @functools.cache
 def _field_types(kind: Hashable) -> dict[str, Any]:
     return get_type_hints(kind)
--- a/packages/daemon/src/pistachioloft_daemon/voter.py
+++ b/packages/daemon/src/pistachioloft_daemon/voter.py
@@ -7,6 +7,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -101,6 +102,8 @@
         self.receiver = SnapshotReceiver()
         self.sending: dict[str, tuple[int, float]] = {}
         self.failed = False
+        # One thread: a write that outlives a cancelled task still ends before the close.
+        self.writer = ThreadPoolExecutor(1, 'storage')
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -112,7 +115,8 @@
         if self.task is not None:
             self.task.cancel()
             await asyncio.gather(self.task, return_exceptions=True)
-        await asyncio.get_running_loop().run_in_executor(None, self.storage.close)
+        await asyncio.get_running_loop().run_in_executor(self.writer, self.storage.close)
+        self.writer.shutdown()
 
     def tick(self, now_ms: float) -> None:
         """Pass on that time has passed and forget proposals nobody waits for."""
@@ -137,7 +141,11 @@
             return
         expires_ms = monotonic_ms() + PROPOSAL_TIMEOUT_MS
         self.pending[proposal_id] = PendingProposal(proposal_id, callback, expires_ms)
-        payload = accepted.encode_command(command)
+        try:
+            payload = accepted.encode_command(command)
+        except CodedError as error:
+            self._resolve(proposal_id, CommandOutcome(error.code, error.detail))
+            return
         self._feed(agreement.Propose(proposal_id, payload, wall_clock_ms()))
 
     def change_membership(self, change: agreement.MembershipChange) -> None:
@@ -215,7 +223,7 @@
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(
-                None,
+                self.writer,
                 self.storage.append,
                 action.hard_state,
                 action.truncate_from,
@@ -268,7 +276,7 @@
     async def _save_snapshot(self, meta: SnapshotMeta, data: bytes) -> None:
         loop = asyncio.get_running_loop()
         try:
-            await loop.run_in_executor(None, self.storage.save_snapshot, meta, data)
+            await loop.run_in_executor(self.writer, self.storage.save_snapshot, meta, data)
         except StorageError as error:
             raise VoterFailedError(f'the snapshot cannot be written: {error}') from error
         self.snapshot_data = data
--- a/tests/test_codec/test_decoders.py
+++ b/tests/test_codec/test_decoders.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pistachioloft_core.codec import decode_json, decode_peer, encode_json, encode_peer
+from pistachioloft_core.codec import (
+    decode_json,
+    decode_json_reply,
+    decode_peer,
+    encode_json,
+    encode_peer,
+)
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.endpoint import Announcement
 from pistachioloft_core.messages.peer import CancelAttempts, ChangeHint
 from pistachioloft_core.messages.public import CommandRequest, QueryRequest
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PUBLIC_TYPES = (QueryRequest, CommandRequest, Announcement)
 
 
@@ -54,3 +65,20 @@
     """Guard against a message that is decoded as another type."""
     messages = (ChangeHint(7), CancelAttempts(('a',)))
     assert decode_peer(encode_peer('e1', messages)) == ('e1', messages)
+
+
+@pytest.mark.parametrize('decode', [decode_json, decode_json_reply])
+@pytest.mark.parametrize('number', [2**64, -(2**63) - 1, 2**70])
+def test_integer_over_64_bits_is_refused(decode: Callable[..., object], number: int) -> None:
+    """Guard against a message that is read here and cannot be sent to another instance."""
+    data = encode_json(QueryRequest('c', 'r', 'catalogue', {'q': [{'n': number}]}, 100))
+    with pytest.raises(CodedError) as caught:
+        decode(data, QueryRequest)
+    assert caught.value.code is ResultCode.OUT_OF_RANGE
+
+
+def test_largest_integers_pass() -> None:
+    """Guard against refusing numbers that every instance can carry."""
+    request = QueryRequest('c', 'r', 'catalogue', [2**64 - 1, -(2**63)], 100)
+    assert decode_json(encode_json(request), QueryRequest) == request
+    encode_peer('e1', (request,))
