Ration hedges only when their budget runs low

Rechecking a late attempt a quarter of the percentile later held back hedges also while the budget was ample. An attempt is now due at a time that grows continuously once less than 0.7 of the balance for hedges is left.

--- a/packages/core/src/pistachioloft_core/process/budget.py
+++ b/packages/core/src/pistachioloft_core/process/budget.py
@@ -16,6 +16,8 @@
 ALLOWANCE_COUNT = 64.0
 # Hedges leave this balance to retries: a late answer is still an answer.
 RETRY_RESERVE_COUNT = 32.0
+# Above this part of the balance for hedges, hedges need not be rationed.
+AMPLE_PART = 0.7
 SLOT_MS = 100.0
 
 
@@ -60,9 +62,9 @@
 
 
 def hedge_scarcity(state: BudgetState) -> float:
-    """Return how far the balance for hedges is spent, from 0 (full) to 1 (empty)."""
+    """Return how scarce the balance for hedges is, from 0 (ample) to 1 (spent)."""
     kept = (state.balance - RETRY_RESERVE_COUNT) / (ALLOWANCE_COUNT - RETRY_RESERVE_COUNT)
-    return 1.0 - max(0.0, kept)
+    return min(1.0, max(0.0, 1.0 - kept / AMPLE_PART))
 
 
 def _take(state: BudgetState, now_ms: float, count: int, reserve: float) -> bool:
--- a/packages/core/src/pistachioloft_core/request/hedge.py
+++ b/packages/core/src/pistachioloft_core/request/hedge.py
@@ -48,7 +48,9 @@
     if not lost and many_slow(routing.observed):
         return []
     scarcity = hedge_scarcity(routing.budget)
-    if not lost and age_ms < p95_ms * (1.0 + SCARCE_FACTOR * scarcity):
+    due_ms = attempt.sent_ms + p95_ms * (1.0 + SCARCE_FACTOR * scarcity)
+    if not lost and now_ms < due_ms:
+        attempt.check_at_ms = due_ms
         return []
     planned = plan_elsewhere(routing, query, now_ms, attempt.family)
     replaced: AttemptState | None = None
