Check a specification of consensus exhaustively within bounds

Cause: scenarios and random courses cannot show that the membership rules leave no gap, and nothing tied the code to a checked set of rules.

Changes: a specification of terms, votes, log, commit and membership change, checked with z3-solver: three rounds of election, change and replication and one more election, five members, five terms, four log entries. Four traces each of four courses are replayed against step(), and all members are compared after each step.

A change allowed before an entry of the own term is committed is found in the third round, counting entries of earlier terms in the fourth election.

--- /dev/null
+++ b/tests/test_specification/test_agreement_specification.py
@@ -0,0 +1,174 @@
+"""Guard against rules of consensus that are unsafe, and against code that departs from them."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import sys
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import z3
+
+from pistachioloft_core.messages.agreement import HardState, Membership, SnapshotMeta, VoteRequest
+from pistachioloft_core.process import agreement as ag
+from pistachioloft_core.process.agreement import election
+from tests.test_specification import agreement_specification as spec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+step_module = sys.modules[ag.step.__module__]
+NAMES = [f'{letter}-0' for letter in 'abcde']
+FIRST = Membership(tuple(NAMES[:4]), (NAMES[4],))
+
+
+class Replay:
+    """Run the steps of a trace with the real decisions, without time."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.monkeypatch = monkeypatch
+        self.now_ms = 0.0
+        meta, source = SnapshotMeta(1, 1, FIRST), random.Random(1)
+        self.states = [
+            ag.create_state(name, HardState(1, None), meta, (), source, 0.0) for name in NAMES
+        ]
+        # The specification has no time: whoever leads may propose, and voters always vote.
+        monkeypatch.setattr(step_module, 'has_lease', lambda *_: True)
+        monkeypatch.setattr(step_module, 'lost_quorum', lambda *_: False)
+        monkeypatch.setattr(election, 'hears_leader', lambda *_: False)
+
+    def feed(self, member: int, event: ag.Event) -> list[ag.Action]:
+        return ag.step(self.states[member], self.now_ms, event)
+
+    def exchange(self, one: int, other: int, message: Any) -> Any:
+        """Deliver a message and return the answer."""
+        actions = self.feed(other, ag.Received(NAMES[one], message))
+        return next(a.message for a in actions if isinstance(a, ag.Send) and a.to == NAMES[one])
+
+    def tick(self, member: int) -> list[ag.Action]:
+        self.now_ms += 5000.0
+        return self.feed(member, ag.Tick())
+
+    def elect(self, step: spec.Step) -> None:
+        if self.states[step.actor].role == ag.ROLE_LEADER:
+            with self.monkeypatch.context() as patch:
+                patch.setattr(step_module, 'lost_quorum', lambda *_: True)
+                self.tick(step.actor)
+        for _ in range(3):
+            actions = self.tick(step.actor)
+            while requests := [a for a in actions if isinstance(a, ag.Send)]:
+                if not isinstance(requests[0].message, VoteRequest):
+                    return
+                voters = [r for r in requests if NAMES.index(r.to) in step.chosen]
+                replies = [self.exchange(step.actor, NAMES.index(r.to), r.message) for r in voters]
+                actions = []
+                for reply in sorted(replies, key=lambda reply: reply.granted):
+                    actions += self.feed(step.actor, ag.Received(reply.voter, reply))
+
+    def change(self, step: spec.Step) -> str | None:
+        """Propose the change and return why it was rejected."""
+        (member,) = step.chosen
+        kind = ag.PROMOTE if member == spec.LEARNER else ag.REMOVE
+        change = ag.MembershipChange(kind, NAMES[member])
+        actions = self.feed(step.actor, ag.ChangeMembership('p', change, 0))
+        return next((a.reason for a in actions if isinstance(a, ag.Rejected)), None)
+
+    def replicate(self, step: spec.Step) -> None:
+        for follower in step.chosen:
+            for _ in range(40):
+                sent = [a for a in self.tick(step.actor) if isinstance(a, ag.Send)]
+                message: Any = next(a.message for a in sent if a.to == NAMES[follower])
+                kept = tuple(e for e in message.entries if e.index <= step.index)
+                message = dataclasses.replace(message, entries=kept)
+                reply = self.exchange(step.actor, follower, message)
+                self.feed(step.actor, ag.Received(NAMES[follower], reply))
+                if reply.success and reply.match_index == step.index:
+                    break
+
+    def check(self, step: spec.Step) -> None:
+        """Compare all members with the state of the specification."""
+        for m, state in enumerate(self.states):
+            assert state.term == step.state['term', m]
+            assert (state.role == ag.ROLE_LEADER) == step.state['leads', m]
+            assert state.log.last_index == step.state['length', m]
+            for i in range(1, state.log.last_index + 1):
+                voters = {NAMES[n] for n in spec.MEMBERS if step.state['voters', m, i] >> n & 1}
+                assert state.log.term_at(i) == step.state['entry', m, i]
+                assert set(ag.membership_at(state, i).voters) == voters
+            if step.state['leads', m]:
+                # The code also knows older commits from its time as a follower.
+                commit, expected = ag.commit_index(state), step.state['commit', m]
+                assert commit == expected or (state.log.term_at(commit) or 0) < state.term
+            for i in range(1, ag.commit_index(state) + 1):
+                assert state.log.term_at(i) == step.state['done', i], 'committed entry differs'
+
+    def run(self, trace: list[spec.Step]) -> str | None:
+        """Run a trace, and return why the code refused one of its changes."""
+        for step in trace:
+            reason = getattr(self, step.kind)(step)
+            if reason is not None:
+                return reason
+            self.check(step)
+        return None
+
+
+def test_rules_are_safe_within_the_bounds() -> None:
+    """Guard against rules that allow two leaders in a term or lose a committed entry."""
+    assert spec.Checker(spec.Rules()).find_bad() is None
+
+
+def test_checker_finds_an_old_entry_counted_as_committed() -> None:
+    """Guard against a checker that finds nothing: entries of earlier terms are counted."""
+    trace = spec.Checker(spec.Rules(own_term_counts=False)).find_bad()
+    assert trace is not None
+    assert [step.kind for step in trace].count('elect') == 4
+
+
+def test_code_refuses_the_change_that_the_checker_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a membership change before an entry of the own term is committed."""
+    trace = spec.Checker(spec.Rules(own_term_before_change=False), replayable=True).find_bad()
+    assert trace is not None
+    assert Replay(monkeypatch).run(trace) == 'change_pending'
+    # With the same fault in the code, the whole trace runs and ends in the bad state.
+    monkeypatch.setattr(step_module, 'change_allowed', lambda state: True)
+    assert Replay(monkeypatch).run(trace) is None
+
+
+def learner_leads(states: list[spec.State]) -> Any:
+    return states[-1]['leads', spec.LEARNER]
+
+
+def two_changes_are_committed(states: list[spec.State]) -> Any:
+    voters = [states[-1]['voters', m, 4] == 0b10111 for m in spec.MEMBERS]
+    return z3.And(states[-1]['done', 4] != 0, z3.Or(voters))
+
+
+def change_is_overwritten(states: list[spec.State]) -> Any:
+    newer = [states[-1]['entry', m, 3] > states[6]['entry', m, 3] for m in spec.MEMBERS]
+    lost = [states[6]['voters', m, 3] == 0b11111 for m in spec.MEMBERS]
+    return z3.Or([z3.And(pair) for pair in zip(newer, lost, strict=True)])
+
+
+def leader_is_replaced_unnoticed(states: list[spec.State]) -> Any:
+    return z3.And(states[-1]['leads', 0], states[-1]['leads', 1], states[-1]['done', 3] != 0)
+
+
+@pytest.mark.parametrize(
+    'goal',
+    [learner_leads, two_changes_are_committed, change_is_overwritten, leader_is_replaced_unnoticed],
+)
+def test_code_follows_the_traces_of_the_specification(
+    goal: Callable[[list[spec.State]], Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against code that decides otherwise than the rules that were checked."""
+    checker = spec.Checker(spec.Rules(), replayable=True)
+    for _ in range(spec.ROUNDS):
+        checker.extend()
+    for _ in range(4):
+        trace = checker.find(goal(checker.states))
+        assert trace is not None
+        assert Replay(monkeypatch).run(trace) is None
+        # The next trace must have other members in some step.
+        used = [(checker.choices[s.number][3], sum(1 << m for m in s.chosen)) for s in trace]
+        checker.solver.add(z3.Or([chosen != bits for chosen, bits in used]))
