Check the status index and use the log prefixes of the list

Cause: GET /v1/status?index=abc ended in code 900, and two modules logged under prefixes that operators cannot filter. Before: code 900. Conclusion: query parameters are checked like bodies.

--- a/packages/daemon/src/pistachioloft_daemon/faces.py
+++ b/packages/daemon/src/pistachioloft_daemon/faces.py
@@ -44,6 +44,7 @@
 SUBMIT_TIMEOUT_MS = 8000.0
 RETRY_AFTER_MS = 1000
 REPLY_GRACE_MS = 1000.0
+INDEX_DIGIT_COUNT = 18
 
 Future = concurrent.futures.Future[Any]
 
@@ -153,6 +154,10 @@
 ) -> None:
     now_ms = monotonic_ms()
     with_endpoints = parameters.get('endpoints') == 'true'
+    index_text = parameters.get('index', '0')
+    if not index_text.isdecimal() or len(index_text) > INDEX_DIGIT_COUNT:
+        raise CodedError(ResultCode.OUT_OF_RANGE, 'index must be a log index')
+    index = int(index_text)
     state = instance.soft_state.state
     accepted = instance.accepted
     voter = instance.voter
@@ -176,7 +181,7 @@
             )
         )
 
-    instance.control.ask_report(int(parameters.get('index', '0') or 0), False, reply)
+    instance.control.ask_report(index, False, reply)
 
 
 def _config(
--- a/packages/daemon/src/pistachioloft_daemon/peers.py
+++ b/packages/daemon/src/pistachioloft_daemon/peers.py
@@ -14,7 +14,7 @@
 
 logger = logging.getLogger(__name__)
 
-PREFIX = '[peer]'
+PREFIX = '[process]'
 SEND_BUFFER_MESSAGE_COUNT = 512
 RECEIVE_BUFFER_MESSAGE_COUNT = 512
 RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
--- a/packages/daemon/src/pistachioloft_daemon/web.py
+++ b/packages/daemon/src/pistachioloft_daemon/web.py
@@ -24,7 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
-PREFIX = '[web]'
+PREFIX = '[caller]'
 BODY_LIMIT_BYTES = 1024 * 1024
 HEADER_LIMIT_BYTES = 16 * 1024
 # A body that takes longer than this holds a worker thread that others need.
