Keep a fresh announcement from being hidden by the owner's load report

Cause: since instances that a puller hears directly are left out of other instances' replies, a record that had last been changed by the owner's report of load counted as the owner's news, although its age came from the announcement itself. The puller then saw the age of the relay to the owner, up to a second older, and the lease of 2.5 s ended now and then. Ruled out: lost owners (all endpoints of an owner would go) and ownership changes (none logged). After: the test passes; the oldest age is at most one renewal and one pull. Conclusion: who gave the age is kept apart from who sent the record.

--- a/packages/core/src/pistachioloft_core/process/membership.py
+++ b/packages/core/src/pistachioloft_core/process/membership.py
@@ -96,8 +96,19 @@
         if room == 0:
             more = True
             break
-        known_from = {peer, *pull.direct_peers} if since else set()
-        if _collect(state, now_ms, kind, key, known_from, endpoints, instances, crashes, successes):
+        direct = pull.direct_peers if since else ()
+        if _collect(
+            state,
+            now_ms,
+            kind,
+            key,
+            peer if since else '',
+            direct,
+            endpoints,
+            instances,
+            crashes,
+            successes,
+        ):
             room -= 1
         revision = changed
     return SoftStateReply(
@@ -302,7 +313,8 @@
     now_ms: float,
     kind: Kind,
     key: object,
-    known_from: set[str],
+    peer: str,
+    direct: tuple[str, ...],
     endpoints: list[EndpointRecord],
     instances: list[InstanceRecord],
     crashes: list[CrashReport],
@@ -310,12 +322,12 @@
 ) -> bool:
     if kind is Kind.ENDPOINT and isinstance(key, str):
         entry = state.endpoints[key]
-        if entry.source in known_from:
+        if (entry.source and entry.source == peer) or entry.heard_from in direct:
             return False
         endpoints.append(endpoint_record(entry, now_ms))
     elif kind is Kind.INSTANCE and isinstance(key, str):
         instance = state.instances[key]
-        if instance.source in known_from or key in known_from:
+        if peer in (instance.source, key) or instance.source in direct or key in direct:
             return False
         age_ms = max(0.0, now_ms - instance.heard_ms)
         instances.append(replace(instance.record, age_ms=age_ms))
--- a/packages/core/src/pistachioloft_core/process/merge.py
+++ b/packages/core/src/pistachioloft_core/process/merge.py
@@ -119,9 +119,13 @@
 ) -> None:
     """Merge a peer's endpoint record; its age grows by the time since the pull was sent."""
     heard_ms = sent_ms - max(0.0, record.age_ms)
+    known = state.endpoints.get(record.announcement.endpoint)
+    known_ms = known.heard_ms if known is not None else None
     entry = merge_announcement(state, now_ms, record.announcement, heard_ms, actions)
     if entry is None:
         return
+    if entry.heard_ms != known_ms:
+        entry.heard_from = peer
     merge_owner(state, entry, record.owner, record.owner_epoch, actions)
     same = entry.announcement.incarnation == record.announcement.incarnation
     if same and record.observation_sequence > entry.observation_sequence:
@@ -240,6 +244,7 @@
     state: MembershipState, entry: EndpointEntry, actions: list[MembershipAction]
 ) -> None:
     entry.source = ''
+    entry.heard_from = ''
     note_change(state, Kind.ENDPOINT, entry.announcement.endpoint)
     actions.append(EndpointChanged(entry.announcement.endpoint))
 
--- a/packages/core/src/pistachioloft_core/process/soft_state.py
+++ b/packages/core/src/pistachioloft_core/process/soft_state.py
@@ -44,6 +44,7 @@
     __slots__ = (
         'announcement',
         'draining',
+        'heard_from',
         'heard_ms',
         'in_flight_count',
         'latency_ms',
@@ -64,7 +65,9 @@
         self.queue_length = 0
         self.latency_ms = 0.0
         self.observation_sequence = 0
+        # The peer whose record equals this one, and the peer that gave the present age.
         self.source = ''
+        self.heard_from = ''
 
 
 class InstanceEntry:
--- a/tests/test_membership/network.py
+++ b/tests/test_membership/network.py
@@ -79,8 +79,10 @@
         state = self.states[target]
         self.carry_out(target, ownership.on_announcement(state, self.now_ms, announcement))
 
-    def keep_announcing(self, endpoint: str, targets: list[str], **fields: Any) -> dict[str, Any]:
-        """Announce every 500 ms to one instance after the other; the result may be changed."""
+    def keep_announcing(
+        self, endpoint: str, targets: list[str], period_ms: float = 500.0, **fields: Any
+    ) -> dict[str, Any]:
+        """Announce to one instance after the other; the result may be changed."""
         control: dict[str, Any] = {'sequence': 0, 'stopped': False, 'fields': fields}
 
         def announce() -> None:
@@ -91,7 +93,7 @@
             if target in self.states:
                 sequence = control['sequence']
                 self.announce(target, make_announcement(endpoint, sequence, **control['fields']))
-            self.at(self.now_ms + 500.0, announce)
+            self.at(self.now_ms + period_ms, announce)
 
         self.at(self.now_ms, announce)
         return control
--- a/tests/test_membership/test_soft_state.py
+++ b/tests/test_membership/test_soft_state.py
@@ -242,3 +242,22 @@
     assert isinstance(action, ReplyAnnouncement)
     assert action.reply.result_code is ResultCode.OUT_OF_RANGE
     assert 's2' not in network.states['e1'].endpoints
+
+
+def test_changing_load_does_not_hide_a_fresh_announcement() -> None:
+    """Guard against a lease that ends because the owner's report of load travelled faster."""
+    network = Network(NAMES)
+    network.run(500)
+    network.keep_announcing('s1', NAMES, period_ms=float(ownership.RENEW_MS))
+    network.run(2_000)
+    oldest_ms = 0.0
+    for number in range(600):
+        for state in network.states.values():
+            if state.endpoints['s1'].owner == state.own.instance:
+                seen = EndpointObservation('s1', 1, number % 3, 0, float(number))
+                membership.note_observations(state, [seen])
+        network.run(50)
+        for state in network.states.values():
+            oldest_ms = max(oldest_ms, network.now_ms - state.endpoints['s1'].heard_ms)
+    # One renewal, one pull and the way of its messages.
+    assert oldest_ms <= ownership.RENEW_MS + membership.PULL_INTERVAL_MS + 10.0
