--- a/tests/features/conftest.py
+++ b/tests/features/conftest.py
@@ -44,7 +44,11 @@
     if match := re.fullmatch(r'answers(?: from version (\d))?', act):
         run.answer(attempt, version=int(match[1] or attempt.version))
     elif act == 'refuses the connection':
+        count = len(run.attempts)
         run.fail(attempt, 'not_started')
+        retries = run.attempts[count:]
+        assert all(item.shards == attempt.shards for item in retries)
+        assert all(item.endpoint != attempt.endpoint for item in retries)
     else:
         assert act == 'no longer holds the version'
         run.fail(attempt, 'not_started', detail='not_held')
