Say not_held when a version is not held

Cause: an endpoint that no longer holds a version was taken for one that sheds load, so a query whose version was retired was retried and not planned anew. Before: the stand-in answered without a detail. After: the detail starts with not_held, as docs/interfaces.md now asks; drain announces at once.

--- a/tools/searcher/host.py
+++ b/tools/searcher/host.py
@@ -88,7 +88,7 @@
         if order.action == 'behave' and order.behaviour is not None:
             searcher.behaviour = order.behaviour
         elif order.action == 'drain':
-            searcher.drain()
+            await searcher.drain()
         elif order.action == 'kill':
             await searcher.stop()
         elif order.action == 'hold':
--- a/tools/searcher/searcher.py
+++ b/tools/searcher/searcher.py
@@ -97,10 +97,11 @@
                 transport.abort()
             await self.runner.cleanup()
 
-    def drain(self) -> None:
-        """Announce from now on that this searcher leaves."""
+    async def drain(self) -> None:
+        """Announce at once and from now on that this searcher leaves."""
         self.drained_at_s = time.monotonic()
         self.announcement = replace(self.announcement, draining=True)
+        await self.announce()
 
     async def announce(self) -> AnnounceReply | None:
         """Announce once to the next entry address."""
@@ -166,7 +167,7 @@
         if self.behaviour.shed or self.announcement.draining or self.waiting_count > queue_limit:
             return self._reply(message, STATUS_NOT_STARTED, (), None)
         if not self._holds(message):
-            return self._reply(message, STATUS_NOT_STARTED, (), None)
+            return self._reply(message, STATUS_NOT_STARTED, (), None, 'not_held')
         self.waiting_count += 1
         task = asyncio.create_task(self._work(message))
         self.pending[message.identity] = task
@@ -221,7 +222,12 @@
         )
 
     def _reply(
-        self, message: SubRequest, status: str, rows: tuple[ShardRows, ...], outcome: Any
+        self,
+        message: SubRequest,
+        status: str,
+        rows: tuple[ShardRows, ...],
+        outcome: Any,
+        detail: str = '',
     ) -> SubReply:
         version = message.version
         if self.random_source.random() < self.behaviour.wrong_version_share:
@@ -233,6 +239,7 @@
             collection=message.collection,
             version=version,
             status=status,
+            detail=detail,
             results=rows,
             outcome=outcome,
             slots_in_use=self.running_count,
