Keep an older record from hiding a younger one of the same announcement

Cause: a relayed announcement counts as 1,500 ms old, and the owner passed it on with that age. An instance that held the same announcement with a smaller age took the owner for its source and no longer passed its own record on. With announcements every 500 ms the next one hid this; the test network still used that interval after announcements had moved to 1,000 ms. Before: with announcements every 1,000 ms and pulls every 500 ms, 3 of 28 membership and drain tests failed; an endpoint on a healthy network was unusable at 3 of 7 instances for part of each second. After: a peer becomes the source of a record only if it told something new that is as young as what is known. The test network announces at the interval that the reply asks for. Conclusion: the new test fails without the change (at 3,500 ms of virtual time) and passes with it.

--- a/packages/core/src/pistachioloft_core/process/merge.py
+++ b/packages/core/src/pistachioloft_core/process/merge.py
@@ -119,9 +119,13 @@
 ) -> None:
     """Merge a peer's endpoint record; its age grows by the time since the pull was sent."""
     heard_ms = sent_ms - max(0.0, record.age_ms)
+    earlier = state.endpoints.get(record.announcement.endpoint)
+    before = _content(earlier) if earlier is not None else None
+    before_ms = earlier.heard_ms if earlier is not None else heard_ms
     entry = merge_announcement(state, now_ms, record.announcement, heard_ms, actions)
     if entry is None:
         return
+    source = entry.source
     merge_owner(state, entry, record.owner, record.owner_epoch, actions)
     same = entry.announcement.incarnation == record.announcement.incarnation
     if same and record.observation_sequence > entry.observation_sequence:
@@ -130,8 +134,13 @@
         entry.latency_ms = record.latency_ms
         entry.observation_sequence = record.observation_sequence
         note_change(state, Kind.ENDPOINT, record.announcement.endpoint)
-    # A record equal to the peer's need not be sent back to it.
-    entry.source = peer if _is_same(entry, record) else ''
+    if _content(entry) == before and entry.heard_ms <= before_ms + AGE_CORRECTION_MS:
+        # Nothing was learned, so whoever told it first stays the source.
+        entry.source = source
+        return
+    # A record that is equal to the peer's and as young need not be sent back to it.
+    as_young = heard_ms >= entry.heard_ms - AGE_CORRECTION_MS
+    entry.source = peer if as_young and _is_same(entry, record) else ''
 
 
 def merge_instance(
@@ -254,6 +263,10 @@
     return same_load != known
 
 
+def _content(entry: EndpointEntry) -> tuple[Announcement, str, int, int]:
+    return (entry.announcement, entry.owner, entry.owner_epoch, entry.observation_sequence)
+
+
 def _is_same(entry: EndpointEntry, record: EndpointRecord) -> bool:
     return (
         entry.announcement == record.announcement
--- a/tests/test_membership/network.py
+++ b/tests/test_membership/network.py
@@ -80,7 +80,7 @@
         self.carry_out(target, ownership.on_announcement(state, self.now_ms, announcement))
 
     def keep_announcing(self, endpoint: str, targets: list[str], **fields: Any) -> dict[str, Any]:
-        """Announce every 500 ms to one instance after the other; the result may be changed."""
+        """Announce to one instance after the other; changes to the result take effect."""
         control: dict[str, Any] = {'sequence': 0, 'stopped': False, 'fields': fields}
 
         def announce() -> None:
@@ -91,7 +91,7 @@
             if target in self.states:
                 sequence = control['sequence']
                 self.announce(target, make_announcement(endpoint, sequence, **control['fields']))
-            self.at(self.now_ms + 500.0, announce)
+            self.at(self.now_ms + ownership.RENEW_MS, announce)
 
         self.at(self.now_ms, announce)
         return control
--- a/tests/test_membership/test_membership_basics.py
+++ b/tests/test_membership/test_membership_basics.py
@@ -39,3 +39,14 @@
         assert network.usable(name) == {'s1'}
     assert network.replies[-1].owner != gone
     assert network.owned(str(network.replies[-1].owner)) == {'s1'}
+
+
+def test_endpoint_that_announces_itself_stays_usable_everywhere() -> None:
+    """Guard against an older record, such as a relayed one, that hides a younger one."""
+    network = Network(NAMES)
+    network.run(500)
+    network.keep_announcing('s1', NAMES)
+    network.run(1500)
+    for _ in range(100):
+        network.run(100)
+        assert all(network.usable(name) == {'s1'} for name in NAMES), network.now_ms
