--- a/tools/searcher/host.py
+++ b/tools/searcher/host.py
@@ -103,6 +103,8 @@
             await self.start_searcher(announcement, searcher.announcement.incarnation)
         elif order.action == 'silence':
             searcher.silent.update(id(each) for each in searcher.connections)
+        elif order.action == 'silence_one':
+            searcher.silent.update(id(each) for each in list(searcher.connections)[:1])
 
     async def counters(self, _request: web.Request) -> web.Response:
         """Give the counters of all searchers."""
