Look at an endpoint's connections less often for each event

Cause: every event of the owner sorted and listed all connections of its endpoint several times, also when nothing had to be closed or could be sent.

--- a/packages/core/src/pistachioloft_core/connection/dispatch.py
+++ b/packages/core/src/pistachioloft_core/connection/dispatch.py
@@ -48,9 +48,12 @@
 ) -> None:
     """Send waiting attempts as far as slots and connections allow."""
     while len(endpoint.queue) and accepts_work(endpoint) and now_ms >= endpoint.pause_until_ms:
+        if in_flight_count(endpoint) >= current_slot_limit(endpoint, now_ms):
+            return
         idle = [conn for conn in endpoint.connections.values() if is_idle(conn)]
-        idle = [conn for conn in idle if is_trusted(endpoint, conn)]
-        if not idle or in_flight_count(endpoint) >= current_slot_limit(endpoint, now_ms):
+        if endpoint.lost:
+            idle = [conn for conn in idle if is_trusted(endpoint, conn)]
+        if not idle:
             return
         urgent = _choose_class(endpoint, len(idle))
         if urgent is None:
--- a/packages/core/src/pistachioloft_core/connection/pool.py
+++ b/packages/core/src/pistachioloft_core/connection/pool.py
@@ -84,27 +84,27 @@
     state: OwnerState, endpoint: OwnedEndpoint, now_ms: float, actions: list[OwnerAction]
 ) -> None:
     """Open missing connections and close those that are no longer needed."""
-    for conn in list(endpoint.connections.values()):
+    accepting = accepts_work(endpoint)
+    for conn in endpoint.connections.values():
         opening = conn.state is ConnectionState.OPENING
+        if conn.flight is not None or conn.state is ConnectionState.CLOSING:
+            continue
         if opening and now_ms >= conn.since_ms + OPEN_TIMEOUT_MS:
             close_connection(endpoint, conn, 'no answer to the opening', actions)
             note_open_failure(endpoint, now_ms)
-        elif not accepts_work(endpoint) and (opening or _is_free(conn)):
+        elif not accepting:
             close_connection(endpoint, conn, 'no new work for the endpoint', actions)
-        elif conn.retiring and _is_free(conn):
+        elif conn.retiring and not opening:
             close_connection(endpoint, conn, 'earlier incarnation', actions)
-    if not accepts_work(endpoint):
+    if not accepting:
         return
     target = connection_target(endpoint.announcement)
-    _close_excess(endpoint, target, actions)
+    if len(endpoint.connections) > target:
+        _close_excess(endpoint, target, actions)
     while len(endpoint.connections) < target and now_ms >= endpoint.next_open_ms:
         open_connection(state, endpoint, now_ms, actions)
 
 
-def _is_free(conn: Connection) -> bool:
-    return conn.state is ConnectionState.OPEN and conn.flight is None
-
-
 def _close_excess(endpoint: OwnedEndpoint, target: int, actions: list[OwnerAction]) -> None:
     kept = [c for c in endpoint.connections.values() if c.state is not ConnectionState.CLOSING]
     # A probe may stand above the target until it is answered.
