--- a/tests/test_agreement/test_agreement_safety.py
+++ b/tests/test_agreement/test_agreement_safety.py
@@ -157,6 +157,8 @@
     cluster.isolate(old)
     change = ag.MembershipChange(ag.ADD_LEARNER, 'd-0')
     cluster.feed(old, ag.ChangeMembership('stray', change, 0))
+    cluster.feed(old, ag.ChangeMembership('second', change, 0))
+    assert cluster.rejected['second'].reason == 'change_pending'
     cluster.propose(old, 'stray-command')
     assert ag.membership(cluster.state(old)).learners == ('d-0',)
     cluster.run(5000)
