Step back on any error of consensus

Cause: an error in the voter's task ended the task silently, and the voter then neither answered nor said so. Before: no log line. Conclusion: no test provokes it yet.

--- a/packages/daemon/src/pistachioloft_daemon/voter.py
+++ b/packages/daemon/src/pistachioloft_daemon/voter.py
@@ -180,8 +180,11 @@
             try:
                 while self.events:
                     await self._work(self._next_event())
-            except VoterFailedError as error:
+            except (VoterFailedError, agreement.AgreementError) as error:
                 self._fail(str(error))
+            except Exception as error:
+                logger.exception('%s unexpected error', PREFIX)
+                self._fail(f'unexpected error: {error}')
 
     async def _work(self, event: agreement.Event | InstallSnapshot) -> None:
         if isinstance(event, InstallSnapshot):
