Hold mutable state in plain classes

Cause: data classes are for data that does not change; three states of consensus and one of the simulated cluster were mutable data classes, and the tools imported each other by absolute names. Before: 5 mutable data classes, 12 absolute imports.

--- a/packages/core/src/pistachioloft_core/process/agreement/state.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ...messages.agreement import ENTRY_MEMBERSHIP, HardState, LogEntry, Membership, SnapshotMeta
@@ -37,31 +36,31 @@
     """Report a state that consensus must never reach."""
 
 
-@dataclass(slots=True)
 class Progress:
     """Track how far the leader has brought one member."""
 
-    next_index: int
-    heard_ms: float
-    match_index: int = 0
-    # Send time of the newest heartbeat that the member has answered.
-    answered_ms: float = NEVER_MS
-    # While probing, one message at a time looks for the last index in common.
-    probing: bool = True
-    snapshot_sent_ms: float = NEVER_MS
+    def __init__(self, next_index: int, heard_ms: float) -> None:
+        self.next_index = next_index
+        self.heard_ms = heard_ms
+        self.match_index = 0
+        # Send time of the newest heartbeat that the member has answered.
+        self.answered_ms = NEVER_MS
+        # While probing, one message at a time looks for the last index in common.
+        self.probing = True
+        self.snapshot_sent_ms = NEVER_MS
 
 
-@dataclass(slots=True)
 class Effects:
     """Collect the actions of one step; what must be durable comes before everything else."""
 
-    hard_state_changed: bool = False
-    truncate_from: int | None = None
-    entries: list[LogEntry] = field(default_factory=list)
-    proposed: list[Proposed] = field(default_factory=list)
-    sends: list[Action] = field(default_factory=list)
-    rejected: list[Rejected] = field(default_factory=list)
-    applied: list[LogEntry] = field(default_factory=list)
+    def __init__(self) -> None:
+        self.hard_state_changed = False
+        self.truncate_from: int | None = None
+        self.entries: list[LogEntry] = []
+        self.proposed: list[Proposed] = []
+        self.sends: list[Action] = []
+        self.rejected: list[Rejected] = []
+        self.applied: list[LogEntry] = []
 
     def send(self, to: str, message: AgreementMessage) -> None:
         """Send a message after everything of this step is durable."""
@@ -72,38 +71,50 @@
         self.sends.append(SendSnapshot(to))
 
 
-@dataclass(slots=True)
 class AgreementState:
     """Hold everything a member knows; only this package changes it."""
 
-    member_id: str
-    random_source: random.Random
-    term: int
-    voted_for: str | None
-    log: Log
-    snapshot: SnapshotMeta | None
-    # Membership records by log index, ascending; the last one is in force.
-    memberships: list[tuple[int, Membership]]
-    commit_index: int
-    # Highest index that storage may hold; entries at or below it are truncated before an append.
-    storage_last_index: int
-    election_due_ms: float
-    leader_heard_ms: float
-    role: str = ROLE_FOLLOWER
-    leader: str | None = None
-    votes: set[str] = field(default_factory=set)
-    # Fields of a leader.
-    term_start_index: int = 0
-    term_start_ms: float = NEVER_MS
-    progress: dict[str, Progress] = field(default_factory=dict)
-    heartbeat_id: int = 0
-    heartbeat_due_ms: float = NEVER_MS
-    heartbeat_sent_ms: OrderedDict[int, float] = field(default_factory=OrderedDict)
-    transfer_target: str | None = None
-    transfer_due_ms: float = NEVER_MS
-    # Once a voter was told to stand for election, the lease of this term has ended for good.
-    lease_given_up: bool = False
-    reported: RoleChanged | None = None
+    def __init__(
+        self,
+        member_id: str,
+        random_source: random.Random,
+        hard_state: HardState,
+        snapshot: SnapshotMeta | None,
+        log: Log,
+        now_ms: float,
+    ) -> None:
+        self.member_id = member_id
+        self.random_source = random_source
+        self.term = hard_state.term
+        self.voted_for = hard_state.voted_for
+        self.log = log
+        self.snapshot = snapshot
+        # Membership records by log index, ascending; the last one is in force.
+        self.memberships: list[tuple[int, Membership]] = []
+        if snapshot is not None:
+            self.memberships.append((snapshot.index, snapshot.membership))
+        self.commit_index = log.base_index
+        # Highest index that storage may hold; entries up to it are truncated before an append.
+        self.storage_last_index = log.base_index
+        self.election_due_ms = now_ms
+        # A restarted voter may have confirmed a lease just before it stopped, so it refuses
+        # votes for as long as that lease can last.
+        self.leader_heard_ms = now_ms if hard_state.term > 0 else NEVER_MS
+        self.role = ROLE_FOLLOWER
+        self.leader: str | None = None
+        self.votes: set[str] = set()
+        # Fields of a leader.
+        self.term_start_index = 0
+        self.term_start_ms = NEVER_MS
+        self.progress: dict[str, Progress] = {}
+        self.heartbeat_id = 0
+        self.heartbeat_due_ms = NEVER_MS
+        self.heartbeat_sent_ms: OrderedDict[int, float] = OrderedDict()
+        self.transfer_target: str | None = None
+        self.transfer_due_ms = NEVER_MS
+        # Once a voter was told to stand for election, the lease of this term has ended for good.
+        self.lease_given_up = False
+        self.reported: RoleChanged | None = None
 
     @property
     def membership(self) -> Membership:
@@ -127,23 +138,10 @@
     """Create the state of a member from what its storage holds."""
     base_index = snapshot.index if snapshot else 0
     base_term = snapshot.term if snapshot else 0
-    memberships = [(snapshot.index, snapshot.membership)] if snapshot else []
     kept = _entries_after(base_index, base_term, entries)
-    state = AgreementState(
-        member_id=member_id,
-        random_source=random_source,
-        term=hard_state.term,
-        voted_for=hard_state.voted_for,
-        log=Log(base_index, base_term, kept),
-        snapshot=snapshot,
-        memberships=memberships,
-        commit_index=base_index,
-        storage_last_index=max(entries[-1].index if entries else 0, base_index),
-        election_due_ms=now_ms,
-        # A restarted voter may have confirmed a lease just before it stopped, so it refuses
-        # votes for as long as that lease can last.
-        leader_heard_ms=now_ms if hard_state.term > 0 else NEVER_MS,
-    )
+    log = Log(base_index, base_term, kept)
+    state = AgreementState(member_id, random_source, hard_state, snapshot, log, now_ms)
+    state.storage_last_index = max(entries[-1].index if entries else 0, base_index)
     note_memberships(state, kept)
     reset_election_timer(state, now_ms)
     return state
--- a/tools/bench/run.py
+++ b/tools/bench/run.py
@@ -15,11 +15,11 @@
 import msgspec
 
 from pistachioloft_core.messages.public import URGENT
-from tools.cluster.layout import SITES, Site, announcements
-from tools.cluster.processes import Cluster, free_addresses
-from tools.searcher.behaviour import Behaviour
-from tools.searcher.host import Order
 
+from ..cluster.layout import SITES, Site, announcements
+from ..cluster.processes import Cluster, free_addresses
+from ..searcher.behaviour import Behaviour
+from ..searcher.host import Order
 from .baseline import BaselinePlan, Replica
 from .load import LoadPlan, Sample
 
--- a/tools/cluster/demo.py
+++ b/tools/cluster/demo.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from pistachioloft_core.messages.public import CommandRequest, QueryRequest
-from tools.searcher.behaviour import Behaviour
-from tools.searcher.host import Order
 
+from ..searcher.behaviour import Behaviour
+from ..searcher.host import Order
 from .layout import SITES, Site, announcements
 from .processes import Cluster
 
--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -18,12 +18,12 @@
 
 from pistachioloft_core.codec import encode_json
 from pistachioloft_core.messages.accepted import Configuration, InstanceEntry, SubmitConfiguration
-from tools.searcher.host import HostPlan, Order
 
+from ..searcher.host import HostPlan, Order
 from .layout import Site, announcements, configuration
 
 if TYPE_CHECKING:
-    from tools.searcher.behaviour import Behaviour
+    from ..searcher.behaviour import Behaviour
 
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 40.0
--- a/tools/measure/one_entry.py
+++ b/tools/measure/one_entry.py
@@ -15,10 +15,11 @@
 
 from pistachioloft_core.codec import encode_json
 from pistachioloft_core.messages.public import QueryRequest
-from tools.cluster.layout import GOLDSEAM, announcements
-from tools.cluster.processes import Cluster
-from tools.searcher.behaviour import Behaviour
-from tools.searcher.host import Order
+
+from ..cluster.layout import GOLDSEAM, announcements
+from ..cluster.processes import Cluster
+from ..searcher.behaviour import Behaviour
+from ..searcher.host import Order
 
 SERVICE_MS = 5.0
 QUERY_COUNT = 300
--- a/tools/virtual_cluster.py
+++ b/tools/virtual_cluster.py
@@ -106,19 +106,19 @@
     return QueryRequest(caller, 'r1', COLLECTION, query, deadline_ms)
 
 
-@dataclasses.dataclass
 class Endpoint:
     """Run attempts in slots, the urgent first, and refuse what is too late."""
 
-    name: str
-    slot_count: int
-    alive: bool = True
-    incarnation: int = 1
-    running: dict[str, tuple[Attempt, float]] = dataclasses.field(default_factory=dict)
-    queue: list[tuple[bool, float, Attempt]] = dataclasses.field(default_factory=list)
+    def __init__(self, name: str, slot_count: int) -> None:
+        self.name = name
+        self.slot_count = slot_count
+        self.alive = True
+        self.incarnation = 1
+        self.running: dict[str, tuple[Attempt, float]] = {}
+        self.queue: list[tuple[bool, float, Attempt]] = []
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
     """Record one query as its caller saw it."""
 
