Show the accepted index and the serving state of one moment in the status

Cause: the status page read the accepted configuration when it was asked and `serving` when the leader had answered or a second had passed. A thawed leader that took the newer configuration in between was shown as serving with the older one.

Found by the new test, which freezes the leader for four lease times while a change is accepted elsewhere: failed before, passes after.

--- a/packages/daemon/src/pistachioloft_daemon/faces.py
+++ b/packages/daemon/src/pistachioloft_daemon/faces.py
@@ -154,10 +154,11 @@
     now_ms = monotonic_ms()
     with_endpoints = parameters.get('endpoints') == 'true'
     state = instance.soft_state.state
-    accepted = instance.accepted
     voter = instance.voter
 
     def reply(answer: InForceReply | None) -> None:
+        # Read together with `serving`: the leader's answer takes up to a second.
+        accepted = instance.accepted
         voters = answer.voters if answer is not None else None
         if voters is None and voter is not None:
             voters = voter_status(voter, now_ms)
