Rebuild the view in the turn that adopts a configuration, forward to new owners

Cause: an adopted configuration renewed the lease at once but rebuilt the request view in a later turn of the loop, so a thawed instance planned one query at a version that had been retired. A rebalanced endpoint was refused by its earlier owner while entries had not heard of the new one, and with both replicas on the move a shard was missing. Conclusion: a lease and the view that it stands for change together; an attempt is forwarded once.

--- a/packages/core/src/pistachioloft_core/messages/peer.py
+++ b/packages/core/src/pistachioloft_core/messages/peer.py
@@ -41,6 +41,7 @@
     urgent: bool = False
     hedge: bool = False
     idempotency_key: str | None = None
+    forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pistachioloft_daemon/instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/instance.py
@@ -74,7 +74,13 @@
         self.owned = OwnedEndpoints(
             settings.instance,
             self.timers,
-            OwnerHooks(self._on_results, self._on_crashed, self.soft_state.on_draining),
+            OwnerHooks(
+                self._on_results,
+                self._on_crashed,
+                self.soft_state.on_draining,
+                self.soft_state.owner_of,
+                self._send_attempts,
+            ),
         )
         self.requests = Requests(
             settings.instance,
@@ -206,7 +212,9 @@
                 self.peers.connect(entry.instance, entry.peer_address)
         for peer in set(self.peers.addresses) - listed:
             self.peers.disconnect(peer)
-        self._on_endpoints_changed()
+        # In the same turn of the loop: the lease is valid from here on, and a query planned with
+        # the earlier view would be answered from a version that may be retired.
+        self._refresh(monotonic_ms())
 
     def _on_endpoints_changed(self) -> None:
         if not self.view_stale:
--- a/packages/daemon/src/pistachioloft_daemon/owned.py
+++ b/packages/daemon/src/pistachioloft_daemon/owned.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.connection import actions as owner_actions
@@ -42,6 +42,8 @@
     results: Callable[[str, tuple[AttemptResult, ...]], None]
     crashed: Callable[[CrashReport], None]
     draining: Callable[[str, int], None]
+    owner_of: Callable[[str], str | None]
+    forward: Callable[[str, tuple[Attempt, ...]], None]
 
 
 class OwnedEndpoints:
@@ -71,17 +73,28 @@
         self.names = names
 
     def submit(self, attempts: tuple[Attempt, ...]) -> None:
-        """Take attempts for owned endpoints."""
+        """Take attempts for owned endpoints and pass on those that have a new owner."""
         now_ms = monotonic_ms()
-        for attempt in attempts:
+        kept = [attempt for attempt in attempts if not self._forward(attempt)]
+        for attempt in kept:
             request_id = query_id_of(attempt.attempt_id)
             self.open_counts[request_id] = self.open_counts.get(request_id, 0) + 1
-        for attempt in attempts:
+        for attempt in kept:
             actions = owner.submit(self.state, now_ms, attempt)
             if not actions and attempt.attempt_id not in self.state.attempt_endpoints:
                 self._close_one(attempt.attempt_id)
             self._carry_out(actions)
 
+    def _forward(self, attempt: Attempt) -> bool:
+        """Pass an attempt on once, if its sender has not heard of the new owner yet."""
+        if attempt.endpoint in self.names or attempt.forwarded:
+            return False
+        target = self.hooks.owner_of(attempt.endpoint)
+        if target is None or target == self.state.instance:
+            return False
+        self.hooks.forward(target, (replace(attempt, forwarded=True),))
+        return True
+
     def cancel(self, attempt_ids: tuple[str, ...]) -> None:
         """Withdraw attempts."""
         now_ms = monotonic_ms()
--- a/packages/daemon/src/pistachioloft_daemon/soft_state.py
+++ b/packages/daemon/src/pistachioloft_daemon/soft_state.py
@@ -92,6 +92,11 @@
         """Spread a success report of this instance."""
         self._carry_out(membership.add_success(self.state, monotonic_ms(), report))
 
+    def owner_of(self, endpoint: str) -> str | None:
+        """Return the owner of an endpoint as far as it is known here."""
+        entry = self.state.endpoints.get(endpoint)
+        return entry.owner or None if entry is not None else None
+
     def live(self) -> tuple[InstanceRecord, ...]:
         """Return the instances that are alive."""
         return membership.live_instances(self.state, monotonic_ms())
