--- a/packages/core/src/pistachioloft_core/process/ownership.py
+++ b/packages/core/src/pistachioloft_core/process/ownership.py
@@ -25,8 +25,9 @@
 RELAY_LEASE_MS = 1_000.0
 MAX_NAME_LENGTH = 256
 # A restarted instance owns nothing, since a live owner is kept. Endpoints leave an owner that
-# has over a fifth more than the mean, and go to one that has under two thirds of it; each instance moves one at a time, because a move opens
-# new connections and the other instances learn of it with their next pull.
+# has over a fifth more than the mean, and go to one that has under two thirds of it. Each
+# instance moves one at a time, because a move opens new connections and the other instances
+# learn of it with their next pull.
 BALANCE_FACTOR = 1.2
 LOW_FACTOR = 2 / 3
 MOVE_INTERVAL_MS = 500.0
