Leave a fenced instance out of the addresses that it hands out

Cause: an instance notes in its own record whether it serves every 500 ms, so for that time after the end of its lease it named itself in its refusals.

--- a/packages/daemon/src/pistachioloft_daemon/instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/instance.py
@@ -137,6 +137,8 @@
 
     def caller_addresses(self, caller: str) -> tuple[CallerAddress, ...]:
         """Choose the addresses that a caller should use."""
+        # The lease may have ended since the last refresh; a fenced instance names only others.
+        self._update_own_status()
         draining = self.accepted.draining_instances if self.accepted else ()
         return addresses.choose_addresses(self.soft_state.live(), caller, draining)
 
