Send crash reports to all instances before the result of the attempt

Cause: a crash reached the other instances with their next pull, up to 500 ms later, while the caller had its answer at once and resent the request through them.

The stand-in searcher keeps the silenced connections themselves, since a new connection could get the id of a closed one and be silent too.

--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -32,6 +32,7 @@
         peer.ChangeHint,
         peer.SoftStatePull,
         peer.SoftStateReply,
+        peer.CrashReport,
         peer.RelayAnnouncement,
         peer.ProposeRequest,
         peer.ProposeReply,
--- a/packages/daemon/src/pistachioloft_daemon/instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/instance.py
@@ -182,6 +182,7 @@
             peer_messages.CancelAttempts: lambda _sender, m: owned.cancel(m.attempt_ids),
             peer_messages.SoftStatePull: soft.on_pull,
             peer_messages.SoftStateReply: soft.on_pull_reply,
+            peer_messages.CrashReport: lambda _sender, m: self._on_crash_learned(m),
             peer_messages.RelayAnnouncement: lambda _sender, m: soft.on_relay(m),
             peer_messages.ProposeRequest: proposals.on_request,
             peer_messages.ProposeReply: lambda _sender, m: proposals.on_reply(m),
@@ -260,6 +261,9 @@
     def _on_crashed(self, report: CrashReport) -> None:
         suspects.on_crash(self.routing.suspects, monotonic_ms(), report)
         self.soft_state.add_crash(report)
+        # A caller that resends at once to another instance is faster than the next pull.
+        for peer in self.peers.addresses:
+            self.peers.send(peer, report)
 
     def _on_crash_learned(self, report: CrashReport) -> None:
         suspects.on_crash(self.routing.suspects, monotonic_ms(), report)
--- a/tools/searcher/host.py
+++ b/tools/searcher/host.py
@@ -102,7 +102,7 @@
             )
             await self.start_searcher(announcement, searcher.announcement.incarnation)
         elif order.action == 'silence':
-            searcher.silent.update(id(each) for each in searcher.connections)
+            searcher.silent.update(searcher.connections)
 
     async def counters(self, _request: web.Request) -> web.Response:
         """Give the counters of all searchers."""
--- a/tools/searcher/searcher.py
+++ b/tools/searcher/searcher.py
@@ -50,7 +50,8 @@
         self.cancelled_count = 0
         self.peak_running_count = 0
         self.connections: set[asyncio.BaseTransport] = set()
-        self.silent: set[int] = set()
+        # Holds the transports themselves, as a new one may get the id of a closed one.
+        self.silent: set[asyncio.BaseTransport] = set()
         self.connection_count = 0
         self.peak_connection_count = 0
         self.last_work_s = 0.0
@@ -145,7 +146,7 @@
     async def _search(self, request: web.Request) -> web.Response:
         self._note_connection(request)
         message = decode_json_reply(await request.read(), SubRequest)
-        if id(request.transport) in self.silent:
+        if request.transport in self.silent:
             await asyncio.sleep(3600)
         if self.drained_at_s is not None:
             self.work_after_drain_s = time.monotonic() - self.drained_at_s
@@ -248,4 +249,4 @@
         self.connection_count = len(self.connections)
         self.peak_connection_count = max(self.peak_connection_count, self.connection_count)
         if len(self.silent) < self.behaviour.silent_connection_count:
-            self.silent.add(id(transport))
+            self.silent.add(transport)
