Refuse bad, slow and idle input with result codes at the faces

A request now has 2 s from its first byte, each refusal of the library gets its code, and a new connection reaches a worker only with its first byte.

--- a/packages/daemon/src/pistachioloft_daemon/web.py
+++ b/packages/daemon/src/pistachioloft_daemon/web.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
+import http
 import logging
 import select
 import socket
@@ -13,6 +15,8 @@
 
 import cherrypy
 from cheroot import wsgi
+from cheroot.makefile import MakeFile, StreamReader
+from cheroot.server import HTTPConnection, HTTPRequest
 
 from pistachioloft_core.codec import decode_json, encode_json
 from pistachioloft_core.errors import RESULTS, CodedError, ResultCode
@@ -27,7 +31,7 @@
 PREFIX = '[web]'
 BODY_LIMIT_BYTES = 1024 * 1024
 HEADER_LIMIT_BYTES = 16 * 1024
-# A body that takes longer than this holds a worker thread that others need.
+# A request that takes longer than this to arrive holds a worker thread that others need.
 BODY_TIMEOUT_S = 2.0
 SOCKET_TIMEOUT_S = 2
 HANG_UP_CHECK_S = 0.05
@@ -48,12 +52,102 @@
     text: bool = False
 
 
+# What the library refuses before the application sees it, by the status that it would send.
+_LIBRARY_CODES = {
+    '408': ResultCode.SLOW_SENDER,
+    '413': ResultCode.TOO_LARGE,
+    '414': ResultCode.TOO_LARGE,
+    '500': ResultCode.INTERNAL_ERROR,
+}
+# A refused body of up to this size is read, as closing on it could reset the connection before
+# the caller has the refusal.
+DRAIN_LIMIT_BYTES = 4 * BODY_LIMIT_BYTES
+
+
+class _Request(HTTPRequest):
+    """Refuse with a result code what the library refuses with plain text."""
+
+    def simple_response(self, status: Any, msg: str = '') -> None:
+        """Write a refusal and close the connection."""
+        code = _LIBRARY_CODES.get(str(status)[:3], ResultCode.MALFORMED)
+        body = encode_json(_error_reply(CodedError(code, msg or str(status))))
+        line = http.HTTPStatus(RESULTS[code].http_status)
+        head = (
+            f'HTTP/1.1 {line.value} {line.phrase}\r\nContent-Type: application/json\r\n'
+            f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+        )
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(head.encode() + body)
+            self.conn.wfile.flush()
+            self.conn.socket.shutdown(socket.SHUT_WR)
+            left_bytes = DRAIN_LIMIT_BYTES if code == ResultCode.TOO_LARGE else 0
+            while left_bytes > 0 and (part := self.conn.rfile.raw.read(65536)):
+                left_bytes -= len(part)
+
+
+class _TimedSocket(socket.SocketIO):
+    """Read until a deadline, however often single bytes arrive."""
+
+    deadline_s = 0.0
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what has arrived, or time out at the deadline."""
+        connection: socket.socket = self._sock  # type: ignore[attr-defined]
+        connection.settimeout(max(0.001, self.deadline_s - time.monotonic()))
+        try:
+            return super().readinto(buffer)
+        finally:
+            connection.settimeout(SOCKET_TIMEOUT_S)
+
+
+class _TimedReader(StreamReader):
+    def __init__(self, sock: socket.socket, mode: Any, size: int) -> None:
+        super(StreamReader, self).__init__(_TimedSocket(sock, mode), size)
+        self.bytes_read = 0
+
+
+def _make_file(sock: socket.socket, mode: str, size: int) -> Any:
+    return _TimedReader(sock, mode, size) if 'r' in mode else MakeFile(sock, mode, size)
+
+
+class _Connection(HTTPConnection):
+    """Give each request one deadline for its arrival."""
+
+    RequestHandlerClass = _Request
+
+    def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
+        super().__init__(server, sock, _make_file)
+        self.accepted = False
+
+    def communicate(self) -> bool:
+        """Read and answer one request."""
+        self.rfile.raw.deadline_s = time.monotonic() + BODY_TIMEOUT_S
+        return bool(super().communicate())
+
+
+class _Server(wsgi.Server):
+    """Give a connection to a worker only once it has sent something."""
+
+    ConnectionClass = _Connection
+
+    def process_conn(self, conn: _Connection) -> None:
+        """Queue a connection, or let a new one wait for its first bytes."""
+        waiting: Any = self._connections  # type: ignore[attr-defined]
+        if conn.accepted or not waiting.can_add_keepalive_connection:
+            super().process_conn(conn)
+        else:
+            conn.accepted = True
+            waiting.put(conn)
+
+
 class _SocketGateway(wsgi.Gateway_10):
     """Give the application the caller's socket, to notice that it hung up."""
 
     def get_environ(self) -> Any:
         environ: Any = super().get_environ()
         environ['pistachioloft.socket'] = self.req.conn.socket
+        environ['pistachioloft.request'] = self.req
         return environ
 
 
@@ -124,7 +218,7 @@
         application.log.error_log.setLevel(logging.WARNING)
         # One line for each HTTP request would hide the routing decisions.
         application.log.access = _log_nothing
-        server = wsgi.Server(
+        server = _Server(
             (host, int(port)),
             tree,
             numthreads=thread_count,
@@ -183,7 +277,7 @@
         raise CodedError(ResultCode.MALFORMED, 'the Content-Length header is missing')
     left_bytes = int(length)
     if left_bytes > BODY_LIMIT_BYTES:
-        cherrypy.response.headers['Connection'] = 'close'
+        _close_afterwards()
         raise CodedError(ResultCode.TOO_LARGE, f'at most {BODY_LIMIT_BYTES} bytes are read')
     deadline_s = time.monotonic() + BODY_TIMEOUT_S
     parts = []
@@ -192,17 +286,23 @@
         try:
             part = stream.read(min(left_bytes, 65536))
         except (TimeoutError, OSError) as error:
+            _close_afterwards()
             raise CodedError(ResultCode.SLOW_SENDER, 'the body did not arrive') from error
         if not part:
             raise CodedError(ResultCode.MALFORMED, 'the body is shorter than its Content-Length')
         parts.append(part)
         left_bytes -= len(part)
         if time.monotonic() > deadline_s and left_bytes > 0:
-            cherrypy.response.headers['Connection'] = 'close'
+            _close_afterwards()
             raise CodedError(ResultCode.SLOW_SENDER, f'the body took over {BODY_TIMEOUT_S} s')
     return b''.join(parts)
 
 
+def _close_afterwards() -> None:
+    """Close the connection after the reply instead of reading the rest of the body."""
+    cherrypy.serving.request.wsgi_environ['pistachioloft.request'].close_connection = True
+
+
 def _hung_up(client: socket.socket) -> bool:
     """Say whether the caller closed its connection."""
     try:
--- /dev/null
+++ b/tests/test_processes/test_bad_input.py
@@ -0,0 +1,208 @@
+"""Send bad, slow and idle input to the faces while a well-behaved caller is served."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from tests.test_processes.support import running_cluster, steady_callers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.test_processes.support import SteadyCaller
+    from tools.cluster.processes import Cluster
+
+BODY_LIMIT_BYTES = 1024 * 1024
+IDLE_COUNT = 300
+DRIP_S = 0.25
+READ_TIMEOUT_S = 60.0
+
+QUERY = {
+    'caller': 'desk',
+    'request_id': 'r',
+    'collection': 'catalogue',
+    'query': {},
+    'deadline_ms': 2000,
+}
+COMMAND = {
+    'caller': 'bills',
+    'request_id': 'r',
+    'collection': 'catalogue',
+    'shard': 'shared/0',
+    'idempotency_key': 'k',
+    'key_issued_at_ms': 0,
+    'body': {},
+    'deadline_ms': 2000,
+}
+# The path, the body and the result code that it has to get.
+BAD_BODIES = {
+    'no json': ('/v1/query', b'{"caller": ', 100),
+    'no object': ('/v1/query', b'[]', 102),
+    'empty': ('/v1/query', b'', 100),
+    'no utf-8': ('/v1/query', b'{"caller": "\xff\xfe"}', 100),
+    'wrong type': ('/v1/query', {**QUERY, 'deadline_ms': 'soon'}, 102),
+    'missing field': ('/v1/query', {'caller': 'desk'}, 102),
+    'unknown field': ('/v1/query', {**QUERY, 'prioritty': 'urgent'}, 101),
+    'unknown caller': ('/v1/query', {**QUERY, 'caller': 'nobody'}, 105),
+    'unknown collection': ('/v1/query', {**QUERY, 'collection': 'nothing'}, 106),
+    'deadline out of range': ('/v1/query', {**QUERY, 'deadline_ms': -1}, 103),
+    'class not allowed': ('/v1/query', {**QUERY, 'caller': 'reports', 'priority': 'urgent'}, 112),
+    'unknown shard': ('/v1/command', {**COMMAND, 'shard': 'shared/9'}, 107),
+    'expired key': ('/v1/command', COMMAND, 301),
+    'unknown path': ('/v1/nothing', QUERY, 109),
+    'deeply nested': ('/v1/query', b'[' * 200_000, 100),
+    'oversized': ('/v1/query', b'{"query": "' + b'x' * BODY_LIMIT_BYTES + b'"}', 104),
+}
+
+
+@pytest.fixture(scope='module')
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    """Run one cluster; each test leaves it whole."""
+    with running_cluster(tmp_path_factory.mktemp('faces'), None, 3) as cluster:
+        yield cluster
+
+
+@contextlib.contextmanager
+def served_caller(cluster: Cluster) -> Iterator[SteadyCaller]:
+    """Run a well-behaved caller at e1 that must get whole answers all the time."""
+    with steady_callers(cluster, 1) as callers:
+        caller = callers[0]
+        cluster.wait(lambda: caller.codes.get(0, 0) > 5, 'answers before')
+        yield caller
+        count = caller.codes[0]
+        cluster.wait(lambda: caller.codes[0] > count + 5, 'answers afterwards')
+    assert caller.faults == []
+
+
+def connect(address: str) -> socket.socket:
+    """Connect to an address with a generous limit for reading."""
+    host, port = address.rsplit(':', 1)
+    connection = socket.create_connection((host, int(port)), READ_TIMEOUT_S)
+    connection.settimeout(READ_TIMEOUT_S)
+    return connection
+
+
+def head(path: str, length: int | str, extra: str = '') -> bytes:
+    """Build the head of a request."""
+    return f'POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n{extra}\r\n'.encode()
+
+
+def read_reply(connection: socket.socket) -> Any:
+    """Read one reply to its end and return its JSON body."""
+    data = b''
+    with contextlib.suppress(ConnectionError):
+        while part := connection.recv(65536):
+            data += part
+            top, _, body = data.partition(b'\r\n\r\n')
+            lengths = [
+                int(line.split(b':')[1])
+                for line in top.split(b'\r\n')
+                if line.lower().startswith(b'content-length:')
+            ]
+            if lengths and len(body) >= lengths[0]:
+                break
+    assert data, 'the connection was closed without a reply'
+    try:
+        return json.loads(data.partition(b'\r\n\r\n')[2])
+    except json.JSONDecodeError:
+        raise AssertionError(f'no JSON in the reply: {data[:400]!r}') from None
+
+
+def check(reply: Any, code: int) -> None:
+    """Check that a reply has a result code and promises that nothing ran."""
+    assert (reply['result_code'], reply['run_status']) == (code, 'not_run'), reply
+
+
+@pytest.mark.parametrize('name', BAD_BODIES)
+def test_bad_bodies_get_their_code(cluster: Cluster, name: str) -> None:
+    """Guard against bad requests that get no code, and harm to the callers beside them."""
+    path, content, code = BAD_BODIES[name]
+    body = content if isinstance(content, bytes) else json.dumps(content).encode()
+    with served_caller(cluster):
+        for plan in cluster.plans.values():
+            with connect(plan.caller_address) as connection:
+                with contextlib.suppress(ConnectionError):
+                    connection.sendall(head(path, len(body)) + body)
+                check(read_reply(connection), code)
+
+
+@pytest.mark.parametrize(
+    ('name', 'data', 'code'),
+    [
+        ('announced size', head('/v1/query', 2 * BODY_LIMIT_BYTES), 104),
+        ('huge announced size', head('/v1/query', 10**30), 104),
+        ('no number', head('/v1/query', 'many'), 100),
+        ('negative', head('/v1/query', -5), 100),
+        ('chunked', b'POST /v1/query HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+         b'2\r\n{}\r\n0\r\n\r\n', 100),
+        ('no length', b'POST /v1/query HTTP/1.1\r\nHost: x\r\n\r\n', 100),
+        ('long header', head('/v1/query', 2, 'X-Long: ' + 'x' * 40_000 + '\r\n') + b'{}', 104),
+        ('no http', b'\x16\x03\x01\x02\x00\x01\x00\r\n\r\n', 100),
+    ],
+)  # fmt: skip
+def test_bad_heads_get_their_code(cluster: Cluster, name: str, data: bytes, code: int) -> None:
+    """Guard against refusals by the HTTP library that carry no result code."""
+    assert name
+    with served_caller(cluster), connect(cluster.plans['e1'].caller_address) as connection:
+        with contextlib.suppress(ConnectionError):
+            connection.sendall(data)
+        check(read_reply(connection), code)
+
+
+def test_truncated_bodies_get_their_code(cluster: Cluster) -> None:
+    """Guard against a half request that is taken for a whole one."""
+    whole = json.dumps(QUERY).encode()
+    with served_caller(cluster), connect(cluster.plans['e1'].caller_address) as connection:
+        connection.sendall(head('/v1/query', len(whole) + 40) + whole)
+        connection.shutdown(socket.SHUT_WR)
+        check(read_reply(connection), 100)
+
+
+def test_slow_bodies_get_their_code(cluster: Cluster) -> None:
+    """Guard against senders that hold a thread of the face with one byte at a time."""
+    with served_caller(cluster):
+        connections = [connect(cluster.plans['e1'].caller_address) for _ in range(40)]
+        for each in connections:
+            each.sendall(head('/v1/query', 5000) + b'{')
+        _drip(connections)
+        for each in connections:
+            check(read_reply(each), 108)
+            each.close()
+
+
+def test_slow_heads_get_their_code(cluster: Cluster) -> None:
+    """Guard against senders that hold a thread of the face with an unfinished head."""
+    with served_caller(cluster):
+        connections = [connect(cluster.plans['e1'].caller_address) for _ in range(40)]
+        for each in connections:
+            each.sendall(b'POST /v1/query HTTP/1.1\r\nHost: x\r\nX-Slow: ')
+        _drip(connections)
+        for each in connections:
+            check(read_reply(each), 108)
+            each.close()
+
+
+def _drip(connections: list[socket.socket]) -> None:
+    for _ in range(16):
+        time.sleep(DRIP_S)
+        for each in connections:
+            with contextlib.suppress(OSError):
+                each.sendall(b'x')
+
+
+@pytest.mark.parametrize('face', ['caller_address', 'operator_address'])
+def test_many_idle_connections_leave_room(cluster: Cluster, face: str) -> None:
+    """Guard against idle connections that take all threads of a face."""
+    address = getattr(cluster.plans['e1'], face)
+    with served_caller(cluster) as caller, contextlib.ExitStack() as stack:
+        for _ in range(IDLE_COUNT):
+            stack.enter_context(connect(address))
+        count = caller.codes[0]
+        cluster.wait(lambda: caller.codes[0] > count + 20, 'answers beside idle connections')
+        assert cluster.get(cluster.plans['e1'].operator_address, '/v1/status', 30.0)
