--- a/tools/searcher/searcher.py
+++ b/tools/searcher/searcher.py
@@ -24,6 +24,7 @@
     SubReply,
     SubRequest,
 )
+from pistachioloft_core.request.observe import DETAIL_NOT_HELD
 
 if TYPE_CHECKING:
     from .behaviour import Behaviour
@@ -167,7 +168,8 @@
         if self.behaviour.shed or self.announcement.draining or self.waiting_count > queue_limit:
             return self._reply(message, STATUS_NOT_STARTED, (), None)
         if not self._holds(message):
-            return self._reply(message, STATUS_NOT_STARTED, (), None)
+            refusal = self._reply(message, STATUS_NOT_STARTED, (), None)
+            return replace(refusal, detail=DETAIL_NOT_HELD)
         self.waiting_count += 1
         task = asyncio.create_task(self._work(message))
         self.pending[message.identity] = task
