--- /dev/null
+++ b/tools/measure/claims.py
@@ -0,0 +1,209 @@
+"""Measure claims: memory and processor time in the state machine, rate on three voters."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, replace
+from functools import partial
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import psutil
+
+from pistachioloft_core.codec import encode_json, encode_packed
+from pistachioloft_core.messages.accepted import CloseClaim, OpenClaim
+from pistachioloft_core.messages.public import CommandRequest
+from pistachioloft_core.version import accepted
+from tools.cluster.layout import GOLDSEAM
+from tools.cluster.processes import Cluster
+from tools.searcher.behaviour import Behaviour
+
+from .report import allocated_bytes, percentile, print_table, processor_once_us, processor_us, slope
+
+CLAIM_COUNTS = (1_000, 4_000, 16_000)
+CALLER_COUNTS = (1, 8, 32)
+RUN_S = 6.0
+SMALL_COUNT = 8
+DEADLINE_MS = 5_000
+NOW_MS = 1_790_000_000_000
+
+
+def _open(number: int) -> OpenClaim:
+    return OpenClaim('collectors', f'key-{number:012}', NOW_MS, 'd' * 32,
+                     f'e1.1790000000000.{number}.0', 'e1.1790000000000')  # fmt: skip
+
+
+def _close(command: OpenClaim) -> CloseClaim:
+    return CloseClaim(
+        command.caller, command.idempotency_key, command.attempt_id, True, {'hold': 40}
+    )
+
+
+def _state(size: int) -> accepted.AcceptedState:
+    state = accepted.AcceptedState()
+    index = 0
+    for number in range(size):
+        command = _open(number)
+        for each in (command, _close(command)):
+            index += 1
+            # The replicas hold what was decoded from the log, not the objects of the proposer.
+            decoded = accepted.decode_command(accepted.encode_command(each))
+            accepted.apply_command(state, 1, index, NOW_MS, decoded)
+    return state
+
+
+def measure_state() -> None:
+    """Print the memory of claims and the cost to apply, save and restore them."""
+    rows: list[tuple[Any, ...]] = []
+    memory: list[float] = []
+    for size in CLAIM_COUNTS:
+        state, used = allocated_bytes(partial(_state, size))
+        memory.append(used)
+        numbers = count(size)
+
+        def both(state: accepted.AcceptedState = state, numbers: Any = numbers) -> None:
+            command = _open(next(numbers))
+            for each in (command, _close(command)):
+                decoded = accepted.decode_command(accepted.encode_command(each))
+                accepted.apply_command(state, 1, state.applied_index + 1, NOW_MS, decoded)
+
+        save_us = processor_once_us(partial(accepted.encode_snapshot, state))
+        data = accepted.encode_snapshot(state)
+        load_us = processor_once_us(partial(accepted.decode_snapshot, data))
+        rows.append(
+            (size, used / 1024, used / size, len(data) / size, processor_us(both), save_us / 1000,
+             load_us / 1000)
+        )  # fmt: skip
+    rows.append(('slope', '', slope(CLAIM_COUNTS, memory), '', '', '', ''))
+    names = (
+        'claims', 'KB', 'bytes a claim', 'snapshot bytes a claim', 'open and close µs',
+        'snapshot ms', 'restore ms',
+    )  # fmt: skip
+    print_table('Claims in the state machine', names, rows)
+    entry = len(encode_packed(_open(1))), len(encode_packed(_close(_open(1))))
+    print(f'\nThe log takes {entry[0]} bytes to open and {entry[1]} bytes to close a claim.')
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold the processor time and the disk writes of processes."""
+
+    processor_s: dict[str, float]
+    at_s: float
+
+
+def usage(cluster: Cluster) -> Usage:
+    """Read the processor time of every daemon."""
+    spent = {}
+    for name, process in cluster.daemons.items():
+        times = psutil.Process(process.pid).cpu_times()
+        spent[name] = times.user + times.system
+    return Usage(spent, time.monotonic())
+
+
+async def _callers(
+    addresses: list[str], callers: int, shards: list[str], run: int
+) -> tuple[list[float], list[str]]:
+    times: list[float] = []
+    refused: list[str] = []
+    end_s = time.monotonic() + RUN_S
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+
+        async def call(number: int) -> None:
+            sequence = 0
+            while time.monotonic() < end_s:
+                sequence += 1
+                key = f'{run}-{number}-{sequence}'
+                request = CommandRequest(
+                    GOLDSEAM.routine_callers[0], key, GOLDSEAM.collection,
+                    shards[(number + sequence) % len(shards)], key,
+                    time.time_ns() // 1_000_000, {'hold': 40}, DEADLINE_MS,
+                )  # fmt: skip
+                started = time.perf_counter()
+                url = f'http://{addresses[number % len(addresses)]}/v1/command'
+                async with session.post(url, data=encode_json(request)) as reply:
+                    body = await reply.json()
+                if body['run_status'] == 'ran':
+                    times.append((time.perf_counter() - started) * 1000)
+                else:
+                    refused.append(body['detail'])
+
+        await asyncio.gather(*(call(number) for number in range(callers)))
+    return times, refused
+
+
+def _everywhere(cluster: Cluster, count_: int) -> bool:
+    for name in cluster.plans:
+        status = cluster.status(name, endpoints=True)
+        if not status or not status['serving']:
+            return False
+        if sum(each['usable'] for each in status['endpoints']) < count_:
+            return False
+    return True
+
+
+def _leader(cluster: Cluster) -> str:
+    status = cluster.status('e1')
+    return str(status['voters']['leader']).split('-')[0]
+
+
+def measure_group(folder: Path) -> None:
+    """Print claims a second, latency and processor time on three voters."""
+    site = replace(GOLDSEAM, small_count=SMALL_COUNT)
+    cluster = Cluster(folder, site, 3, 3)
+    try:
+        cluster.initialise()
+        cluster.start_all()
+        cluster.wait(
+            lambda: (
+                cluster.submit('e1', 'c-1', 0, cluster.configuration())['result_code'] in (4, 5)
+            ),
+            'the configuration',
+        )
+        cluster.start_searchers(Behaviour(2.0), host_count=2)
+        searchers = 2 * SMALL_COUNT + 2 * site.shared_searcher_count
+        cluster.wait(lambda: _everywhere(cluster, searchers), 'the searchers')
+        shards = [f'{site.name}-{number:02}/0' for number in range(SMALL_COUNT)]
+        addresses = [plan.caller_address for plan in cluster.plans.values()]
+        rows = []
+        for run, callers in enumerate(CALLER_COUNTS):
+            before = usage(cluster)
+            times, refused = asyncio.run(_callers(addresses, callers, shards, run))
+            after = usage(cluster)
+            elapsed_s = after.at_s - before.at_s
+            leader = _leader(cluster)
+            spent = {n: after.processor_s[n] - before.processor_s[n] for n in after.processor_s}
+            rows.append(
+                (callers, len(times) / elapsed_s, percentile(times, 0.5), percentile(times, 0.99),
+                 spent[leader] / elapsed_s, spent[leader] / len(times) * 1000,
+                 sum(spent.values()) / len(times) * 1000, len(refused))
+            )  # fmt: skip
+        names = (
+            'callers', 'claims/s', 'median ms', '99th percentile ms', 'cores of the leader',
+            'leader ms a claim', 'all three ms a claim', 'not run',
+        )  # fmt: skip
+        print_table('Commands of callers (claim opened, run once in 2 ms, closed) on 3 voters',
+                    names, rows)  # fmt: skip
+    finally:
+        cluster.stop()
+
+
+def main() -> int:
+    """Print the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--folder', help='parent of the data folders, on the disk to measure')
+    options = parser.parse_args()
+    measure_state()
+    with tempfile.TemporaryDirectory(dir=options.folder) as folder:
+        measure_group(Path(folder))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
