--- a/packages/daemon/src/pistachioloft_daemon/faces.py
+++ b/packages/daemon/src/pistachioloft_daemon/faces.py
@@ -159,10 +159,11 @@
         raise CodedError(ResultCode.OUT_OF_RANGE, 'index must be a log index')
     index = int(index_text)
     state = instance.soft_state.state
-    accepted = instance.accepted
     voter = instance.voter
 
     def reply(answer: InForceReply | None) -> None:
+        # Read together with `serving`: the leader's answer takes up to a second.
+        accepted = instance.accepted
         voters = answer.voters if answer is not None else None
         if voters is None and voter is not None:
             voters = voter_status(voter, now_ms)
--- a/packages/daemon/src/pistachioloft_daemon/instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/instance.py
@@ -74,7 +74,13 @@
         self.owned = OwnedEndpoints(
             settings.instance,
             self.timers,
-            OwnerHooks(self._on_results, self._on_crashed, self.soft_state.on_draining),
+            OwnerHooks(
+                self._on_results,
+                self._on_crashed,
+                self.soft_state.on_draining,
+                self.soft_state.owner_of,
+                self._send_attempts,
+            ),
         )
         self.requests = Requests(
             settings.instance,
@@ -115,7 +121,7 @@
         logger.info('%s stopping: taken out of the addresses', PREFIX)
         if self.voter is not None and self.voter.leads():
             self.voter.transfer_leadership()
-        await asyncio.sleep(addresses.KEEP_MS / 1000.0)
+        await asyncio.sleep((addresses.STOP_KNOWN_MS + addresses.KEEP_MS) / 1000.0)
         self.refusing = True
         logger.info('%s stopping: finishing the requests in flight', PREFIX)
         loop = asyncio.get_running_loop()
@@ -128,7 +134,7 @@
         if self.voter is not None:
             await self.voter.stop()
         await self.owned.stop()
-        await self.peers.stop()
+        self.peers.stop()
         logger.info('%s instance %s stopped', PREFIX, self.settings.instance)
 
     def serving(self) -> bool:
@@ -137,6 +143,8 @@
 
     def caller_addresses(self, caller: str) -> tuple[CallerAddress, ...]:
         """Choose the addresses that a caller should use."""
+        # The lease may have ended since the last refresh; a fenced instance names only others.
+        self._update_own_status()
         draining = self.accepted.draining_instances if self.accepted else ()
         return addresses.choose_addresses(self.soft_state.live(), caller, draining)
 
@@ -180,6 +188,7 @@
             peer_messages.CancelAttempts: lambda _sender, m: owned.cancel(m.attempt_ids),
             peer_messages.SoftStatePull: soft.on_pull,
             peer_messages.SoftStateReply: soft.on_pull_reply,
+            peer_messages.CrashReport: lambda _sender, m: self._on_crash_learned(m),
             peer_messages.RelayAnnouncement: lambda _sender, m: soft.on_relay(m),
             peer_messages.ProposeRequest: proposals.on_request,
             peer_messages.ProposeReply: lambda _sender, m: proposals.on_reply(m),
@@ -206,7 +215,9 @@
                 self.peers.connect(entry.instance, entry.peer_address)
         for peer in set(self.peers.addresses) - listed:
             self.peers.disconnect(peer)
-        self._on_endpoints_changed()
+        # In the same turn of the loop: the lease is valid from here on, and a query planned with
+        # the earlier view would be answered from a version that may be retired.
+        self._refresh(monotonic_ms())
 
     def _on_endpoints_changed(self) -> None:
         if not self.view_stale:
@@ -258,6 +269,9 @@
     def _on_crashed(self, report: CrashReport) -> None:
         suspects.on_crash(self.routing.suspects, monotonic_ms(), report)
         self.soft_state.add_crash(report)
+        # A caller that resends at once to another instance is faster than the next pull.
+        for peer in self.peers.addresses:
+            self.peers.send(peer, report)
 
     def _on_crash_learned(self, report: CrashReport) -> None:
         suspects.on_crash(self.routing.suspects, monotonic_ms(), report)
