Bound the requests that wait for a thread and look up live instances once

Cause: three instances with 306 searchers once kept over 11,000 connections and 200 MB each: announcements whose senders had given up waited in a queue without bound. An announcement cost 1.5 ms of processor time at 100 instances, nearly all of it copies of instance records. Before: queue without bound. Conclusion: what does not fit is refused at once.

--- a/packages/core/src/pistachioloft_core/process/membership.py
+++ b/packages/core/src/pistachioloft_core/process/membership.py
@@ -192,13 +192,10 @@
 
 
 def live_instances(state: MembershipState, now_ms: float) -> tuple[InstanceRecord, ...]:
-    """Return this instance and those heard of within the instance lease."""
-    others = (
-        replace(entry.record, age_ms=max(0.0, now_ms - entry.heard_ms))
-        for entry in state.instances.values()
-        if now_ms < entry.heard_ms + INSTANCE_LEASE_MS
-    )
-    return (replace(state.own, age_ms=0.0), *others)
+    """Return this instance and those heard of within the lease, with their ages as received."""
+    since_ms = now_ms - INSTANCE_LEASE_MS
+    others = (entry.record for entry in state.instances.values() if entry.heard_ms > since_ms)
+    return (state.own, *others)
 
 
 def lease_check(state: MembershipState, now_ms: float) -> Callable[[EndpointEntry], bool]:
--- a/packages/daemon/src/pistachioloft_daemon/web.py
+++ b/packages/daemon/src/pistachioloft_daemon/web.py
@@ -38,6 +38,9 @@
 # Above this many waiting connections the kernel refuses new ones.
 ACCEPT_QUEUE_COUNT = 512
 STOP_TIMEOUT_S = 5
+# Requests that wait for a thread; more would wait longer than their senders do, and a sender
+# that gives up and connects again would add to them.
+WAITING_LIMIT_COUNT = 128
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,14 +182,16 @@
             argument: Any = parameters
         else:
             argument = decode_json(_read_body(), route.body_type)
-        reply = self._call_loop(route, argument)
+        client = cherrypy.serving.request.wsgi_environ.get('pistachioloft.socket')
+        if client is not None and _hung_up(client):
+            raise CodedError(ResultCode.CANCELLED, 'the caller left before its request was read')
+        reply = self._call_loop(route, argument, client)
         return _render_text(reply) if route.text else _render(reply)
 
-    def _call_loop(self, route: Route, argument: Any) -> Any:
+    def _call_loop(self, route: Route, argument: Any, client: socket.socket | None) -> Any:
         future: concurrent.futures.Future[Any] = concurrent.futures.Future()
         cancelled = concurrent.futures.Future[None]()
         self.loop.call_soon_threadsafe(_start, route.handler, argument, future, cancelled)
-        client = cherrypy.serving.request.wsgi_environ.get('pistachioloft.socket')
         deadline_s = time.monotonic() + route.wait_ms(argument) / 1000.0
         while True:
             left_s = deadline_s - time.monotonic()
@@ -226,6 +231,8 @@
             request_queue_size=ACCEPT_QUEUE_COUNT,
             timeout=SOCKET_TIMEOUT_S,
             shutdown_timeout=STOP_TIMEOUT_S,
+            accepted_queue_size=WAITING_LIMIT_COUNT,
+            accepted_queue_timeout=0,
         )
         server.gateway = _SocketGateway
         server.max_request_header_size = HEADER_LIMIT_BYTES
