Rebuild the view in the same step that adopts a configuration

The lease of a newer configuration was valid at once, but the view of the versions was rebuilt in a later turn of the loop, so a query that waited in the loop could be answered from a retired version.

--- a/packages/daemon/src/pistachioloft_daemon/instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/instance.py
@@ -209,7 +209,8 @@
                 self.peers.connect(entry.instance, entry.peer_address)
         for peer in set(self.peers.addresses) - listed:
             self.peers.disconnect(peer)
-        self._on_endpoints_changed()
+        # A query that waits in the loop must not meet the old view under the new lease.
+        self._refresh(monotonic_ms())
 
     def _on_endpoints_changed(self) -> None:
         if not self.view_stale:
