--- a/tools/measure/claims.py
+++ b/tools/measure/claims.py
@@ -20,10 +20,10 @@
 from pistachioloft_core.messages.accepted import CloseClaim, OpenClaim
 from pistachioloft_core.messages.public import CommandRequest
 from pistachioloft_core.version import accepted
-from tools.cluster.layout import GOLDSEAM
-from tools.cluster.processes import Cluster
-from tools.searcher.behaviour import Behaviour
 
+from ..cluster.layout import GOLDSEAM
+from ..cluster.processes import Cluster
+from ..searcher.behaviour import Behaviour
 from .report import allocated_bytes, percentile, print_table, processor_once_us, processor_us, slope
 
 CLAIM_COUNTS = (1_000, 4_000, 16_000)
--- a/tools/measure/cluster_load.py
+++ b/tools/measure/cluster_load.py
@@ -15,10 +15,10 @@
 
 from pistachioloft_core.codec import encode_json
 from pistachioloft_core.messages.public import QueryRequest
-from tools.cluster.layout import GOLDSEAM, announcements
-from tools.cluster.processes import Cluster
-from tools.searcher.behaviour import Behaviour
 
+from ..cluster.layout import GOLDSEAM, announcements
+from ..cluster.processes import Cluster
+from ..searcher.behaviour import Behaviour
 from .control import sample
 from .report import percentile, print_table, slope
 
--- a/tools/measure/control.py
+++ b/tools/measure/control.py
@@ -14,9 +14,9 @@
 import urllib3
 
 from pistachioloft_core.messages.accepted import ServiceEntry
-from tools.cluster.layout import GOLDSEAM
-from tools.cluster.processes import Cluster
 
+from ..cluster.layout import GOLDSEAM
+from ..cluster.processes import Cluster
 from .report import percentile, print_table, slope
 
 if TYPE_CHECKING:
--- a/tools/measure/sub_requests.py
+++ b/tools/measure/sub_requests.py
@@ -28,8 +28,8 @@
 from pistachioloft_core.request.routing import RoutingState, update_view
 from pistachioloft_core.version.snapshot import build_view
 from pistachioloft_daemon.peers import Peers
-from tools.cluster.processes import free_addresses
 
+from ..cluster.processes import free_addresses
 from .builders import COLLECTION, accepted, announcement, endpoint_views
 from .report import print_table, processor_us, slope
 
