Use one rule for open connections and one for making room

Cause: the check for an open connection and the loop that drops the oldest report stood twice. Before: two copies each. Conclusion: behaviour is as before.

--- a/packages/core/src/pistachioloft_core/connection/results.py
+++ b/packages/core/src/pistachioloft_core/connection/results.py
@@ -13,7 +13,8 @@
 )
 from . import queue
 from .actions import DECISION_REFUSE, LogDecision, Result
-from .endpoint_state import ConnectionState, current_slot_limit, in_flight_count
+from .endpoint_state import current_slot_limit, in_flight_count
+from .pool import has_open_connection
 
 if TYPE_CHECKING:
     from ..messages.endpoint import SubReply
@@ -27,10 +28,7 @@
 
 def is_unreachable(endpoint: OwnedEndpoint) -> bool:
     """Tell whether the endpoint refuses connections and none is open."""
-    return bool(endpoint.open_failures) and not any(
-        conn.state is ConnectionState.OPEN and not conn.retiring
-        for conn in endpoint.connections.values()
-    )
+    return bool(endpoint.open_failures) and not has_open_connection(endpoint)
 
 
 def retry_after_ms(endpoint: OwnedEndpoint, now_ms: float) -> int | None:
--- a/packages/core/src/pistachioloft_core/process/merge.py
+++ b/packages/core/src/pistachioloft_core/process/merge.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ..connection.actions import DECISION_DRAIN, DECISION_OWNER, DECISION_REFUSE, LogDecision
 from .membership_actions import CrashLearned, EndpointChanged, SuccessLearned
@@ -183,10 +183,7 @@
     key = (report.caller, report.content_digest, report.endpoint, report.incarnation)
     if key in state.crashes or event_ms < now_ms - REPORT_LIFE_MS:
         return
-    while len(state.crashes) >= REPORT_COUNT:
-        oldest = next(iter(state.crashes))
-        del state.crashes[oldest]
-        state.changes.pop((Kind.CRASH, oldest), None)
+    _make_room(state, Kind.CRASH, state.crashes)
     state.crashes[key] = (report, event_ms)
     note_change(state, Kind.CRASH, key)
     actions.append(CrashLearned(replace(report, age_ms=now_ms - event_ms)))
@@ -206,15 +203,20 @@
         return
     if known is not None and event_ms <= known[1] + AGE_CORRECTION_MS:
         return
-    while known is None and len(state.successes) >= REPORT_COUNT:
-        oldest = next(iter(state.successes))
-        del state.successes[oldest]
-        state.changes.pop((Kind.SUCCESS, oldest), None)
+    if known is None:
+        _make_room(state, Kind.SUCCESS, state.successes)
     state.successes[key] = (report, event_ms)
     note_change(state, Kind.SUCCESS, key)
     actions.append(SuccessLearned(replace(report, age_ms=now_ms - event_ms)))
 
 
+def _make_room(state: MembershipState, kind: Kind, reports: dict[Any, Any]) -> None:
+    while len(reports) >= REPORT_COUNT:
+        oldest = next(iter(reports))
+        del reports[oldest]
+        state.changes.pop((kind, oldest), None)
+
+
 def _renew(
     state: MembershipState,
     now_ms: float,
