--- a/packages/daemon/src/pistachioloft_daemon/faces.py
+++ b/packages/daemon/src/pistachioloft_daemon/faces.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.connection import owner
@@ -128,19 +129,7 @@
     else:
         return None
     reply = refusal(request, code, detail, RETRY_AFTER_MS)
-    return _with_addresses(reply, instance.caller_addresses(request.caller))
-
-
-def _with_addresses(reply: Any, chosen: Any) -> Any:
-    return type(reply)(
-        caller=reply.caller,
-        request_id=reply.request_id,
-        result_code=reply.result_code,
-        run_status=reply.run_status,
-        detail=reply.detail,
-        retry_after_ms=reply.retry_after_ms,
-        addresses=chosen,
-    )
+    return replace(reply, addresses=instance.caller_addresses(request.caller))
 
 
 def _announce(
--- a/packages/daemon/src/pistachioloft_daemon/requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/requests.py
@@ -16,6 +16,7 @@
 )
 from pistachioloft_core.request import actions as request_actions
 from pistachioloft_core.request import admission, command, query
+from pistachioloft_core.request.query_state import query_id_of
 from pistachioloft_core.request.replies import refuse_command, refuse_query, resolve_urgent
 
 from .loop_timers import monotonic_ms
@@ -131,7 +132,7 @@
             if result.results or result.reply is not None:
                 self.hooks.answered(result.endpoint)
             admission.observe_wait(self.admission, now_ms, result)
-            request_id = result.attempt_id.rpartition('.')[0]
+            request_id = query_id_of(result.attempt_id)
             if request_id in self.queries:
                 state = self.queries[request_id]
                 self._carry_out(
--- a/tools/bench/run.py
+++ b/tools/bench/run.py
@@ -11,7 +11,6 @@
 import time
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
@@ -134,11 +133,11 @@
     cluster = Cluster(folder, site, INSTANCE_COUNT, VOTER_COUNT)
     cluster.initialise()
     cluster.start_all()
-    cluster.wait(lambda: _accepted(cluster), 'an accepted configuration')
+    cluster.accept('bench-1')
     cluster.start_searchers(Behaviour(NORMAL_SERVICE_MS), HOST_COUNT)
     count = len(announcements(site))
     for name in cluster.plans:
-        cluster.wait(lambda name=name: _usable_count(cluster, name) == count, 'all endpoints')
+        cluster.wait(lambda name=name: cluster.usable_count(name) == count, 'all endpoints')
     return System('product', cluster, tuple(p.caller_address for p in cluster.plans.values()))
 
 
@@ -224,18 +223,6 @@
     return ()
 
 
-def _accepted(cluster: Cluster) -> bool:
-    reply = cluster.submit('e1', 'bench-1', 0, cluster.configuration())
-    return bool(reply['result_code'] in (4, 5))
-
-
-def _usable_count(cluster: Cluster, name: str) -> int:
-    status: Any = cluster.status(name, endpoints=True)
-    if status is None or not status['serving']:
-        return -1
-    return sum(1 for each in status['endpoints'] if each['usable'])
-
-
 def print_table(rows: list[Measures], site: Site) -> None:
     """Print the figures of one site as a table."""
     print(f'\n### {site.name}: {len(announcements(site))} searchers\n')
--- a/tools/cluster/demo.py
+++ b/tools/cluster/demo.py
@@ -44,11 +44,7 @@
 
 
 def _submit(cluster: Cluster) -> None:
-    content = cluster.configuration()
-    cluster.wait(
-        lambda: cluster.submit('e1', 'demo-1', 0, content)['result_code'] in (4, 5),
-        'the voters to accept the configuration',
-    )
+    cluster.accept('demo-1')
     started = time.monotonic()
     cluster.wait(lambda: _everywhere(cluster), 'the configuration to be in force')
     print(
@@ -62,11 +58,7 @@
 
 
 def _usable(cluster: Cluster) -> int:
-    counts = []
-    for name in cluster.plans:
-        status = cluster.status(name, endpoints=True)
-        counts.append(sum(each['usable'] for each in status['endpoints']) if status else 0)
-    return min(counts)
+    return min(cluster.usable_count(name) for name in cluster.plans)
 
 
 def _addresses(cluster: Cluster, caller: str) -> list[str]:
--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -17,6 +17,7 @@
 import urllib3
 
 from pistachioloft_core.codec import encode_json
+from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.accepted import Configuration, InstanceEntry, SubmitConfiguration
 
 from ..searcher.host import HostPlan, Order
@@ -26,6 +27,7 @@
     from ..searcher.behaviour import Behaviour
 
 READY_TIMEOUT_S = 60.0
+ACCEPTED_CODES = (ResultCode.ACCEPTED, ResultCode.ACCEPTED_REPEATED)
 STOP_TIMEOUT_S = 40.0
 REPOSITORY = Path(__file__).resolve().parents[2]
 
@@ -176,6 +178,21 @@
         message = SubmitConfiguration(command_id, base_index, content, 'test')
         return self.post(self.plans[name].operator_address, '/v1/config', message)
 
+    def accept(self, command_id: str) -> None:
+        """Submit this cluster's first configuration until the voters accept it."""
+        content = self.configuration()
+        self.wait(
+            lambda: self.submit('e1', command_id, 0, content)['result_code'] in ACCEPTED_CODES,
+            'an accepted configuration',
+        )
+
+    def usable_count(self, name: str) -> int:
+        """Count the endpoints that an instance may use, or -1 if it does not serve."""
+        status = self.status(name, endpoints=True)
+        if status is None or not status['serving']:
+            return -1
+        return sum(1 for each in status['endpoints'] if each['usable'])
+
     def start_searchers(
         self,
         behaviour: Behaviour,
--- a/tools/measure/one_entry.py
+++ b/tools/measure/one_entry.py
@@ -120,14 +120,16 @@
         try:
             cluster.initialise()
             cluster.start_all()
-            cluster.wait(lambda: _accepted(cluster), 'an accepted configuration')
+            cluster.accept('measure-1')
             cluster.start_searchers(Behaviour(SERVICE_MS), HOST_COUNT)
             every = announcements(GOLDSEAM)
-            cluster.wait(lambda: _usable(cluster) == len(every), 'the searchers')
+            cluster.wait(lambda: cluster.usable_count('e2') == len(every), 'the searchers')
             _print(cluster, len(every))
             first = tuple(each.endpoint for each in every if not each.endpoint.endswith('-s0'))
             cluster.order(Order('kill', first))
-            cluster.wait(lambda: _usable(cluster) == SHARD_COUNT, 'the lost searchers to lapse')
+            cluster.wait(
+                lambda: cluster.usable_count('e2') == SHARD_COUNT, 'the lost searchers to lapse'
+            )
             _print(cluster, SHARD_COUNT)
         finally:
             cluster.stop()
@@ -145,15 +147,5 @@
         )
 
 
-def _accepted(cluster: Cluster) -> bool:
-    reply = cluster.submit('e1', 'measure-1', 0, cluster.configuration())
-    return bool(reply['result_code'] in (4, 5))
-
-
-def _usable(cluster: Cluster) -> int:
-    status = cluster.status('e2', endpoints=True)
-    return sum(1 for each in status['endpoints'] if each['usable']) if status else -1
-
-
 if __name__ == '__main__':
     sys.exit(main())
