--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from .errors import CodedError, ResultCode
-from .messages import agreement, peer
+from .messages import agreement, fleet, peer
 
 if TYPE_CHECKING:
     from collections.abc import Hashable, Iterable
@@ -43,6 +43,13 @@
         peer.ProposeReply,
         peer.InForceRequest,
         peer.InForceReply,
+        fleet.ControlShare,
+        fleet.LeavingNotice,
+        fleet.LeavingNoted,
+        fleet.FeedPoll,
+        fleet.FeedReply,
+        fleet.ReadRequest,
+        fleet.ReadReply,
         agreement.VoteRequest,
         agreement.VoteReply,
         agreement.AppendRequest,
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -0,0 +1,126 @@
+"""What an entry instance observes of one endpoint that it connects to itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..process.observed import Breaker
+
+if TYPE_CHECKING:
+    from ..messages.fleet import AnnouncedEndpoint
+
+# Weight of the newest reply in the estimate of slowness; about the last 4 replies count.
+SLOWNESS_WEIGHT = 0.25
+# Without replies, half of the distance to an ordinary endpoint is forgotten in this time.
+# An endpoint at ten times the usual latency is tried again after about three of them.
+SLOWNESS_HALF_LIFE_MS = 2_000.0
+# Weight of the newest outcome in the estimate of how many requests an endpoint sheds.
+SHED_WEIGHT = 0.2
+SHED_HALF_LIFE_MS = 2_000.0
+# A load report is older than the work that it counted after this time.
+REPORT_LIFE_MS = 500.0
+# One lost reply is no sign of a crash; two in a row without a reply in between are.
+UNANSWERED_LIMIT = 2
+# Factors beyond these bounds say nothing more about which endpoint to prefer.
+SLOWNESS_RANGE = (0.5, 20.0)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Carry what an endpoint reports with a reply."""
+
+    running_count: int
+    waiting_count: int
+    slot_count: int
+    slowness: float = 1.0
+
+
+class EndpointLoad:
+    """Hold the attempts in flight on an endpoint and how it answered earlier ones."""
+
+    __slots__ = (
+        '_shed',
+        '_shed_ms',
+        '_slowness',
+        '_slowness_ms',
+        'breaker',
+        'cold_until_ms',
+        'in_flight_count',
+        'overdue_count',
+        'record',
+        'report',
+        'report_ms',
+    )
+
+    def __init__(self, record: AnnouncedEndpoint, cold_until_ms: float) -> None:
+        self.record = record
+        self.cold_until_ms = cold_until_ms
+        self.in_flight_count = 0
+        # Attempts in flight that have taken longer than the hedge delay.
+        self.overdue_count = 0
+        self.breaker = Breaker()
+        self.report: LoadReport | None = None
+        self.report_ms = 0.0
+        self._slowness = 1.0
+        self._slowness_ms = 0.0
+        self._shed = 0.0
+        self._shed_ms = 0.0
+
+    def slowness(self, now_ms: float) -> float:
+        """Return the latency of this endpoint as a multiple of its route's median."""
+        left = _decay(now_ms - self._slowness_ms, SLOWNESS_HALF_LIFE_MS)
+        return 1.0 + (self._slowness - 1.0) * left
+
+    def shed_share(self, now_ms: float) -> float:
+        """Return the share of requests that this endpoint refuses."""
+        return self._shed * _decay(now_ms - self._shed_ms, SHED_HALF_LIFE_MS)
+
+    def note_reply(self, now_ms: float, latency_ms: float, usual_ms: float) -> None:
+        """Take a reply that the endpoint worked on."""
+        lowest, highest = SLOWNESS_RANGE
+        sample = min(highest, max(lowest, latency_ms / max(usual_ms, 1.0)))
+        self._slowness = _blend(self.slowness(now_ms), sample, SLOWNESS_WEIGHT)
+        self._slowness_ms = now_ms
+        self._shed = _blend(self.shed_share(now_ms), 0.0, SHED_WEIGHT)
+        self._shed_ms = now_ms
+        self.breaker.reset()
+
+    def note_shed(self, now_ms: float) -> None:
+        """Take a reply that proves that the endpoint did not run the request."""
+        self._shed = _blend(self.shed_share(now_ms), 1.0, SHED_WEIGHT)
+        self._shed_ms = now_ms
+        self.breaker.unanswered_count = 0
+
+    def note_late(self, now_ms: float, age_ms: float, usual_ms: float) -> None:
+        """Take an attempt that is still unanswered after a time as a lower bound."""
+        _, highest = SLOWNESS_RANGE
+        bound = min(highest, age_ms / max(usual_ms, 1.0))
+        if bound > self.slowness(now_ms):
+            self._slowness = _blend(self.slowness(now_ms), bound, SLOWNESS_WEIGHT)
+            self._slowness_ms = now_ms
+
+    def note_lost(self, now_ms: float, refused: bool) -> None:
+        """Take an attempt that ended without a reply; a refused connection is no accident."""
+        self.breaker.count_unanswered(now_ms, 1 if refused else UNANSWERED_LIMIT)
+
+    def note_report(self, now_ms: float, report: LoadReport) -> None:
+        """Take the load that the endpoint reported."""
+        self.report, self.report_ms = report, now_ms
+
+    def waiting_count(self, now_ms: float) -> float:
+        """Return how many requests wait for a slot of this endpoint, as far as is known."""
+        slot_count = max(1, self.record.slot_count)
+        own = max(0.0, float(self.in_flight_count - slot_count + 1))
+        if self.report is None or now_ms - self.report_ms >= REPORT_LIFE_MS:
+            return own
+        busy = self.report.running_count >= self.report.slot_count
+        return max(own, float(self.report.waiting_count + (1 if busy else 0)))
+
+
+def _decay(elapsed_ms: float, half_life_ms: float) -> float:
+    return 0.5 ** (max(0.0, elapsed_ms) / half_life_ms)
+
+
+def _blend(known: float, sample: float, weight: float) -> float:
+    return known + weight * (sample - known)
--- a/packages/core/src/pistachioloft_core/messages/accepted.py
+++ b/packages/core/src/pistachioloft_core/messages/accepted.py
@@ -124,12 +124,31 @@
     outcome: Any = None
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedRoutes:
+    """Hold the newest set of routes: its version and the document that describes it."""
+
+    version: int = 0
+    document: bytes = b''
+    index: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptRoutes:
+    """Put a set of routes in force if its version is higher than the accepted one."""
+
+    version: int
+    document: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class NoOperation:
     """Commit the start of a term."""
 
 
-AcceptedCommand = SubmitConfiguration | DrainInstance | OpenClaim | CloseClaim | NoOperation
+AcceptedCommand = (
+    SubmitConfiguration | DrainInstance | OpenClaim | CloseClaim | AcceptRoutes | NoOperation
+)
 
 CLAIM_GRANTED = 'granted'
 CLAIM_REPEATED = 'repeated'
--- a/packages/core/src/pistachioloft_core/messages/peer.py
+++ b/packages/core/src/pistachioloft_core/messages/peer.py
@@ -7,6 +7,7 @@
 
 from .accepted import (
     AcceptedConfiguration,
+    AcceptRoutes,
     CloseClaim,
     CommandOutcome,
     DrainInstance,
@@ -213,6 +214,7 @@
     drain: DrainInstance | None = None
     open_claim: OpenClaim | None = None
     close_claim: CloseClaim | None = None
+    routes: AcceptRoutes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/process/agreement/__init__.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/__init__.py
@@ -29,7 +29,7 @@
     Tick,
     TransferLeadership,
 )
-from .lease import can_lose, has_lease
+from .lease import can_lose, has_lease, hears_leader, quorum_confirmed_ms
 from .membership import first_entry, instance_of, membership_at, snapshot_meta
 from .repair import next_membership_change
 from .state import (
@@ -79,12 +79,14 @@
     'create_state',
     'first_entry',
     'has_lease',
+    'hears_leader',
     'instance_of',
     'leader_of',
     'membership',
     'membership_at',
     'next_membership_change',
     'next_wake_ms',
+    'quorum_confirmed_ms',
     'snapshot_meta',
     'step',
 ]
--- a/packages/core/src/pistachioloft_core/process/agreement/lease.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/lease.py
@@ -10,7 +10,7 @@
     LEASE_MS,
     REMEMBERED_HEARTBEATS,
 )
-from .state import ROLE_LEADER, majority
+from .state import NEVER_MS, ROLE_LEADER, majority
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,6 +62,13 @@
     return now_ms - quorum_time_ms(state, now_ms, lambda peer: peer.answered_ms) < LEASE_MS
 
 
+def quorum_confirmed_ms(state: AgreementState, now_ms: float) -> float:
+    """Return a time at which this member was certain to lead and to know all commits."""
+    if state.role != ROLE_LEADER or state.commit_index < state.term_start_index:
+        return NEVER_MS
+    return quorum_time_ms(state, now_ms, lambda peer: peer.answered_ms)
+
+
 def lost_quorum(state: AgreementState, now_ms: float) -> bool:
     """Tell whether no quorum has answered for an election timeout."""
     heard_ms = quorum_time_ms(state, now_ms, lambda peer: peer.heard_ms)
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/announced.py
@@ -0,0 +1,202 @@
+"""Order announcements of endpoints and keep what is known of each."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LAPSED,
+    STANDING_LEFT,
+    STANDING_READY,
+    AnnouncedEndpoint,
+    HeardEndpoint,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# A late announcement of an endpoint that has left must not bring it back; announcements
+# are delivered seconds late at most.
+LEFT_KEPT_MS = 120_000.0
+# Bounds the memory that announcements can take; 43,000 endpoints are expected in two years.
+ENDPOINT_LIMIT_COUNT = 65_536
+
+_FINALITY = {STANDING_READY: 0, STANDING_LAPSED: 0, STANDING_DRAINING: 1, STANDING_LEFT: 2}
+
+
+class Merged(Enum):
+    """Tell what an announcement changed."""
+
+    OUTDATED = 'outdated'
+    RENEWED = 'renewed'
+    CHANGED = 'changed'
+
+
+class AnnouncedEntry:
+    """Hold the newest announcement of an endpoint; `heard_ms` is on the local clock."""
+
+    __slots__ = ('heard_ms', 'record')
+
+    def __init__(self, record: AnnouncedEndpoint, heard_ms: float) -> None:
+        self.record = record
+        self.heard_ms = heard_ms
+
+
+class AnnouncedState:
+    """Hold all known endpoints and a change log that readers follow by revision."""
+
+    __slots__ = ('_addresses', '_changes', 'endpoints', 'revision')
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, AnnouncedEntry] = {}
+        self.revision = 0
+        self._changes: OrderedDict[str, int] = OrderedDict()
+        self._addresses: dict[str, str] = {}
+
+    def changed_since(self, revision: int) -> list[str]:
+        """Return the endpoints that changed after a revision, oldest change first."""
+        names: list[str] = []
+        for name, changed in reversed(self._changes.items()):
+            if changed <= revision:
+                break
+            names.append(name)
+        names.reverse()
+        return names
+
+    def note_change(self, endpoint: str) -> None:
+        """Give an endpoint the next revision."""
+        self.revision += 1
+        self._changes[endpoint] = self.revision
+        self._changes.move_to_end(endpoint)
+
+    def put(self, record: AnnouncedEndpoint, heard_ms: float) -> None:
+        """Replace what is known of an endpoint."""
+        entry = self.endpoints.get(record.endpoint)
+        if entry is None:
+            self.endpoints[record.endpoint] = AnnouncedEntry(record, heard_ms)
+        else:
+            self._release(entry.record)
+            entry.record, entry.heard_ms = record, heard_ms
+        if is_present(record):
+            self._addresses[record.address] = record.endpoint
+
+    def remove(self, endpoint: str) -> None:
+        """Forget an endpoint."""
+        entry = self.endpoints.pop(endpoint, None)
+        if entry is not None:
+            self._release(entry.record)
+            self._changes.pop(endpoint, None)
+
+    def holder_of(self, address: str) -> AnnouncedEntry | None:
+        """Return the endpoint that was last known at an address."""
+        name = self._addresses.get(address)
+        return None if name is None else self.endpoints.get(name)
+
+    def _release(self, record: AnnouncedEndpoint) -> None:
+        if self._addresses.get(record.address) == record.endpoint:
+            del self._addresses[record.address]
+
+
+def merge(state: AnnouncedState, record: AnnouncedEndpoint, heard_ms: float) -> Merged:
+    """Apply an announcement unless a newer one of the endpoint or its address is known."""
+    entry = state.endpoints.get(record.endpoint)
+    if entry is not None and not _follows(entry.record, record):
+        return Merged.OUTDATED
+    if entry is None and len(state.endpoints) >= ENDPOINT_LIMIT_COUNT:
+        return Merged.OUTDATED
+    holder = state.holder_of(record.address)
+    if holder is not None and holder.record.endpoint != record.endpoint and is_present(record):
+        if holder.record.born_ms > record.born_ms:
+            # The address was given to a later start, so this announcement came late.
+            record = replace(record, standing=STANDING_LEFT)
+        else:
+            _leave(state, holder)
+    if entry is not None and entry.record.born_ms == record.born_ms:
+        return _renew(state, entry, record, heard_ms)
+    state.put(record, heard_ms)
+    state.note_change(record.endpoint)
+    return Merged.CHANGED
+
+
+def mark_left(
+    state: AnnouncedState, endpoint: str, born_ms: int, latest_born_ms: int, now_ms: float
+) -> bool:
+    """Record that a start of an endpoint has left, and tell whether that was news."""
+    entry = state.endpoints.get(endpoint)
+    if entry is None:
+        # Its announcement may still be on the way; what was born until now has left.
+        born_ms = born_ms or latest_born_ms
+        absent = AnnouncedEndpoint(endpoint, '', '', '', 0, STANDING_LEFT, 0, born_ms)
+        state.put(absent, now_ms)
+        state.note_change(endpoint)
+        return True
+    if entry.record.standing == STANDING_LEFT or (born_ms and entry.record.born_ms > born_ms):
+        return False
+    _leave(state, entry)
+    entry.heard_ms = now_ms
+    return True
+
+
+def expire(state: AnnouncedState, now_ms: float, lease_ms: float) -> list[str]:
+    """Lapse the endpoints that were silent for a lease and forget those that left long ago."""
+    lapsed: list[str] = []
+    for name, entry in list(state.endpoints.items()):
+        silent_ms = now_ms - entry.heard_ms
+        if entry.record.standing == STANDING_READY and silent_ms >= lease_ms:
+            entry.record = replace(entry.record, standing=STANDING_LAPSED)
+            state.note_change(name)
+            lapsed.append(name)
+        elif silent_ms >= LEFT_KEPT_MS:
+            state.remove(name)
+    return lapsed
+
+
+def heard_endpoints(
+    state: AnnouncedState, now_ms: float, names: Iterable[str]
+) -> tuple[HeardEndpoint, ...]:
+    """Return the named endpoints with the time since each was heard."""
+    entries = (state.endpoints.get(name) for name in names)
+    return tuple(
+        HeardEndpoint(entry.record, max(0.0, now_ms - entry.heard_ms))
+        for entry in entries
+        if entry is not None
+    )
+
+
+def is_present(record: AnnouncedEndpoint) -> bool:
+    """Tell whether an endpoint still runs as far as it said."""
+    return record.standing != STANDING_LEFT
+
+
+def _follows(known: AnnouncedEndpoint, record: AnnouncedEndpoint) -> bool:
+    if record.born_ms != known.born_ms:
+        return record.born_ms > known.born_ms
+    if _FINALITY[record.standing] != _FINALITY[known.standing]:
+        return _FINALITY[record.standing] > _FINALITY[known.standing]
+    return record.sequence >= known.sequence
+
+
+def _renew(
+    state: AnnouncedState, entry: AnnouncedEntry, record: AnnouncedEndpoint, heard_ms: float
+) -> Merged:
+    known = entry.record
+    revived = known.standing == STANDING_LAPSED and record.standing == STANDING_READY
+    if revived and record.sequence <= known.sequence:
+        # Passed on by another instance, but no sign of life after the lease ended.
+        return Merged.OUTDATED
+    same = replace(record, sequence=known.sequence, cold_left_ms=known.cold_left_ms) == known
+    state.put(record, max(heard_ms, entry.heard_ms))
+    if same:
+        return Merged.RENEWED
+    state.note_change(record.endpoint)
+    return Merged.CHANGED
+
+
+def _leave(state: AnnouncedState, entry: AnnouncedEntry) -> None:
+    record = replace(entry.record, standing=STANDING_LEFT)
+    state.put(record, entry.heard_ms)
+    state.note_change(record.endpoint)
--- a/packages/core/src/pistachioloft_core/process/budget.py
+++ b/packages/core/src/pistachioloft_core/process/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 # Share of first tries that hedges and retries may add.
 BUDGET_SHARE = 0.05
@@ -21,13 +22,24 @@
 SLOT_MS = 100.0
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetLimits:
+    """Bound extra tries: in any window at most the allowance plus a share of first tries."""
+
+    share: float = BUDGET_SHARE
+    allowance_count: float = ALLOWANCE_COUNT
+    reserve_count: float = RETRY_RESERVE_COUNT
+    window_share: float = WINDOW_SHARE
+
+
 class BudgetState:
     """Hold the balance and the counts of the last window."""
 
-    __slots__ = ('_slots', 'balance', 'extra_count', 'first_count')
+    __slots__ = ('_slots', 'balance', 'extra_count', 'first_count', 'limits')
 
-    def __init__(self) -> None:
-        self.balance = ALLOWANCE_COUNT
+    def __init__(self, limits: BudgetLimits | None = None) -> None:
+        self.limits = limits or BudgetLimits()
+        self.balance = self.limits.allowance_count
         self.first_count = 0
         self.extra_count = 0
         self._slots: deque[list[float]] = deque()
@@ -48,7 +60,14 @@
     """Credit the budget for first tries."""
     state.slot(now_ms)[1] += count
     state.first_count += count
-    state.balance = min(ALLOWANCE_COUNT, state.balance + count * BUDGET_SHARE)
+    limits = state.limits
+    state.balance = min(limits.allowance_count, state.balance + count * limits.share)
+
+
+def set_limits(state: BudgetState, limits: BudgetLimits) -> None:
+    """Change the limits; a smaller allowance takes effect at once."""
+    state.limits = limits
+    state.balance = min(limits.allowance_count, state.balance)
 
 
 def take_retry(state: BudgetState, now_ms: float, count: int = 1) -> bool:
@@ -58,12 +77,14 @@
 
 def take_hedge(state: BudgetState, now_ms: float, count: int = 1) -> bool:
     """Take hedges from the budget, all or none, leaving the reserve to retries."""
-    return _take(state, now_ms, count, RETRY_RESERVE_COUNT)
+    return _take(state, now_ms, count, state.limits.reserve_count)
 
 
 def hedge_scarcity(state: BudgetState) -> float:
     """Return how scarce the balance for hedges is, from 0 (ample) to 1 (spent)."""
-    kept = (state.balance - RETRY_RESERVE_COUNT) / (ALLOWANCE_COUNT - RETRY_RESERVE_COUNT)
+    limits = state.limits
+    usable_count = limits.allowance_count - limits.reserve_count
+    kept = (state.balance - limits.reserve_count) / usable_count
     return min(1.0, max(0.0, 1.0 - kept / AMPLE_PART))
 
 
@@ -71,7 +92,8 @@
     slot = state.slot(now_ms)
     if state.balance - count < reserve:
         return False
-    limit = max(ALLOWANCE_COUNT, WINDOW_SHARE * state.first_count)
+    limits = state.limits
+    limit = max(limits.allowance_count, limits.window_share * state.first_count)
     if state.extra_count + count > limit:
         return False
     state.balance -= count
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -0,0 +1,124 @@
+"""The endpoints that an entry instance may use, brought up to date by a feed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..connection.endpoint_load import EndpointLoad
+from ..messages.fleet import STANDING_DRAINING, STANDING_LEFT, STANDING_READY
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..messages.fleet import AnnouncedEndpoint, HeardEndpoint
+
+_FINAL = (STANDING_DRAINING, STANDING_LEFT)
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChange:
+    """Describe one change for the log."""
+
+    endpoint: str
+    detail: str
+
+
+class EndpointTable:
+    """Hold the known endpoints with their load, and which of each service are usable."""
+
+    __slots__ = ('endpoints', 'services')
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, EndpointLoad] = {}
+        # Usable endpoints only; those that drain, left or lapsed get no new work.
+        self.services: dict[str, list[EndpointLoad]] = {}
+
+    def usable(self, service: str) -> list[EndpointLoad]:
+        """Return the endpoints of a service that may be given new work."""
+        return self.services.get(service, [])
+
+
+def apply_update(
+    table: EndpointTable, now_ms: float, endpoints: Iterable[HeardEndpoint], settled: bool
+) -> list[EndpointChange]:
+    """Apply announcements; only a settled sender may say that an endpoint lapsed."""
+    changes: list[EndpointChange] = []
+    for heard in endpoints:
+        record = heard.record
+        known = table.endpoints.get(record.endpoint)
+        if known is not None and not _replaces(known.record, record, settled):
+            continue
+        if known is None and record.standing != STANDING_READY:
+            # A tombstone is kept too: an unsettled sender may still announce the endpoint.
+            table.endpoints[record.endpoint] = EndpointLoad(record, now_ms)
+            continue
+        changes += _put(table, now_ms, known, heard)
+    return changes
+
+
+def keep_only(table: EndpointTable, endpoints: Iterable[HeardEndpoint]) -> list[EndpointChange]:
+    """Drop the endpoints that a settled sender's whole list does not name."""
+    named = {heard.record.endpoint for heard in endpoints}
+    gone = [name for name in table.endpoints if name not in named]
+    changes = []
+    for name in gone:
+        load = table.endpoints.pop(name)
+        if _withdraw(table, load):
+            changes.append(EndpointChange(name, 'no longer announced'))
+    return changes
+
+
+def _replaces(known: AnnouncedEndpoint, record: AnnouncedEndpoint, settled: bool) -> bool:
+    if record.born_ms != known.born_ms:
+        return record.born_ms > known.born_ms
+    if known.standing in _FINAL and record.standing not in _FINAL:
+        return False
+    if known.standing == STANDING_LEFT:
+        return record.standing == STANDING_LEFT
+    return settled or record.standing in (STANDING_READY, *_FINAL)
+
+
+def _put(
+    table: EndpointTable, now_ms: float, known: EndpointLoad | None, heard: HeardEndpoint
+) -> list[EndpointChange]:
+    record = heard.record
+    cold_until_ms = now_ms + max(0.0, record.cold_left_ms - heard.age_ms)
+    before = known.record if known is not None else None
+    if known is not None and _same_start(known.record, record):
+        load = known
+        load.record = record
+    else:
+        if known is not None:
+            _withdraw(table, known)
+        load = EndpointLoad(record, cold_until_ms)
+        table.endpoints[record.endpoint] = load
+    load.cold_until_ms = cold_until_ms
+    if record.standing == STANDING_READY:
+        members = table.services.setdefault(record.service, [])
+        if load not in members:
+            members.append(load)
+    else:
+        _withdraw(table, load)
+    if before is not None and before.standing == record.standing and _same_start(before, record):
+        return []
+    detail = f'{record.standing}, service {record.service}, at {record.address}'
+    return [EndpointChange(record.endpoint, detail)]
+
+
+def _same_start(known: AnnouncedEndpoint, record: AnnouncedEndpoint) -> bool:
+    return (known.born_ms, known.address, known.service) == (
+        record.born_ms,
+        record.address,
+        record.service,
+    )
+
+
+def _withdraw(table: EndpointTable, load: EndpointLoad) -> bool:
+    members = table.services.get(load.record.service, [])
+    if load not in members:
+        return False
+    members.remove(load)
+    if not members:
+        del table.services[load.record.service]
+    return True
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -0,0 +1,323 @@
+"""What a control instance knows of the other instances and of the endpoints."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from ..messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LEFT,
+    ControlShare,
+    ControlStatus,
+    EntryStatus,
+    FeedPoll,
+    FeedReply,
+    HeardEndpoint,
+    RequestCrash,
+)
+from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge
+
+if TYPE_CHECKING:
+    from ..messages.fleet import AnnouncedEndpoint
+
+SHARE_INTERVAL_MS = 200.0
+# Five shares may be lost or late before an instance counts as gone.
+CONTROL_LIVE_MS = 1_200.0
+# An entry instance polls about every 300 ms; three polls may be lost or late.
+ENTRY_LIVE_MS = 1_100.0
+# An endpoint is expected to announce itself this often within its lease, with room for
+# announcements that took a second to find an instance that answers.
+HEARTBEATS_PER_LEASE = 3.0
+LEASE_SLACK_MS = 600.0
+# What is urgent is repeated for this long, in case a share is lost.
+URGENT_REPEAT_MS = 3_000.0
+# Instances are forgotten after this time.
+FORGET_MS = 60_000.0
+CRASH_LIFE_MS = 600_000.0
+CRASH_LIMIT_COUNT = 4_096
+# Crash reports that each update repeats, so that one lost update costs nothing.
+FEED_CRASH_COUNT = 32
+INSTANCE_LIMIT_COUNT = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class _HeardControl:
+    status: ControlStatus
+    heard_ms: float
+    direct_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class _HeardEntry:
+    status: EntryStatus
+    heard_ms: float
+    direct: bool
+
+
+class FleetState:
+    """Hold the known instances, the endpoints and how far both can be trusted."""
+
+    def __init__(self, own: ControlStatus, heartbeat_ms: float, now_ms: float) -> None:
+        self.own = own
+        self.lease_ms = HEARTBEATS_PER_LEASE * heartbeat_ms + LEASE_SLACK_MS
+        self.announced = AnnouncedState()
+        self.controls: dict[str, _HeardControl] = {}
+        self.entries: dict[str, _HeardEntry] = {}
+        self.crashes: dict[tuple[str, str, int], float] = {}
+        # Since when this instance may have missed announcements; None once it knows all.
+        self.unsettled_since_ms: float | None = now_ms
+        self.direct: set[str] = set()
+        self.urgent: dict[str, float] = {}
+        self.new_crashes: set[tuple[str, str, int]] = set()
+
+
+def is_settled(state: FleetState) -> bool:
+    """Tell whether an endpoint that is not known here can be taken to be gone."""
+    return state.unsettled_since_ms is None
+
+
+def on_announcement(state: FleetState, now_ms: float, record: AnnouncedEndpoint) -> Merged:
+    """Take an announcement that came here."""
+    merged = merge(state.announced, record, now_ms)
+    if merged is not Merged.OUTDATED:
+        state.direct.add(record.endpoint)
+        _note_urgent(state, now_ms, record.endpoint)
+    return merged
+
+
+def on_departure(
+    state: FleetState, now_ms: float, endpoint: str, born_ms: int, latest_born_ms: int
+) -> bool:
+    """Take note that an endpoint left, and tell whether that was news."""
+    changed = mark_left(state.announced, endpoint, born_ms, latest_born_ms, now_ms)
+    _note_urgent(state, now_ms, endpoint)
+    return changed
+
+
+def on_notice(state: FleetState, now_ms: float, heard: HeardEndpoint) -> Merged:
+    """Take what another control instance heard of an endpoint that leaves."""
+    merged = merge(state.announced, heard.record, now_ms - heard.age_ms)
+    _note_urgent(state, now_ms, heard.record.endpoint)
+    return merged
+
+
+def whole_share(state: FleetState, now_ms: float) -> ControlShare:
+    """Build a share of everything that is known here."""
+    entries = tuple(_aged(each, now_ms) for each in state.entries.values())
+    return _make_share(
+        state, now_ms, True, list(state.announced.endpoints), entries, list(state.crashes)
+    )
+
+
+def take_news(state: FleetState, now_ms: float) -> ControlShare:
+    """Build a share of what was heard here since the last call."""
+    names = sorted(state.direct | set(state.urgent))
+    crashes = sorted(state.new_crashes)
+    state.direct, state.new_crashes = set(), set()
+    entries = tuple(
+        _aged(each, now_ms)
+        for each in state.entries.values()
+        if each.direct and now_ms - each.heard_ms < ENTRY_LIVE_MS
+    )
+    return _make_share(state, now_ms, False, names, entries, crashes)
+
+
+def _make_share(
+    state: FleetState,
+    now_ms: float,
+    whole: bool,
+    names: list[str],
+    entries: tuple[EntryStatus, ...],
+    crashes: list[tuple[str, str, int]],
+) -> ControlShare:
+    controls = tuple(
+        replace(each.status, age_ms=now_ms - each.heard_ms)
+        for each in state.controls.values()
+        if now_ms - each.heard_ms < CONTROL_LIVE_MS
+    )
+    return ControlShare(
+        state.own,
+        is_settled(state),
+        whole,
+        not is_settled(state),
+        controls,
+        entries,
+        heard_endpoints(state.announced, now_ms, names),
+        tuple(RequestCrash(*key, now_ms - state.crashes[key]) for key in crashes),
+    )
+
+
+def on_share(state: FleetState, now_ms: float, share: ControlShare) -> bool:
+    """Merge a share and tell whether an endpoint changed."""
+    revision = state.announced.revision
+    sender = share.control
+    if sender.instance != state.own.instance:
+        known = state.controls.get(sender.instance)
+        if known is None or sender.incarnation >= known.status.incarnation:
+            state.controls[sender.instance] = _HeardControl(sender, now_ms, now_ms)
+    for status in share.controls:
+        _merge_control(state, now_ms, status)
+    for entry in share.entries:
+        _merge_entry(state, now_ms - entry.age_ms, entry, direct=False)
+    for heard in share.endpoints:
+        merge(state.announced, heard.record, now_ms - heard.age_ms)
+    for crash in share.crashes:
+        add_crash(state, now_ms, crash, spread=False)
+    if share.whole and share.settled:
+        state.unsettled_since_ms = None
+    return state.announced.revision != revision
+
+
+def on_feed_poll(
+    state: FleetState,
+    now_ms: float,
+    poll: FeedPoll,
+    confirmed: bool,
+    route_version: int,
+    document: bytes,
+) -> FeedReply:
+    """Answer an entry instance with what it does not know yet."""
+    _merge_entry(state, now_ms, poll.entry, direct=True)
+    for crash in poll.crashes:
+        add_crash(state, now_ms, crash, spread=True)
+    known = poll.control_incarnation == state.own.incarnation
+    since = poll.endpoint_revision if known else 0
+    reply = make_feed(state, now_ms, since, confirmed, route_version, document)
+    newer = route_version > poll.entry.route_version
+    return replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
+
+
+def make_feed(
+    state: FleetState,
+    now_ms: float,
+    since: int,
+    confirmed: bool,
+    route_version: int,
+    document: bytes,
+) -> FeedReply:
+    """Build an update of what changed after a revision, all of it after revision 0."""
+    names = state.announced.changed_since(since)
+    return FeedReply(
+        poll_id=0,
+        control_incarnation=state.own.incarnation,
+        confirmed=confirmed,
+        settled=confirmed and is_settled(state),
+        whole=since == 0,
+        since_revision=since,
+        endpoint_revision=state.announced.revision,
+        endpoints=heard_endpoints(state.announced, now_ms, names),
+        route_version=route_version,
+        document=document,
+        controls=(state.own.instance, *live_controls(state, now_ms)),
+        entry_count=len(live_entries(state, now_ms)),
+        crashes=_newest_crashes(state, now_ms),
+    )
+
+
+def tick(state: FleetState, now_ms: float, confirmed: bool) -> bool:
+    """Lapse silent endpoints, forget what is gone and tell whether an endpoint changed."""
+    if not confirmed:
+        state.unsettled_since_ms = now_ms
+    elif not is_settled(state) and now_ms - (state.unsettled_since_ms or 0.0) >= state.lease_ms:
+        state.unsettled_since_ms = None
+    lapsed = expire(state.announced, now_ms, state.lease_ms) if is_settled(state) else []
+    state.urgent = {name: until_ms for name, until_ms in state.urgent.items() if now_ms < until_ms}
+    state.entries = {
+        name: each for name, each in state.entries.items() if now_ms - each.heard_ms < FORGET_MS
+    }
+    state.controls = {
+        name: each for name, each in state.controls.items() if now_ms - each.heard_ms < FORGET_MS
+    }
+    state.crashes = {
+        key: at_ms for key, at_ms in state.crashes.items() if now_ms - at_ms < CRASH_LIFE_MS
+    }
+    state.new_crashes &= state.crashes.keys()
+    return bool(lapsed)
+
+
+def live_controls(state: FleetState, now_ms: float) -> tuple[str, ...]:
+    """Return the other control instances that were heard of lately."""
+    return tuple(
+        name
+        for name, each in sorted(state.controls.items())
+        if now_ms - each.heard_ms < CONTROL_LIVE_MS
+    )
+
+
+def live_members(state: FleetState, now_ms: float) -> tuple[str, ...]:
+    """Return the members that other control instances said they are, lately and themselves."""
+    return tuple(
+        each.status.member
+        for each in state.controls.values()
+        if now_ms - each.direct_ms < CONTROL_LIVE_MS and each.status.member
+    )
+
+
+def live_entries(state: FleetState, now_ms: float) -> tuple[EntryStatus, ...]:
+    """Return the entry instances that were heard of lately."""
+    return tuple(
+        each.status
+        for _, each in sorted(state.entries.items())
+        if now_ms - each.heard_ms < ENTRY_LIVE_MS
+    )
+
+
+def direct_entries(state: FleetState, now_ms: float) -> tuple[EntryStatus, ...]:
+    """Return the live entry instances that poll this instance."""
+    return tuple(
+        each.status
+        for each in state.entries.values()
+        if each.direct and now_ms - each.heard_ms < ENTRY_LIVE_MS
+    )
+
+
+def add_crash(state: FleetState, now_ms: float, crash: RequestCrash, spread: bool) -> None:
+    """Record that a request was in flight when an endpoint crashed."""
+    key = (crash.digest, crash.endpoint, crash.born_ms)
+    if key in state.crashes or crash.age_ms >= CRASH_LIFE_MS:
+        return
+    while len(state.crashes) >= CRASH_LIMIT_COUNT:
+        del state.crashes[next(iter(state.crashes))]
+    state.crashes[key] = now_ms - crash.age_ms
+    if spread:
+        state.new_crashes.add(key)
+
+
+def _newest_crashes(state: FleetState, now_ms: float) -> tuple[RequestCrash, ...]:
+    newest = list(state.crashes.items())[-FEED_CRASH_COUNT:]
+    return tuple(RequestCrash(*key, now_ms - at_ms) for key, at_ms in newest)
+
+
+def _note_urgent(state: FleetState, now_ms: float, endpoint: str) -> None:
+    entry = state.announced.endpoints.get(endpoint)
+    if entry is not None and entry.record.standing in (STANDING_DRAINING, STANDING_LEFT):
+        state.urgent.setdefault(endpoint, now_ms + URGENT_REPEAT_MS)
+
+
+def _merge_control(state: FleetState, now_ms: float, status: ControlStatus) -> None:
+    if status.instance == state.own.instance:
+        return
+    heard_ms = now_ms - status.age_ms
+    known = state.controls.get(status.instance)
+    if known is None:
+        if len(state.controls) < INSTANCE_LIMIT_COUNT:
+            never_ms = float('-inf')
+            state.controls[status.instance] = _HeardControl(status, heard_ms, never_ms)
+    elif status.incarnation >= known.status.incarnation and heard_ms > known.heard_ms:
+        state.controls[status.instance] = _HeardControl(status, heard_ms, known.direct_ms)
+
+
+def _merge_entry(state: FleetState, heard_ms: float, status: EntryStatus, direct: bool) -> None:
+    known = state.entries.get(status.instance)
+    if known is None and len(state.entries) >= INSTANCE_LIMIT_COUNT:
+        return
+    if known is not None:
+        older = status.incarnation < known.status.incarnation
+        if older or (heard_ms <= known.heard_ms and not direct):
+            return
+    state.entries[status.instance] = _HeardEntry(replace(status, age_ms=0.0), heard_ms, direct)
+
+
+def _aged(heard: _HeardEntry, now_ms: float) -> EntryStatus:
+    return replace(heard.status, age_ms=now_ms - heard.heard_ms)
--- a/packages/core/src/pistachioloft_core/process/latency.py
+++ b/packages/core/src/pistachioloft_core/process/latency.py
@@ -29,6 +29,11 @@
         self.median_ms = DEFAULT_MEDIAN_MS
         self.p95_ms = DEFAULT_P95_MS
 
+    @property
+    def is_learned(self) -> bool:
+        """Tell whether enough samples are known for the percentiles."""
+        return len(self._samples) >= MIN_SAMPLE_COUNT
+
     def add(self, latency_ms: float) -> None:
         """Add one sample, replacing the oldest when the window is full."""
         if len(self._samples) < WINDOW_SIZE:
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -0,0 +1,172 @@
+"""Attempts of routed requests on endpoints: their start, their end and what it tells."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from ..process.observed import PROBE_MS
+from .hedge_delay import usual_latency_ms
+from .routed_state import route_latency
+
+if TYPE_CHECKING:
+    from ..connection.endpoint_load import EndpointLoad, LoadReport
+    from ..errors import ResultCode
+    from ..messages.routes import Route
+    from .routed_state import RoutedState
+
+
+class Ended(Enum):
+    """Tell how an attempt ended; only the first two prove that nothing ran."""
+
+    NOT_SENT = 'not sent'
+    NOT_RUN = 'not run'
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    LOST = 'lost'
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """Carry the end of an attempt; `reply` is what the endpoint sent, if all of it came."""
+
+    ended: Ended
+    detail: str = ''
+    reply: Any = None
+    report: LoadReport | None = None
+    # The endpoint's address was refused or belongs to another endpoint now.
+    absent: bool = False
+
+
+class Attempt:
+    """Hold one request in flight on one endpoint."""
+
+    __slots__ = ('attempt_id', 'hedge', 'load', 'overdue', 'route', 'sent_ms', 'service')
+
+    def __init__(
+        self,
+        attempt_id: str,
+        route: Route,
+        service: str,
+        load: EndpointLoad,
+        sent_ms: float,
+        hedge: bool,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.route = route
+        self.service = service
+        self.load = load
+        self.sent_ms = sent_ms
+        self.hedge = hedge
+        self.overdue = False
+
+
+@dataclass(frozen=True, slots=True)
+class SendAttempt:
+    """Send the request to an endpoint."""
+
+    attempt: Attempt
+    time_left_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonAttempt:
+    """Withdraw an attempt whose reply is no longer needed, after some time to finish."""
+
+    attempt: Attempt
+    after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Give the caller one endpoint's reply unchanged."""
+
+    reply: Any
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverMerged:
+    """Give the caller the merged replies; `missing_count` shards are not covered."""
+
+    replies: tuple[Any, ...]
+    missing_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """End the request with a result code."""
+
+    code: ResultCode
+    detail: str
+    retry_after_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Write one log line on a decision."""
+
+    kind: str
+    detail: str
+
+
+RoutedAction = SendAttempt | AbandonAttempt | Deliver | DeliverMerged | Refuse | Note
+
+
+def begin_attempt(
+    now_ms: float,
+    attempt_id: str,
+    route: Route,
+    service: str,
+    load: EndpointLoad,
+    hedge: bool = False,
+) -> Attempt:
+    """Count an attempt on an endpoint."""
+    load.in_flight_count += 1
+    if load.breaker.broken:
+        load.breaker.probe_until_ms = now_ms + PROBE_MS
+    return Attempt(attempt_id, route, service, load, now_ms, hedge)
+
+
+def note_overdue(state: RoutedState, now_ms: float, attempt: Attempt) -> None:
+    """Count an attempt that is past its hedge delay against its endpoint."""
+    if not attempt.overdue:
+        attempt.overdue = True
+        attempt.load.overdue_count += 1
+    usual_ms = usual_latency_ms(state, attempt.route)
+    attempt.load.note_late(now_ms, now_ms - attempt.sent_ms, usual_ms)
+
+
+def end_attempt(state: RoutedState, now_ms: float, attempt: Attempt, end: AttemptEnd) -> None:
+    """Take what the end of an attempt tells about its endpoint and its route."""
+    load = attempt.load
+    _release(attempt)
+    if end.report is not None:
+        load.note_report(now_ms, end.report)
+    latency_ms = now_ms - attempt.sent_ms
+    if end.ended in (Ended.ANSWERED, Ended.FAILED):
+        usual_ms = usual_latency_ms(state, attempt.route)
+        if end.ended is Ended.ANSWERED:
+            route_latency(state, attempt.route.name).add(latency_ms)
+            load.note_reply(now_ms, latency_ms, usual_ms)
+        else:
+            load.note_shed(now_ms)
+    elif end.ended is Ended.NOT_RUN and not end.absent:
+        load.note_shed(now_ms)
+    else:
+        load.note_lost(now_ms, end.absent)
+
+
+def withdraw_attempt(state: RoutedState, now_ms: float, attempt: Attempt) -> None:
+    """Count an attempt that was given up without a reply."""
+    _release(attempt)
+    usual_ms = usual_latency_ms(state, attempt.route)
+    attempt.load.note_late(now_ms, now_ms - attempt.sent_ms, usual_ms)
+    attempt.load.note_lost(now_ms, False)
+
+
+def _release(attempt: Attempt) -> None:
+    attempt.load.in_flight_count -= 1
+    if attempt.overdue:
+        attempt.overdue = False
+        attempt.load.overdue_count -= 1
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -0,0 +1,195 @@
+"""Forward a request to one endpoint, and to another where that is safe."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ..errors import ResultCode
+from ..process.budget import record_first_tries, take_hedge, take_retry
+from .attempts import (
+    AbandonAttempt,
+    Attempt,
+    AttemptEnd,
+    Deliver,
+    Ended,
+    Note,
+    Refuse,
+    RoutedAction,
+    SendAttempt,
+    begin_attempt,
+    note_overdue,
+)
+from .gather import LINGER_MS, UNSERVED_RETRY_MS
+from .hedge_delay import hedge_delay_ms
+from .placement import choose_endpoint, has_usable
+from .routed_state import budget_of
+
+if TYPE_CHECKING:
+    from ..connection.endpoint_load import EndpointLoad
+    from ..messages.routes import Route
+    from .routed_state import RoutedState
+
+# Refused tries of one request are repeated this often at most.
+TRIES_PER_REQUEST = 6
+# Endpoints that refused have room again after about one request of theirs.
+REFUSED_RETRY_MS = 100.0
+
+
+class ForwardState:
+    """Hold one request from its arrival to its answer."""
+
+    __slots__ = (
+        'done',
+        'failure',
+        'hedged',
+        'limit_ms',
+        'open',
+        'refuser',
+        'request_id',
+        'route',
+        'run_count',
+        'service',
+        'tried',
+        'try_count',
+    )
+
+    def __init__(self, request_id: str, route: Route, service: str, limit_ms: float) -> None:
+        self.request_id = request_id
+        self.route = route
+        self.service = service
+        self.limit_ms = limit_ms
+        self.open: list[Attempt] = []
+        self.tried: set[str] = set()
+        self.refuser = ''
+        # Endpoints that may have run the request.
+        self.run_count = 0
+        self.try_count = 0
+        self.hedged = False
+        # The last failure that an endpoint answered with; delivered if nothing better comes.
+        self.failure: Any = None
+        self.done = False
+
+
+def start_forward(state: RoutedState, now_ms: float, request: ForwardState) -> list[RoutedAction]:
+    """Send the request to an endpoint, or refuse it if none can take it."""
+    record_first_tries(budget_of(state, request.service), now_ms, 1)
+    if not has_usable(state, now_ms, request.service):
+        request.done = True
+        detail = f'service {request.service} has no endpoint'
+        return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
+    load = _pick(state, now_ms, request)
+    if load is None:
+        request.done = True
+        detail = f'all connections to service {request.service} are in use'
+        return [Refuse(ResultCode.OVERLOADED, detail, REFUSED_RETRY_MS)]
+    return [_send(now_ms, request, load, hedge=False)]
+
+
+def on_attempt_end(
+    state: RoutedState, now_ms: float, request: ForwardState, attempt: Attempt, end: AttemptEnd
+) -> list[RoutedAction]:
+    """Deliver a reply, or try another endpoint where the request cannot run twice."""
+    request.open.remove(attempt)
+    if request.done:
+        return []
+    if end.ended is Ended.ANSWERED:
+        return _deliver(request, end.reply)
+    endpoint = attempt.load.record.endpoint
+    note = Note('retry', f'{endpoint} {end.ended.value}, {end.detail}')
+    if end.ended in (Ended.NOT_SENT, Ended.NOT_RUN):
+        request.run_count -= 1
+        if end.ended is Ended.NOT_RUN and not end.absent:
+            request.tried.discard(endpoint)
+            request.refuser = endpoint
+    if end.ended is Ended.FAILED:
+        request.failure = end.reply
+    return [note, *_retry(state, now_ms, request, free=end.ended is Ended.NOT_SENT)]
+
+
+def on_forward_timer(
+    state: RoutedState, now_ms: float, request: ForwardState
+) -> list[RoutedAction]:
+    """Ask another endpoint if the first is late, and end the request at its time limit."""
+    if request.done:
+        return []
+    if now_ms >= request.limit_ms:
+        return _give_up(request, 'the time limit is reached')
+    late_ms = hedge_delay_ms(state, request.route)
+    if not request.open or now_ms - request.open[-1].sent_ms < late_ms:
+        return []
+    late = request.open[-1]
+    note_overdue(state, now_ms, late)
+    if request.hedged or not request.route.idempotent:
+        return []
+    load = _pick(state, now_ms, request)
+    if load is None or not take_hedge(budget_of(state, request.service), now_ms):
+        return []
+    request.hedged = True
+    age_ms = now_ms - late.sent_ms
+    names = f'{late.load.record.endpoint} late after {age_ms:.0f} ms, also {load.record.endpoint}'
+    return [Note('hedge', names), _send(now_ms, request, load, hedge=True)]
+
+
+def cancel_forward(request: ForwardState) -> list[RoutedAction]:
+    """Withdraw the request because the caller left; one that must run once is left to end."""
+    request.done = True
+    if not request.route.idempotent:
+        return []
+    return [AbandonAttempt(attempt, 0.0) for attempt in request.open]
+
+
+def next_check_ms(state: RoutedState, now_ms: float, request: ForwardState) -> float:
+    """Return when the request must be looked at again."""
+    if request.hedged or not request.open:
+        return request.limit_ms
+    late_ms = hedge_delay_ms(state, request.route)
+    due_ms = max(request.open[-1].sent_ms + late_ms, now_ms + late_ms / 4)
+    return min(request.limit_ms, due_ms)
+
+
+def _pick(state: RoutedState, now_ms: float, request: ForwardState) -> EndpointLoad | None:
+    if request.try_count >= TRIES_PER_REQUEST:
+        return None
+    if request.run_count >= (request.route.attempt_limit if request.route.idempotent else 1):
+        return None
+    excluded = request.tried | {request.refuser} if request.refuser else request.tried
+    load = choose_endpoint(state, now_ms, request.route, request.service, excluded)
+    if load is None and request.refuser:
+        load = choose_endpoint(state, now_ms, request.route, request.service, request.tried)
+    return load
+
+
+def _send(now_ms: float, request: ForwardState, load: EndpointLoad, hedge: bool) -> SendAttempt:
+    request.try_count += 1
+    attempt_id = f'{request.request_id}.{request.try_count}'
+    attempt = begin_attempt(now_ms, attempt_id, request.route, request.service, load, hedge)
+    request.tried.add(load.record.endpoint)
+    request.open.append(attempt)
+    request.run_count += 1
+    return SendAttempt(attempt, request.limit_ms - now_ms)
+
+
+def _retry(
+    state: RoutedState, now_ms: float, request: ForwardState, free: bool
+) -> list[RoutedAction]:
+    if request.open:
+        return []
+    load = _pick(state, now_ms, request)
+    if load is None or not (free or take_retry(budget_of(state, request.service), now_ms)):
+        return _give_up(request, 'no other endpoint can be tried')
+    return [_send(now_ms, request, load, hedge=False)]
+
+
+def _deliver(request: ForwardState, reply: Any) -> list[RoutedAction]:
+    request.done = True
+    return [Deliver(reply), *(AbandonAttempt(other, LINGER_MS) for other in request.open)]
+
+
+def _give_up(request: ForwardState, reason: str) -> list[RoutedAction]:
+    if request.failure is not None:
+        return _deliver(request, request.failure)
+    request.done = True
+    if request.run_count == 0 and not request.open:
+        return [Refuse(ResultCode.NOT_STARTED, reason, REFUSED_RETRY_MS)]
+    code = ResultCode.NO_ANSWER if request.route.idempotent else ResultCode.OUTCOME_UNKNOWN
+    return [Refuse(code, reason), *(AbandonAttempt(other, 0.0) for other in request.open)]
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -0,0 +1,314 @@
+"""Ask every shard of a query and answer with what came in time."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from ..errors import ResultCode
+from ..process.budget import record_first_tries, take_hedge, take_retry
+from .attempts import (
+    AbandonAttempt,
+    Attempt,
+    AttemptEnd,
+    DeliverMerged,
+    Ended,
+    Note,
+    Refuse,
+    RoutedAction,
+    SendAttempt,
+    begin_attempt,
+    note_overdue,
+)
+from .hedge_delay import hedge_delay_ms, usual_latency_ms
+from .placement import choose_endpoint, has_usable
+from .routed_state import budget_of
+
+if TYPE_CHECKING:
+    from ..connection.endpoint_load import EndpointLoad
+    from ..messages.routes import Gather, Route
+    from .routed_state import RoutedState
+
+# After the answer, an attempt may finish for this long before its connection is closed:
+# a pause of an endpoint ends by itself, and a new connection costs it a slot.
+LINGER_MS = 150.0
+# Where shards have no endpoint, callers are told to come back after about the time in which
+# a crashed endpoint starts again and is announced.
+UNSERVED_RETRY_MS = 1_000.0
+# Refused tries of one shard are repeated this often at most within one query.
+TRIES_PER_SHARD = 6
+
+
+class ShardState:
+    """Hold the attempts on one shard of a query."""
+
+    __slots__ = (
+        'exhausted',
+        'hedged',
+        'open',
+        'refuser',
+        'replied',
+        'reply',
+        'run_count',
+        'service',
+        'tried',
+        'try_count',
+    )
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.open: list[Attempt] = []
+        # Endpoints that may have run the request or are gone; they are not asked again.
+        self.tried: set[str] = set()
+        self.run_count = 0
+        self.try_count = 0
+        # The endpoint that refused last; it may have room after the others were tried.
+        self.refuser = ''
+        self.hedged = False
+        self.exhausted = False
+        self.replied = False
+        self.reply: Any = None
+
+
+class GatherState:
+    """Hold one query over all shards from its arrival to its answer."""
+
+    __slots__ = (
+        'answer_at_ms',
+        'done',
+        'exhausted_count',
+        'floor_count',
+        'limit_ms',
+        'replied_count',
+        'request_id',
+        'route',
+        'sent_count',
+        'shard_of',
+        'shards',
+    )
+
+    def __init__(self, request_id: str, route: Route, answer_at_ms: float, limit_ms: float) -> None:
+        gather = _gather(route)
+        self.request_id = request_id
+        self.route = route
+        # From here on a partial answer that reaches the floor is worth more than waiting.
+        self.answer_at_ms = answer_at_ms
+        self.limit_ms = limit_ms
+        self.shards = [ShardState(name) for name in gather.shards]
+        self.shard_of: dict[str, ShardState] = {}
+        share = gather.coverage_floor * len(gather.shards)
+        self.floor_count = max(1, math.ceil(share - 1e-9))
+        self.sent_count = 0
+        self.replied_count = 0
+        self.exhausted_count = 0
+        self.done = False
+
+    @property
+    def reachable_count(self) -> int:
+        """Return how many shards have answered or still can."""
+        return len(self.shards) - self.exhausted_count
+
+
+def start_gather(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
+    """Send the query to one endpoint of each shard, or refuse it if too few can answer."""
+    for shard in query.shards:
+        record_first_tries(budget_of(state, shard.service), now_ms, 1)
+    served = sum(has_usable(state, now_ms, shard.service) for shard in query.shards)
+    if served < query.floor_count:
+        query.done = True
+        detail = f'{served} of {len(query.shards)} shards have an endpoint'
+        return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
+    actions: list[RoutedAction] = []
+    for shard in query.shards:
+        load = _pick(state, now_ms, query, shard)
+        if load is None:
+            _note_exhausted(state, now_ms, query, shard)
+        else:
+            actions.append(_send(state, now_ms, query, shard, load, hedge=False))
+    return actions + _conclude(now_ms, query)
+
+
+def on_attempt_end(
+    state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, end: AttemptEnd
+) -> list[RoutedAction]:
+    """Take a shard's reply, or try another endpoint after a failure."""
+    shard = query.shard_of.pop(attempt.attempt_id)
+    shard.open.remove(attempt)
+    if query.done or shard.replied:
+        return []
+    actions: list[RoutedAction] = []
+    if end.ended is Ended.ANSWERED:
+        shard.replied, shard.reply = True, end.reply
+        query.replied_count += 1
+        actions += [AbandonAttempt(other, LINGER_MS) for other in shard.open]
+    else:
+        endpoint = attempt.load.record.endpoint
+        actions.append(
+            Note('retry', f'{shard.service}: {endpoint} {end.ended.value}, {end.detail}')
+        )
+        if end.ended in (Ended.NOT_SENT, Ended.NOT_RUN):
+            shard.run_count -= 1
+        if end.ended is Ended.NOT_RUN and not end.absent:
+            shard.tried.discard(endpoint)
+            shard.refuser = endpoint
+        actions += _retry(state, now_ms, query, shard, free=end.ended is Ended.NOT_SENT)
+    return actions + _conclude(now_ms, query)
+
+
+def on_gather_timer(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
+    """Ask other endpoints for late shards, and answer when it is time."""
+    if query.done:
+        return []
+    actions: list[RoutedAction] = []
+    late_ms = hedge_delay_ms(state, query.route)
+    for shard in query.shards:
+        if shard.replied:
+            continue
+        if not shard.open:
+            actions += _retry(state, now_ms, query, shard, free=shard.try_count == 0)
+        elif now_ms - shard.open[-1].sent_ms >= late_ms:
+            note_overdue(state, now_ms, shard.open[-1])
+            if not shard.hedged:
+                actions += _hedge(state, now_ms, query, shard)
+    return actions + _conclude(now_ms, query)
+
+
+def cancel_gather(query: GatherState) -> list[RoutedAction]:
+    """Withdraw everything at once because the caller left."""
+    query.done = True
+    return _abandon_open(query, 0.0)
+
+
+def next_check_ms(state: RoutedState, now_ms: float, query: GatherState) -> float:
+    """Return when the query must be looked at again."""
+    due_ms = query.limit_ms
+    if now_ms < query.answer_at_ms:
+        due_ms = min(due_ms, query.answer_at_ms)
+    late_ms = hedge_delay_ms(state, query.route)
+    for shard in query.shards:
+        if shard.replied or shard.hedged or shard.exhausted:
+            continue
+        checked_ms = shard.open[-1].sent_ms if shard.open else now_ms
+        due_ms = min(due_ms, max(checked_ms + late_ms, now_ms + late_ms / 4))
+    return due_ms
+
+
+def _gather(route: Route) -> Gather:
+    assert route.gather is not None
+    return route.gather
+
+
+def _may_try(query: GatherState, shard: ShardState) -> bool:
+    return shard.run_count < query.route.attempt_limit and shard.try_count < TRIES_PER_SHARD
+
+
+def _pick(
+    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
+) -> EndpointLoad | None:
+    if not _may_try(query, shard):
+        return None
+    excluded = shard.tried | {shard.refuser} if shard.refuser else shard.tried
+    load = choose_endpoint(state, now_ms, query.route, shard.service, excluded)
+    if load is None and shard.refuser:
+        load = choose_endpoint(state, now_ms, query.route, shard.service, shard.tried)
+    return load
+
+
+def _send(
+    state: RoutedState,
+    now_ms: float,
+    query: GatherState,
+    shard: ShardState,
+    load: EndpointLoad,
+    hedge: bool,
+) -> SendAttempt:
+    query.sent_count += 1
+    attempt_id = f'{query.request_id}.{query.sent_count}'
+    attempt = begin_attempt(now_ms, attempt_id, query.route, shard.service, load, hedge)
+    shard.tried.add(load.record.endpoint)
+    shard.open.append(attempt)
+    shard.run_count += 1
+    shard.try_count += 1
+    query.shard_of[attempt_id] = shard
+    if shard.exhausted:
+        shard.exhausted = False
+        query.exhausted_count -= 1
+    return SendAttempt(attempt, query.limit_ms - now_ms)
+
+
+def _retry(
+    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState, free: bool
+) -> list[RoutedAction]:
+    if shard.open:
+        return []
+    load = _pick(state, now_ms, query, shard)
+    if load is None or not (free or take_retry(budget_of(state, shard.service), now_ms)):
+        _note_exhausted(state, now_ms, query, shard)
+        return []
+    return [_send(state, now_ms, query, shard, load, hedge=False)]
+
+
+def _hedge(
+    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
+) -> list[RoutedAction]:
+    usual_ms = usual_latency_ms(state, query.route)
+    if query.replied_count >= query.floor_count and now_ms + usual_ms > query.answer_at_ms:
+        # Its reply would come after the answer was given.
+        shard.hedged = True
+        return []
+    load = _pick(state, now_ms, query, shard)
+    if load is None or not take_hedge(budget_of(state, shard.service), now_ms):
+        return []
+    shard.hedged = True
+    late = shard.open[-1]
+    age_ms = now_ms - late.sent_ms
+    detail = (
+        f'{shard.service}: {late.load.record.endpoint} late after {age_ms:.0f} ms, '
+        f'also {load.record.endpoint}'
+    )
+    return [Note('hedge', detail), _send(state, now_ms, query, shard, load, hedge=True)]
+
+
+def _note_exhausted(
+    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
+) -> None:
+    """Count a shard out if no endpoint can take another try now."""
+    possible = _may_try(query, shard) and any(
+        load.record.endpoint not in shard.tried and not load.breaker.is_open(now_ms)
+        for load in state.table.usable(shard.service)
+    )
+    if possible == shard.exhausted:
+        shard.exhausted = not possible
+        query.exhausted_count += 1 if shard.exhausted else -1
+
+
+def _conclude(now_ms: float, query: GatherState) -> list[RoutedAction]:
+    """Answer or give up if nothing more is worth waiting for."""
+    if query.replied_count >= query.floor_count:
+        if query.replied_count >= query.reachable_count or now_ms >= query.answer_at_ms:
+            return _answer(query)
+    elif query.reachable_count < query.floor_count:
+        return _give_up(query, 'too few shards can still answer')
+    elif now_ms >= query.limit_ms:
+        return _give_up(query, 'the time limit is reached')
+    return []
+
+
+def _answer(query: GatherState) -> list[RoutedAction]:
+    query.done = True
+    replies = tuple(shard.reply for shard in query.shards if shard.replied)
+    missing_count = len(query.shards) - len(replies)
+    return [DeliverMerged(replies, missing_count), *_abandon_open(query, LINGER_MS)]
+
+
+def _give_up(query: GatherState, reason: str) -> list[RoutedAction]:
+    query.done = True
+    detail = f'{reason}: {query.replied_count} of {len(query.shards)} answered'
+    if query.sent_count == 0:
+        return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
+    return [Refuse(ResultCode.NO_ANSWER, detail), *_abandon_open(query, 0.0)]
+
+
+def _abandon_open(query: GatherState, after_ms: float) -> list[RoutedAction]:
+    attempts = [attempt for shard in query.shards for attempt in shard.open]
+    return [AbandonAttempt(attempt, after_ms) for attempt in attempts]
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -0,0 +1,115 @@
+"""What the decisions on routed requests of one entry instance share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..process.budget import BudgetLimits, BudgetState, set_limits
+from ..process.endpoint_table import EndpointTable
+from ..process.latency import LatencyState, ServiceLatency, service_latency
+
+if TYPE_CHECKING:
+    import random
+
+    from ..version.route_table import RouteTable
+
+# Part of the shared allowances that the instances divide; the rest covers instances that
+# count each other late, and connections that an earlier process of an instance left open.
+SHARED_PART = 0.9
+# Part of an instance's allowance of extra tries that hedges leave to retries.
+RESERVE_PART = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class SharedLimits:
+    """Bound what all entry instances together may add to the load of one service."""
+
+    extra_share: float
+    extra_allowance_count: float
+
+
+class RoutedState:
+    """Hold the routes, the endpoints and the budgets of one entry instance."""
+
+    __slots__ = (
+        'budgets',
+        'entry_count',
+        'failure_domain',
+        'instance',
+        'latencies',
+        'limits',
+        'random',
+        'routes',
+        'table',
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        failure_domain: str,
+        limits: SharedLimits,
+        random_source: random.Random,
+    ) -> None:
+        self.instance = instance
+        self.failure_domain = failure_domain
+        self.limits = limits
+        self.random = random_source
+        self.routes: RouteTable | None = None
+        self.table = EndpointTable()
+        self.latencies = LatencyState()
+        self.budgets: dict[str, BudgetState] = {}
+        # Instances that share the allowances and the endpoints' connections.
+        self.entry_count = 1
+
+
+def budget_of(state: RoutedState, service: str) -> BudgetState:
+    """Return this instance's part of the budget of a service."""
+    found = state.budgets.get(service)
+    if found is None:
+        found = state.budgets[service] = BudgetState(_budget_limits(state))
+    return found
+
+
+def set_entry_count(state: RoutedState, count: int) -> None:
+    """Divide the allowances among another number of entry instances."""
+    count = max(1, count)
+    if count == state.entry_count:
+        return
+    state.entry_count = count
+    limits = _budget_limits(state)
+    for budget in state.budgets.values():
+        set_limits(budget, limits)
+
+
+def set_routes(state: RoutedState, routes: RouteTable) -> None:
+    """Put a version of the routes in force and forget what only earlier ones named."""
+    state.routes = routes
+    for service in [name for name in state.budgets if name not in routes.rules]:
+        del state.budgets[service]
+    known = {route.name for route in routes.routes.routes}
+    for name in [name for name in state.latencies.services if name not in known]:
+        del state.latencies.services[name]
+
+
+def route_latency(state: RoutedState, route_name: str) -> ServiceLatency:
+    """Return the learned latency of one attempt of a route."""
+    return service_latency(state.latencies, route_name)
+
+
+def connection_share(state: RoutedState, service: str) -> int:
+    """Return how many connections this instance may hold to one endpoint of a service."""
+    rule = state.routes.rules.get(service) if state.routes is not None else None
+    if rule is None:
+        return 1
+    return max(1, int(rule.connection_limit * SHARED_PART / state.entry_count))
+
+
+def _budget_limits(state: RoutedState) -> BudgetLimits:
+    allowance = state.limits.extra_allowance_count * SHARED_PART / state.entry_count
+    return BudgetLimits(
+        share=state.limits.extra_share * SHARED_PART,
+        allowance_count=allowance,
+        reserve_count=allowance * RESERVE_PART,
+        window_share=1.0,
+    )
--- a/packages/core/src/pistachioloft_core/version/accepted.py
+++ b/packages/core/src/pistachioloft_core/version/accepted.py
@@ -12,6 +12,8 @@
 from ..messages.accepted import (
     AcceptedCommand,
     AcceptedConfiguration,
+    AcceptedRoutes,
+    AcceptRoutes,
     CloseClaim,
     CommandOutcome,
     Configuration,
@@ -38,9 +40,18 @@
 # new leader must know these instances to report truthfully where the submission is in force.
 REMOVED_LIMIT_COUNT = 1024
 
+NO_ROUTES = AcceptedRoutes()
+
 _COMMAND_TYPES: dict[str, type] = {
     kind.__name__: kind
-    for kind in (SubmitConfiguration, DrainInstance, OpenClaim, CloseClaim, NoOperation)
+    for kind in (
+        SubmitConfiguration,
+        DrainInstance,
+        OpenClaim,
+        CloseClaim,
+        AcceptRoutes,
+        NoOperation,
+    )
 }
 _command_decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
     name: msgspec.msgpack.Decoder(kind) for name, kind in _COMMAND_TYPES.items()
@@ -67,6 +78,7 @@
     history: tuple[HistoryEntry, ...]
     outcomes: tuple[RecordedOutcome, ...]
     claims: tuple[Claim, ...]
+    routes: AcceptedRoutes = NO_ROUTES
 
 
 class AcceptedState:
@@ -81,6 +93,7 @@
         self.history: list[HistoryEntry] = []
         self.outcomes: dict[str, RecordedOutcome] = {}
         self.claim_table = ClaimTable()
+        self.routes = NO_ROUTES
 
 
 def configuration_digest(configuration: Configuration) -> str:
@@ -93,6 +106,11 @@
     return state.accepted
 
 
+def accepted_routes(state: AcceptedState) -> AcceptedRoutes:
+    """Return the routes in force."""
+    return state.routes
+
+
 def history(state: AcceptedState) -> tuple[HistoryEntry, ...]:
     """Return the newest accepted submissions, oldest first."""
     return tuple(state.history)
@@ -116,6 +134,8 @@
             return close_claim(state.claim_table, command)
         case SubmitConfiguration() | DrainInstance():
             return _apply_operator_command(state, command)
+        case AcceptRoutes():
+            return _accept_routes(state, command)
         case NoOperation():
             return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.accepted.index)
 
@@ -167,6 +187,7 @@
             tuple(state.history),
             tuple(state.outcomes.values()),
             tuple(state.claim_table.claims.values()),
+            state.routes,
         )
     )
 
@@ -186,9 +207,19 @@
     state.history = list(snapshot.history)
     state.outcomes = {recorded.command_id: recorded for recorded in snapshot.outcomes}
     state.claim_table = ClaimTable(snapshot.claims)
+    state.routes = snapshot.routes
     return state
 
 
+def _accept_routes(state: AcceptedState, command: AcceptRoutes) -> CommandOutcome:
+    current = state.routes
+    if command.version <= current.version:
+        detail = f'version {current.version} is accepted already'
+        return CommandOutcome(ResultCode.ACCEPTED_REPEATED, detail, current.index, repeated=True)
+    state.routes = AcceptedRoutes(command.version, command.document, state.applied_index)
+    return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.applied_index)
+
+
 def _apply_operator_command(
     state: AcceptedState, command: SubmitConfiguration | DrainInstance
 ) -> CommandOutcome:
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/control_face.py
@@ -0,0 +1,236 @@
+"""Answer the calls of endpoints, operators and callers on a control instance."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.messages.accepted import AcceptRoutes
+from pistachioloft_core.messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LEFT,
+    HeardEndpoint,
+    LeavingNotice,
+)
+from pistachioloft_core.process import fleet
+from pistachioloft_core.process.announced import Merged
+from pistachioloft_core.process.directory import choose_entries
+from pistachioloft_core.version.route_table import check_routes
+
+from .control_calls import (
+    Addresses,
+    Announce,
+    CheckReadiness,
+    Depart,
+    Done,
+    ListAddresses,
+    Outcome,
+    ReadRoutes,
+    SubmitRoutes,
+    UnknownCall,
+)
+from .loop_timers import monotonic_ms, wall_clock_ms
+from .routes_document import pack_document, unpack_document
+
+if TYPE_CHECKING:
+    from pistachioloft_core.messages.accepted import CommandOutcome
+
+    from .control_instance import ControlInstance
+    from .http1.messages import Request
+    from .http1.server import Cancel, Respond
+    from .wire import ControlWire
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[operator]'
+# Senders wait for a second; a refusal lets them ask another instance before that.
+NOTICE_TIMEOUT_MS = 700.0
+NOTICE_RESEND_MS = 100.0
+SUBMIT_TIMEOUT_MS = 4_000.0
+RETRY_AFTER_MS = 300.0
+Answer = Callable[[Outcome], None]
+
+
+class _Notice:
+    """Hold a leaving endpoint until enough control instances have noted it."""
+
+    def __init__(
+        self, heard: HeardEndpoint, answer: Answer, needed_count: int, deadline_ms: float
+    ) -> None:
+        self.heard = heard
+        self.answer = answer
+        self.needed_count = needed_count
+        self.deadline_ms = deadline_ms
+        self.noted: set[str] = set()
+        self.sent: dict[str, float] = {}
+
+
+class ControlFace:
+    """Hold the calls of one control instance that wait for an outcome."""
+
+    def __init__(self, instance: ControlInstance, wire: ControlWire) -> None:
+        self.instance = instance
+        self.wire = wire
+        self.notices: dict[int, _Notice] = {}
+        self.number = 0
+
+    def handle(self, request: Request, respond: Respond) -> Cancel | None:
+        """Answer one call now or later."""
+
+        def answer(outcome: Outcome) -> None:
+            respond(self.wire.encode_outcome(outcome))
+
+        call = self.wire.decode_call(request)
+        match call:
+            case Announce():
+                self._announce(call, answer)
+            case Depart():
+                self._depart(call, answer)
+            case SubmitRoutes():
+                self._submit(call, answer)
+            case ReadRoutes():
+                self._read(answer)
+            case ListAddresses():
+                self._list_addresses(call, answer)
+            case CheckReadiness():
+                code = ResultCode.ACCEPTED if self.instance.confirmed() else ResultCode.NO_QUORUM
+                answer(Done(code))
+            case UnknownCall():
+                logger.info('%s call refused: code=%s %s', PREFIX, call.code.name, call.detail)
+                answer(Done(call.code, call.detail))
+        return None
+
+    def on_noted(self, sender: str, notice_id: int) -> None:
+        """Count a control instance that noted a leaving endpoint."""
+        notice = self.notices.get(notice_id)
+        if notice is not None:
+            notice.noted.add(sender)
+            self._conclude(notice_id, notice)
+
+    def tick(self, now_ms: float) -> None:
+        """Repeat the notices that are not confirmed and give up late ones."""
+        for notice_id, notice in list(self.notices.items()):
+            if now_ms >= notice.deadline_ms:
+                del self.notices[notice_id]
+                name = notice.heard.record.endpoint
+                logger.warning('[membership] endpoint %s: leaving is not confirmed', name)
+                notice.answer(Done(ResultCode.NO_QUORUM, '', b'', RETRY_AFTER_MS))
+            else:
+                self._send_notices(notice_id, notice, now_ms)
+
+    def _announce(self, call: Announce, answer: Answer) -> None:
+        now_ms = monotonic_ms()
+        record = call.record
+        merged = fleet.on_announcement(self.instance.fleet, now_ms, record)
+        if merged is Merged.CHANGED:
+            logger.info(
+                '[membership] endpoint %s: %s service=%s address=%s seq=%d born=%d',
+                record.endpoint,
+                record.standing,
+                record.service,
+                record.address,
+                record.sequence,
+                record.born_ms,
+            )
+            self.instance.push()
+        if record.standing == STANDING_DRAINING:
+            self._confirm_leaving(record.endpoint, answer)
+        else:
+            answer(Done())
+
+    def _depart(self, call: Depart, answer: Answer) -> None:
+        now_ms = monotonic_ms()
+        state = self.instance.fleet
+        if fleet.on_departure(state, now_ms, call.endpoint, call.born_ms, wall_clock_ms()):
+            logger.info('[membership] endpoint %s: left', call.endpoint)
+            self.instance.push()
+        self._confirm_leaving(call.endpoint, answer)
+
+    def _confirm_leaving(self, endpoint: str, answer: Answer) -> None:
+        """Answer once a majority knows that an endpoint leaves, so that no loss forgets it."""
+        now_ms = monotonic_ms()
+        entry = self.instance.fleet.announced.endpoints.get(endpoint)
+        if entry is None or entry.record.standing not in (STANDING_DRAINING, STANDING_LEFT):
+            # A later start of the endpoint is known, so the call is about an earlier one.
+            answer(Done())
+            return
+        if not self.instance.confirmed():
+            answer(Done(ResultCode.NO_QUORUM, '', b'', RETRY_AFTER_MS))
+            return
+        self.number += 1
+        notice = _Notice(
+            HeardEndpoint(entry.record, now_ms - entry.heard_ms),
+            answer,
+            (len(self.instance.other_voters()) + 1) // 2,
+            now_ms + NOTICE_TIMEOUT_MS,
+        )
+        self.notices[self.number] = notice
+        self._send_notices(self.number, notice, now_ms)
+        self._conclude(self.number, notice)
+
+    def _send_notices(self, notice_id: int, notice: _Notice, now_ms: float) -> None:
+        for peer in self.instance.other_voters():
+            due_ms = notice.sent.get(peer, float('-inf')) + NOTICE_RESEND_MS
+            if peer not in notice.noted and now_ms >= due_ms:
+                notice.sent[peer] = now_ms
+                self.instance.peers.send(peer, LeavingNotice(notice_id, notice.heard))
+
+    def _conclude(self, notice_id: int, notice: _Notice) -> None:
+        if len(notice.noted) >= notice.needed_count:
+            del self.notices[notice_id]
+            notice.answer(Done())
+
+    def _submit(self, call: SubmitRoutes, answer: Answer) -> None:
+        version = call.routes.version
+        mistakes = check_routes(call.routes)
+        if mistakes:
+            logger.info('%s routes refused: version=%d %s', PREFIX, version, '; '.join(mistakes))
+            answer(Done(ResultCode.INVALID_CONFIGURATION, '; '.join(mistakes)))
+            return
+        if version <= self.instance.routes.version:
+            detail = f'version {self.instance.routes.version} is accepted already'
+            logger.info('%s routes not newer: version=%d, %s', PREFIX, version, detail)
+            answer(Done(ResultCode.ACCEPTED_REPEATED, detail))
+            return
+
+        def on_outcome(outcome: CommandOutcome | None) -> None:
+            if outcome is None:
+                logger.warning('%s routes without outcome: version=%d', PREFIX, version)
+                answer(Done(ResultCode.SUBMIT_UNKNOWN, '', b'', RETRY_AFTER_MS))
+                return
+            logger.info(
+                '%s routes answered: version=%d code=%s %s',
+                PREFIX,
+                version,
+                outcome.result_code.name.lower(),
+                outcome.detail,
+            )
+            answer(Done(outcome.result_code, outcome.detail))
+
+        self.number += 1
+        proposal_id = f'routes-{self.instance.fleet.own.incarnation}-{self.number}'
+        command = AcceptRoutes(version, pack_document(call.document))
+        self.instance.proposals.propose(proposal_id, command, SUBMIT_TIMEOUT_MS, on_outcome)
+
+    def _read(self, answer: Answer) -> None:
+        def on_confirmed(confirmed: bool) -> None:
+            routes = self.instance.routes
+            if confirmed and routes.document:
+                answer(Done(ResultCode.ACCEPTED, '', unpack_document(routes.document)))
+            elif confirmed:
+                answer(Done(ResultCode.FENCED, 'no routes are accepted yet'))
+            else:
+                logger.info('%s read of routes not confirmed in time', PREFIX)
+                answer(Done(ResultCode.NO_QUORUM, '', b'', RETRY_AFTER_MS))
+
+        self.instance.reads.confirm(on_confirmed)
+
+    def _list_addresses(self, call: ListAddresses, answer: Answer) -> None:
+        entries = fleet.live_entries(self.instance.fleet, monotonic_ms())
+        addresses = choose_entries(entries, call.failure_domain)
+        if not addresses:
+            answer(Done(ResultCode.FENCED, 'no entry instance is known here', b'', RETRY_AFTER_MS))
+            return
+        answer(Addresses(addresses, self.instance.keep_ms))
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -0,0 +1,279 @@
+"""A control instance: it votes, hears the endpoints and keeps the entry instances up to date."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from pistachioloft_core.messages import fleet as messages
+from pistachioloft_core.messages import peer as peer_messages
+from pistachioloft_core.messages.accepted import AcceptedRoutes
+from pistachioloft_core.messages.agreement import AgreementMessage
+from pistachioloft_core.process import agreement, fleet
+from pistachioloft_core.process.voters import voter_target, wanted_voters
+from pistachioloft_core.version.accepted import accepted_routes
+
+from .control_face import ControlFace
+from .http1.server import HttpServer, ServerLimits
+from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
+from .metrics import Metrics
+from .peers import Peers
+from .proposals import Proposals
+from .reads import Reads
+from .voter import VoterHooks
+from .voter_keeper import VoterKeeper
+
+if TYPE_CHECKING:
+    from .fleet_settings import FleetSettings
+    from .voter import Voter
+    from .wire import ControlWire
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[process]'
+TICK_MS = 50.0
+REPAIR_INTERVAL_MS = 200.0
+# A peer that was not heard for this long gets a new connection: an open one can be silent
+# for good while new ones work.
+RECONNECT_MS = 1_000.0
+STOP_WAIT_S = 0.3
+# Callers keep an answer for this long; they leave a stopping or lost instance that much later.
+ADDRESS_KEEP_MS = 2_000.0
+
+
+class ControlInstance:
+    """Hold the parts of one control instance."""
+
+    def __init__(self, settings: FleetSettings, wire: ControlWire) -> None:
+        self.settings = settings
+        self.timers = LoopTimers(asyncio.get_running_loop())
+        self.metrics = Metrics()
+        self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
+        own = messages.ControlStatus(
+            settings.instance, wall_clock_ms(), settings.failure_domain, ''
+        )
+        self.fleet = fleet.FleetState(own, settings.heartbeat_ms, monotonic_ms())
+        self.seeds = settings.seeds
+        self.proposals = Proposals(settings.instance, self._voters, self.peers.send)
+        self.reads = Reads(settings.instance, self.leader, self.peers.send)
+        self.routes = AcceptedRoutes()
+        assert settings.data_folder is not None
+        founders = settings.seeds if settings.found else ()
+        hooks = VoterHooks(
+            self.peers.send,
+            lambda _configuration: None,
+            lambda _leads: None,
+            lambda reason: logger.error('%s not a voter any more: %s', PREFIX, reason),
+            self._on_routes,
+        )
+        self.keeper = VoterKeeper(
+            settings.data_folder, settings.instance, founders, hooks, self._on_voter
+        )
+        self.reconnected: dict[str, float] = {}
+        self.pushed_revision = 0
+        self.pushed_version = 0
+        self.keep_ms = min(settings.bounds.keep_ms, ADDRESS_KEEP_MS)
+        self.next_share_ms = 0.0
+        self.face = ControlFace(self, wire)
+        limits = ServerLimits(header_limit_bytes=65_536, body_limit_bytes=16 * 1024 * 1024)
+        self.servers = (
+            HttpServer(settings.control_address, self.face.handle, limits),
+            HttpServer(settings.directory_address, self.face.handle, limits),
+        )
+
+    async def start(self) -> None:
+        """Listen, open the data folder and start the timers."""
+        self.peers.start()
+        await self.keeper.start(self.timers)
+        for server in self.servers:
+            await server.start()
+        self.timers.every(TICK_MS, self._tick)
+        self.timers.every(REPAIR_INTERVAL_MS, self._repair_membership)
+        logger.info(
+            '%s control instance started: instance=%s label=%s seeds=%s',
+            PREFIX,
+            self.settings.instance,
+            self.settings.label,
+            ','.join(self.seeds),
+        )
+
+    async def finish(self) -> None:
+        """Hand leadership on before a planned stop."""
+        voter = self.keeper.voter
+        if voter is not None and voter.leads():
+            voter.transfer_leadership()
+        for server in self.servers:
+            server.closing = True
+        await asyncio.sleep(STOP_WAIT_S)
+        for server in self.servers:
+            server.stop_listening()
+            server.close_idle()
+
+    async def stop(self) -> None:
+        """Close sockets and files."""
+        for server in self.servers:
+            server.stop()
+        await self.keeper.stop()
+        self.peers.stop()
+        logger.info('%s control instance stopped: instance=%s', PREFIX, self.settings.instance)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds from now on."""
+        self.seeds = seeds
+
+    def confirmed(self) -> bool:
+        """Tell whether this instance is in contact with a quorum."""
+        voter = self.keeper.voter
+        if voter is None or voter.failed:
+            return False
+        if voter.leads():
+            return True
+        return agreement.hears_leader(voter.state, monotonic_ms())
+
+    def leader(self) -> str | None:
+        """Return the instance that leads as far as is known here."""
+        voter = self.keeper.voter
+        return voter.leader_instance() if voter is not None else self.proposals.leader
+
+    def other_voters(self) -> tuple[str, ...]:
+        """Return the instances of the other voters."""
+        voter = self.keeper.voter
+        if voter is None:
+            return fleet.live_controls(self.fleet, monotonic_ms())
+        members = agreement.membership(voter.state).voters
+        names = dict.fromkeys(agreement.instance_of(member) for member in members)
+        return tuple(name for name in names if name != self.settings.instance)
+
+    def _voters(self) -> tuple[str, ...]:
+        return (self.settings.instance, *self.other_voters())
+
+    def _on_voter(self, voter: Voter) -> None:
+        self.proposals.voter = voter
+        self.reads.voter = voter
+        own = self.fleet.own
+        self.fleet.own = messages.ControlStatus(
+            own.instance, own.incarnation, own.failure_domain, voter.member_id
+        )
+        self._on_routes(accepted_routes(voter.accepted))
+
+    def _on_routes(self, routes: AcceptedRoutes) -> None:
+        if routes.version <= self.routes.version:
+            return
+        self.routes = routes
+        logger.info(
+            '[agreement] routes accepted: version=%d index=%d', routes.version, routes.index
+        )
+        self.push()
+
+    def _tick(self, now_ms: float) -> None:
+        self.proposals.leader = self.leader() or self.proposals.leader
+        self.proposals.tick(now_ms)
+        self.reads.tick(now_ms)
+        self.face.tick(now_ms)
+        if now_ms < self.next_share_ms:
+            return
+        self.next_share_ms = now_ms + fleet.SHARE_INTERVAL_MS
+        if fleet.tick(self.fleet, now_ms, self.confirmed()):
+            self.push()
+        share = fleet.take_news(self.fleet, now_ms)
+        for peer in self._connect_peers(now_ms):
+            self.peers.send(peer, share)
+
+    def _connect_peers(self, now_ms: float) -> list[str]:
+        """Connect to all known control instances and return them."""
+        names = {*self.seeds, *fleet.live_controls(self.fleet, now_ms)}
+        voter = self.keeper.voter
+        if voter is not None:
+            members = agreement.membership(voter.state)
+            names |= {agreement.instance_of(m) for m in (*members.voters, *members.learners)}
+        names.discard(self.settings.instance)
+        for name in sorted(names):
+            self.peers.connect(name, f'{name}:{self.settings.control_peer_port}')
+            heard = self.fleet.controls.get(name)
+            heard_ms = heard.direct_ms if heard is not None else float('-inf')
+            since_ms = max(heard_ms, self.reconnected.setdefault(name, now_ms))
+            if now_ms - since_ms >= RECONNECT_MS:
+                self._reconnect(name, now_ms)
+        entries = {entry.instance for entry in fleet.direct_entries(self.fleet, now_ms)}
+        for name in set(self.peers.addresses) - names - entries:
+            self.peers.disconnect(name)
+        return sorted(names)
+
+    def _reconnect(self, name: str, now_ms: float) -> None:
+        self.reconnected[name] = now_ms
+        self.peers.reconnect(name)
+
+    def push(self) -> None:
+        """Send what changed to the entry instances that poll here."""
+        revision, version = self.fleet.announced.revision, self.routes.version
+        if (revision, version) == (self.pushed_revision, self.pushed_version):
+            return
+        now_ms = monotonic_ms()
+        document = self.routes.document if version != self.pushed_version else b''
+        update = fleet.make_feed(
+            self.fleet, now_ms, self.pushed_revision, self.confirmed(), version, document
+        )
+        self.pushed_revision, self.pushed_version = revision, version
+        for entry in fleet.direct_entries(self.fleet, now_ms):
+            self.peers.send(entry.instance, update)
+
+    def _repair_membership(self, now_ms: float) -> None:
+        voter = self.keeper.voter
+        if voter is None or not voter.leads():
+            return
+        members = fleet.live_members(self.fleet, now_ms)
+        live = {agreement.instance_of(member) for member in members} | {self.settings.instance}
+        voters = [agreement.instance_of(m) for m in agreement.membership(voter.state).voters]
+        wanted = wanted_voters(voters, live, voter_target(self.settings.lost_voter_count))
+        change = agreement.next_membership_change(voter.state, now_ms, wanted, members)
+        if change is not None:
+            voter.change_membership(change)
+
+    def _on_message(self, sender: str, message: Any) -> None:
+        now_ms = monotonic_ms()
+        match message:
+            case messages.ControlShare():
+                self._on_share(sender, message, now_ms)
+            case messages.LeavingNotice():
+                fleet.on_notice(self.fleet, now_ms, message.endpoint)
+                self.peers.send(sender, messages.LeavingNoted(message.notice_id))
+                self.push()
+            case messages.LeavingNoted():
+                self.face.on_noted(sender, message.notice_id)
+            case messages.FeedPoll():
+                self._on_poll(sender, message, now_ms)
+            case messages.ReadRequest():
+                self.reads.on_request(sender, message)
+            case messages.ReadReply():
+                self.reads.on_reply(message)
+            case peer_messages.ProposeRequest():
+                self.proposals.on_request(sender, message)
+            case peer_messages.ProposeReply():
+                self.proposals.on_reply(message)
+            case _ if isinstance(message, AgreementMessage) and self.keeper.voter is not None:
+                self.keeper.voter.receive(message)
+
+    def _on_share(self, sender: str, share: messages.ControlShare, now_ms: float) -> None:
+        if fleet.on_share(self.fleet, now_ms, share):
+            self.push()
+        if share.wants_whole and fleet.is_settled(self.fleet) and not share.whole:
+            self.peers.send(sender, fleet.whole_share(self.fleet, now_ms))
+        for status in share.controls:
+            silent = status.instance == self.settings.instance and status.age_ms >= RECONNECT_MS
+            since_ms = now_ms - self.reconnected.get(sender, float('-inf'))
+            if silent and since_ms >= RECONNECT_MS:
+                # The sender does not hear what is sent to it.
+                self._reconnect(sender, now_ms)
+
+    def _on_poll(self, sender: str, poll: messages.FeedPoll, now_ms: float) -> None:
+        self.peers.connect(sender, poll.entry.peer_address)
+        if poll.heard_age_ms >= RECONNECT_MS:
+            since_ms = now_ms - self.reconnected.get(sender, float('-inf'))
+            if since_ms >= RECONNECT_MS:
+                self._reconnect(sender, now_ms)
+        routes = self.routes
+        reply = fleet.on_feed_poll(
+            self.fleet, now_ms, poll, self.confirmed(), routes.version, routes.document
+        )
+        self.peers.send(sender, reply)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -0,0 +1,225 @@
+"""An entry instance: it takes requests of callers and asks the endpoints itself."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING, Any
+
+from pistachioloft_core.errors import CodedError, ResultCode
+from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
+from pistachioloft_core.process import endpoint_table, feed
+from pistachioloft_core.request.routed_state import (
+    RoutedState,
+    SharedLimits,
+    set_entry_count,
+    set_routes,
+)
+from pistachioloft_core.version.route_table import RouteTable, used_services
+
+from .control_calls import CheckReadiness, Done
+from .http1.server import HttpServer, ServerLimits
+from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
+from .metrics import Metrics
+from .peers import Peers
+from .routed_requests import RoutedRequests
+from .routes_document import unpack_document
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pistachioloft_core.messages.routes import RouteSet
+
+    from .fleet_settings import FleetSettings
+    from .http1.messages import Request
+    from .http1.server import Cancel, Respond
+    from .routed_requests import WireFormat
+    from .wire import ControlWire
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[process]'
+TICK_MS = 50.0
+POOL_CHECK_MS = 500.0
+# A stop is known everywhere after about two polls; until then callers are sent here.
+STOP_PART_SERVING = 0.7
+STOP_PART_EXIT = 0.95
+STOP_CHECK_S = 0.05
+# An instance on which nobody has called for this long while it stops can end sooner.
+QUIET_EXIT_S = 1.0
+
+
+class EntryInstance:
+    """Hold the parts of one entry instance."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        wire: WireFormat,
+        control_wire: ControlWire,
+        decode_routes: Callable[[bytes], RouteSet],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.control_wire = control_wire
+        self.decode_routes = decode_routes
+        self.incarnation = wall_clock_ms()
+        self.timers = LoopTimers(loop)
+        self.metrics = Metrics()
+        source = random.Random(f'{settings.instance}-{self.incarnation}')
+        limits = SharedLimits(settings.bounds.extra_share, settings.bounds.extra_allowance_count)
+        self.state = RoutedState(settings.instance, settings.failure_domain, limits, source)
+        self.requests = RoutedRequests(self.state, self.timers, wire, self.metrics)
+        self.feed = feed.FeedState(settings.seeds, source)
+        self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
+        self.stopping = False
+        self.callers = HttpServer(settings.caller_address, self.requests.handle, ServerLimits())
+        self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
+
+    async def start(self) -> None:
+        """Listen and start the timers."""
+        self.peers.start()
+        await self.readiness.start()
+        await self.callers.start()
+        self.timers.every(TICK_MS, self._tick)
+        self.timers.every(POOL_CHECK_MS, lambda _now_ms: self.requests.pool.close_aged())
+        self._tick(monotonic_ms())
+        logger.info(
+            '%s entry instance started: instance=%s label=%s callers=%s',
+            PREFIX,
+            self.settings.instance,
+            self.settings.label,
+            self.settings.caller_address,
+        )
+
+    async def finish(self) -> None:
+        """Leave the addresses, serve who still comes, and finish what is in flight."""
+        started_s = monotonic_ms() / 1000.0
+        grace_s = self.settings.bounds.grace_ms / 1000.0
+        self.stopping = True
+        self.callers.closing = True
+        feed.poll_soon(self.feed, monotonic_ms())
+        self._tick(monotonic_ms())
+        logger.info('%s stopping: taken out of the addresses', PREFIX)
+        while True:
+            elapsed_s = monotonic_ms() / 1000.0 - started_s
+            if elapsed_s >= STOP_PART_SERVING * grace_s:
+                self.requests.refusing = True
+            if elapsed_s >= STOP_PART_EXIT * grace_s:
+                break
+            if self.requests.refusing and self.requests.in_flight_count() == 0:
+                self.callers.stop_listening()
+                if not self.callers.connections:
+                    break
+                self.callers.close_idle()
+            await asyncio.sleep(STOP_CHECK_S)
+
+    async def stop(self) -> None:
+        """Close connections and sockets."""
+        self.callers.stop()
+        self.readiness.stop()
+        self.requests.pool.stop()
+        self.peers.stop()
+        logger.info('%s entry instance stopped: instance=%s', PREFIX, self.settings.instance)
+
+    def ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.serving() and not self.stopping
+
+    def serving(self) -> bool:
+        """Tell whether the routes known here may still be used."""
+        bounds = self.settings.bounds
+        known = self.state.routes is not None
+        return known and feed.stale_ms(self.feed, monotonic_ms()) < (
+            bounds.apply_ms + bounds.stretch_ms
+        )
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds from now on."""
+        feed.set_seeds(self.feed, seeds)
+
+    def _status(self) -> EntryStatus:
+        routes = self.state.routes
+        return EntryStatus(
+            self.settings.instance,
+            self.incarnation,
+            self.settings.failure_domain,
+            self.settings.caller_address,
+            self.settings.peer_address,
+            self.ready(),
+            self.stopping,
+            routes.version if routes is not None else 0,
+            self.requests.in_flight_count(),
+        )
+
+    def _tick(self, now_ms: float) -> None:
+        self.requests.fenced = not self.serving()
+        due = feed.next_poll(self.feed, now_ms, self._status())
+        if due is None:
+            return
+        if self.feed.missed_count > feed.MISSED_LIMIT and due.to in self.peers.senders:
+            self.peers.reconnect(due.to)
+        self.peers.connect(due.to, f'{due.to}:{self.settings.control_peer_port}')
+        self.peers.send(due.to, due.poll)
+
+    def _on_message(self, sender: str, message: Any) -> None:
+        if isinstance(message, FeedReply):
+            self._on_feed(sender, message)
+
+    def _on_feed(self, sender: str, reply: FeedReply) -> None:
+        now_ms = monotonic_ms()
+        apply = feed.on_feed(self.feed, now_ms, sender, reply)
+        if reply.document:
+            self._adopt(reply.route_version, reply.document)
+        if not apply:
+            return
+        table = self.state.table
+        changes = endpoint_table.apply_update(table, now_ms, reply.endpoints, reply.settled)
+        if reply.whole and reply.settled:
+            changes += endpoint_table.keep_only(table, reply.endpoints)
+        set_entry_count(self.state, reply.entry_count)
+        for change in changes:
+            logger.info('[membership] endpoint %s: %s', change.endpoint, change.detail)
+        self._update_connections([change.endpoint for change in changes])
+
+    def _adopt(self, version: int, document: bytes) -> None:
+        routes = self.state.routes
+        if routes is not None and version <= routes.version:
+            return
+        try:
+            decoded = self.decode_routes(unpack_document(document))
+        except CodedError as error:
+            logger.error('[lease] routes of version %d are unreadable: %s', version, error.detail)
+            return
+        set_routes(self.state, RouteTable(decoded))
+        limits = decoded.limits
+        self.callers.limits = ServerLimits(
+            limits.header_limit_bytes,
+            limits.body_limit_bytes,
+            limits.header_timeout_ms / 1000.0,
+            limits.idle_timeout_ms / 1000.0,
+        )
+        logger.info('[lease] routes in force: version=%d routes=%d', version, len(decoded.routes))
+        self._update_connections(list(self.state.table.endpoints))
+
+    def _update_connections(self, endpoints: list[str]) -> None:
+        routes = self.state.routes
+        if routes is None:
+            return
+        used = {name for route in routes.routes.routes for name in used_services(route)}
+        for endpoint in endpoints:
+            load = self.state.table.endpoints.get(endpoint)
+            if load is not None and load in self.state.table.usable(load.record.service):
+                if load.record.service in used:
+                    self.requests.pool.warm(load.record)
+            else:
+                self.requests.pool.forget(endpoint)
+
+    def _on_readiness(self, request: Request, respond: Respond) -> Cancel | None:
+        call = self.control_wire.decode_call(request)
+        code = ResultCode.UNKNOWN_PATH
+        if isinstance(call, CheckReadiness):
+            code = ResultCode.ACCEPTED if self.ready() else ResultCode.FENCED
+        respond(self.control_wire.encode_outcome(Done(code)))
+        return None
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/fleet_program.py
@@ -0,0 +1,129 @@
+"""Run one instance of a fleet until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import gc
+import logging
+import signal
+import sys
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from .control_instance import ControlInstance
+from .entry_instance import EntryInstance
+from .fleet_settings import ROLE_ENTRY, load_fleet_settings
+from .logs import configure_logs
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from pistachioloft_core.messages.routes import RouteSet
+
+    from .fleet_settings import FleetSettings
+    from .routed_requests import WireFormat
+    from .wire import ControlWire
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[process]'
+EXIT_STOPPED = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+# The settings file is read again this often: it may change without a signal.
+SETTINGS_CHECK_S = 1.0
+# mallopt's M_ARENA_MAX; by default each thread may get an arena of its own.
+M_ARENA_MAX = -8
+ARENA_COUNT = 1
+
+Instance = ControlInstance | EntryInstance
+MakeInstance = Callable[['FleetSettings'], Instance]
+
+
+def run_instance(path: Path, make_instance: MakeInstance) -> int:
+    """Run an instance with the settings of a file and return the exit code."""
+    try:
+        settings = load_fleet_settings(path)
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            print(f'{PREFIX} {error}', file=sys.stderr)
+        return EXIT_SETTINGS
+    _limit_arenas()
+    logs = configure_logs(settings.log_level)
+    try:
+        asyncio.run(_run(path, settings, make_instance))
+    except OSError as error:
+        logger.error('%s cannot start: %s', PREFIX, error)
+        code = EXIT_FAILED
+    else:
+        code = EXIT_STOPPED
+    logs.stop()
+    return code
+
+
+def make_instance(
+    settings: FleetSettings,
+    wire: WireFormat,
+    control_wire: ControlWire,
+    decode_routes: Callable[[bytes], RouteSet],
+) -> Instance:
+    """Build the instance for the role that the settings name."""
+    if settings.role == ROLE_ENTRY:
+        return EntryInstance(settings, wire, control_wire, decode_routes)
+    return ControlInstance(settings, control_wire)
+
+
+async def _run(path: Path, settings: FleetSettings, make: MakeInstance) -> None:
+    loop = asyncio.get_running_loop()
+    stop_asked = asyncio.Event()
+    reload_asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_asked.set)
+    instance = make(settings)
+    await instance.start()
+    # What lives as long as the process is not scanned again by each collection.
+    gc.collect()
+    gc.freeze()
+    watcher = loop.create_task(_watch_settings(path, instance, reload_asked))
+    await stop_asked.wait()
+    watcher.cancel()
+    await instance.finish()
+    await instance.stop()
+
+
+async def _watch_settings(path: Path, instance: Instance, reload_asked: asyncio.Event) -> None:
+    """Take over other seeds whenever the settings file changes."""
+    known = _modified(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_CHECK_S):
+                await reload_asked.wait()
+        except TimeoutError:
+            if _modified(path) == known:
+                continue
+        reload_asked.clear()
+        known = _modified(path)
+        try:
+            settings = load_fleet_settings(path)
+        except ExceptionGroup as group:
+            for error in group.exceptions:
+                logger.error('%s settings not reloaded: %s', PREFIX, error)
+        else:
+            instance.set_seeds(settings.seeds)
+            logger.info('%s settings reloaded: seeds=%s', PREFIX, ','.join(settings.seeds))
+
+
+def _modified(path: Path) -> float:
+    try:
+        return path.stat().st_mtime
+    except OSError:
+        return 0.0
+
+
+def _limit_arenas() -> None:
+    """Bound the memory that the C library keeps for threads, where it can be bounded."""
+    mallopt = getattr(ctypes.CDLL(None), 'mallopt', None)
+    if mallopt is not None:
+        mallopt(M_ARENA_MAX, ARENA_COUNT)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
@@ -0,0 +1,135 @@
+"""Settings of an instance that finds the others from seed addresses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from pistachioloft_core.util.names import split_address
+
+from .settings_reader import (
+    LOG_LEVEL_DEFAULT,
+    LOG_LEVELS,
+    SettingsReader,
+    check_keys,
+    fail,
+    read_tables,
+)
+
+ROLE_ENTRY = 'entry'
+ROLE_CONTROL = 'control'
+ROLES = (ROLE_ENTRY, ROLE_CONTROL)
+
+_KEYS = {
+    'instance': ('id', 'label', 'failure_domain', 'region', 'role'),
+    'listen': (
+        'caller_address',
+        'readiness_address',
+        'control_address',
+        'directory_address',
+        'peer_address',
+        'metrics_address',
+    ),
+    'fleet': ('seeds', 'control_peer_port', 'found', 'lost_voters', 'heartbeat_ms'),
+    'bounds': (
+        'apply_ms',
+        'stretch_ms',
+        'drain_ms',
+        'grace_s',
+        'keep_s',
+        'extra_share',
+        'extra_allowance_count',
+    ),
+    'data': ('folder',),
+    'log': ('level',),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the times and shares within which the operators expect things to happen."""
+
+    apply_ms: float
+    stretch_ms: float
+    drain_ms: float
+    grace_ms: float
+    keep_ms: float
+    extra_share: float
+    extra_allowance_count: float
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """Hold the settings of one instance; the id is the IP address that its peers reach."""
+
+    instance: str
+    label: str
+    failure_domain: str
+    region: str
+    role: str
+    caller_address: str
+    readiness_address: str
+    control_address: str
+    directory_address: str
+    peer_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    control_peer_port: int
+    found: bool
+    lost_voter_count: int
+    heartbeat_ms: float
+    bounds: Bounds
+    data_folder: Path | None
+    log_level: str
+
+
+def load_fleet_settings(path: Path) -> FleetSettings:
+    """Load a settings file; all its mistakes are raised as one exception group."""
+    reader = read_tables(path)
+    check_keys(reader, _KEYS)
+    role = reader.choice('instance', 'role', ROLES, None)
+    entry, control = role == ROLE_ENTRY, role == ROLE_CONTROL
+    settings = FleetSettings(
+        instance=reader.name('instance', 'id'),
+        label=reader.text('instance', 'label', 'a text', ''),
+        failure_domain=reader.name('instance', 'failure_domain'),
+        region=reader.text('instance', 'region', 'a text', ''),
+        role=role,
+        caller_address=reader.address('listen', 'caller_address') if entry else '',
+        readiness_address=reader.address('listen', 'readiness_address') if entry else '',
+        control_address=reader.address('listen', 'control_address') if control else '',
+        directory_address=reader.address('listen', 'directory_address') if control else '',
+        peer_address=reader.address('listen', 'peer_address'),
+        metrics_address=reader.text('listen', 'metrics_address', 'an address', ''),
+        seeds=_seed_instances(reader),
+        control_peer_port=int(reader.number('fleet', 'control_peer_port', 1, 65535)),
+        found=reader.flag('fleet', 'found', False),
+        lost_voter_count=int(reader.number('fleet', 'lost_voters', 0, 4, 1)),
+        heartbeat_ms=reader.number('fleet', 'heartbeat_ms', 10, 60_000, 1_200),
+        bounds=_read_bounds(reader),
+        data_folder=Path(reader.text('data', 'folder', 'a folder')) if control else None,
+        log_level=reader.choice('log', 'level', LOG_LEVELS, LOG_LEVEL_DEFAULT),
+    )
+    if reader.mistakes:
+        fail(path, reader.mistakes)
+    return settings
+
+
+def _seed_instances(reader: SettingsReader) -> tuple[str, ...]:
+    """Return the instances at the seed addresses; an instance is named by its IP address."""
+    parts = (split_address(address) for address in reader.addresses('fleet', 'seeds'))
+    return tuple(dict.fromkeys(part[0] for part in parts if part is not None))
+
+
+def _read_bounds(reader: SettingsReader) -> Bounds:
+    # The defaults are the bounds of today's two deployments; where an operator names none,
+    # they are a safe start.
+    return Bounds(
+        apply_ms=reader.number('bounds', 'apply_ms', 100, 600_000, 3_000),
+        stretch_ms=reader.number('bounds', 'stretch_ms', 0, 600_000, 12_000),
+        drain_ms=reader.number('bounds', 'drain_ms', 100, 600_000, 3_000),
+        grace_ms=1_000 * reader.number('bounds', 'grace_s', 0.5, 600, 6),
+        keep_ms=1_000 * reader.number('bounds', 'keep_s', 0.1, 600, 5),
+        extra_share=reader.number('bounds', 'extra_share', 0, 10, 0.1),
+        extra_allowance_count=reader.number('bounds', 'extra_allowance_count', 0, 1e9, 10),
+    )
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -0,0 +1,148 @@
+"""One connection to an HTTP server, for one request at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import httptools
+
+from .messages import Response
+
+if TYPE_CHECKING:
+    from .messages import Headers
+
+# A longer reply is no reply of an endpoint; it would take the memory of the process.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class ClientEvents(Protocol):
+    """Take what happens on a connection."""
+
+    def on_reply(self, response: Response, reusable: bool) -> bool:
+        """Take a whole reply and tell whether it belongs to the request in flight."""
+
+    def on_closed(self, detail: str, body_complete: Response | None) -> None:
+        """Take the end of the connection, with a reply that ended by a clean close."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """Hold one connection; it is usable until `closing` is true."""
+
+    def __init__(self, events: ClientEvents) -> None:
+        self.events = events
+        self.transport: asyncio.Transport | None = None
+        self.closing = False
+        self.busy = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._in_message = False
+        self._has_length = False
+        self._replies: list[tuple[Response, bool]] = []
+
+    def send(self, data: bytes) -> None:
+        """Send one request; the next may follow once its reply was taken."""
+        assert self.transport is not None
+        self.busy = True
+        self.transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection; nothing more is reported."""
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came and hand on whole replies."""
+        if self.closing:
+            return
+        if not self.busy:
+            self._end('bytes that no request asked for')
+            return
+        error = ''
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as problem:
+            error = f'not HTTP: {problem}'
+        if self._body_bytes > BODY_LIMIT_BYTES:
+            error = f'reply is larger than {BODY_LIMIT_BYTES} bytes'
+        self._hand_on(error)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report the end; a reply without length is whole only if the end was clean."""
+        if self.closing:
+            return
+        self.closing = True
+        whole = None
+        if error is None and self._in_message and not self._has_length:
+            whole = self._take_message()
+        self.events.on_closed(str(error) if error else 'closed by the server', whole)
+
+    def eof_received(self) -> bool:
+        """Close on the server's end of stream."""
+        return False
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a reply."""
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+        self._in_message = False
+        self._has_length = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._headers.append((name, value.strip(b' \t')))
+        if name.lower() in (b'content-length', b'transfer-encoding'):
+            self._has_length = True
+
+    def on_headers_complete(self) -> None:
+        """Begin the body."""
+        self._in_message = True
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """End a reply; an interim one is not handed on."""
+        if self._parser.get_status_code() >= 200:
+            self._replies.append((self._take_message(), self._parser.should_keep_alive()))
+        self._in_message = False
+
+    def _take_message(self) -> Response:
+        headers: Headers = tuple(self._headers)
+        return Response(self._parser.get_status_code(), headers, b''.join(self._body))
+
+    def _hand_on(self, error: str) -> None:
+        replies, self._replies = self._replies, []
+        more = bool(error) or self._in_message
+        for position, (response, keep_alive) in enumerate(replies):
+            if self.closing or not self.busy:
+                break
+            last = position == len(replies) - 1
+            # The reply may make the next request start on this connection.
+            self.busy = False
+            if not self.events.on_reply(response, keep_alive and last and not more):
+                # A reply to an earlier request is left out, and the wait goes on.
+                self.busy = True
+            if not keep_alive:
+                error = error or 'closed after the reply'
+        if error:
+            self._end(error)
+
+    def _end(self, detail: str) -> None:
+        if self.closing:
+            return
+        self.close()
+        self.events.on_closed(detail, None)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/http1/messages.py
@@ -0,0 +1,88 @@
+"""HTTP messages as they stand on the wire, and their encoding."""
+
+from __future__ import annotations
+
+import http
+from dataclasses import dataclass
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+_REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold one request; the target is the path and query as they were sent."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Hold one whole response."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first header with a lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return the headers that are passed on, without those of one connection."""
+    named = find_header(headers, b'connection')
+    hops = CONNECTION_HEADERS
+    if named is not None:
+        hops = hops | {token.strip().lower() for token in named.split(b',')}
+    return tuple((key, value) for key, value in headers if key.lower() not in hops)
+
+
+def encode_request(request: Request) -> bytes:
+    """Encode a request; a body, or a method that usually has one, gets its length."""
+    parts = [request.method, b' ', request.target, b' HTTP/1.1\r\n']
+    _add_headers(parts, request.headers)
+    if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
+        parts += (b'Content-Length: ', str(len(request.body)).encode(), b'\r\n')
+    parts += (b'\r\n', request.body)
+    return b''.join(parts)
+
+
+def encode_response(response: Response, close: bool) -> bytes:
+    """Encode a response with its length."""
+    reason = _REASONS.get(response.status, b'Unknown')
+    parts = [b'HTTP/1.1 ', str(response.status).encode(), b' ', reason, b'\r\n']
+    _add_headers(parts, response.headers)
+    if response.status not in (204, 304):
+        parts += (b'Content-Length: ', str(len(response.body)).encode(), b'\r\n')
+    if close:
+        parts.append(b'Connection: close\r\n')
+    parts += (b'\r\n', response.body)
+    return b''.join(parts)
+
+
+def _add_headers(parts: list[bytes], headers: Headers) -> None:
+    for key, value in headers:
+        parts += (key, b': ', value, b'\r\n')
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -0,0 +1,273 @@
+"""An HTTP server on the event loop with bounds on what its clients may send."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+
+from .messages import Request, Response, encode_response, find_header
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[caller]'
+# Connections are checked for timeouts this often; the shortest timeout is seconds long.
+SWEEP_INTERVAL_S = 0.25
+# Requests that a client sends before it has the reply to the first are held back; more than
+# this are not read.
+PIPELINE_LIMIT_COUNT = 16
+BACKLOG_COUNT = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bound what a client may send, how slowly, and how long it may stay idle."""
+
+    header_limit_bytes: int = 16_384
+    body_limit_bytes: int = 1_048_576
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+    connection_limit_count: int = 2_000
+
+
+Cancel = Callable[[], None]
+Respond = Callable[[Response], None]
+# Answers a request now or later; the returned function is called if the client leaves first.
+Handler = Callable[[Request, Respond], Cancel | None]
+
+
+class HttpServer:
+    """Listen on one address and hand each request to a handler."""
+
+    def __init__(self, address: str, handler: Handler, limits: ServerLimits) -> None:
+        self.address = address
+        self.handler = handler
+        self.limits = limits
+        # A stopping server answers, and asks its clients to go elsewhere.
+        self.closing = False
+        self.connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, port = self.address.rsplit(':', 1)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=BACKLOG_COUNT
+        )
+        self._sweep()
+
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
+    def stop(self) -> None:
+        """Close everything."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.close()
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        for connection in list(self.connections):
+            connection.check_timeouts(now_s)
+        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+
+class ServerConnection(asyncio.Protocol):
+    """Hold one client's connection and answer its requests in order."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._waiting: deque[tuple[Request, bool]] = deque()
+        self._answering = False
+        self._cancel: Cancel | None = None
+        self._number = 0
+        self._closed = False
+        self._refused = False
+        self._since_s = self._loop.time()
+        self._receiving = False
+        self._target = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._header_bytes = 0
+        self._in_headers = False
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being received or answered."""
+        return not self._answering and not self._receiving and not self._waiting
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection, or refuse it if there are too many."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if len(self.server.connections) >= self.server.limits.connection_limit_count:
+            logger.warning(
+                '%s connection refused: %d are open', PREFIX, len(self.server.connections)
+            )
+            transport.abort()
+            return
+        self.server.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the request in progress, since its client left."""
+        self._closed = True
+        self.server.connections.discard(self)
+        cancel, self._cancel = self._cancel, None
+        if self._answering and cancel is not None:
+            cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came and start on whole requests."""
+        if self._refused:
+            return
+        if self._in_headers or not self._receiving:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError as error:
+            logger.info('%s bad request: %s', PREFIX, error)
+            self._refuse(400)
+        if self._in_headers and self._header_bytes > self.server.limits.header_limit_bytes:
+            self._refuse(431)
+        elif self._body_bytes > self.server.limits.body_limit_bytes:
+            self._refuse(413)
+        self._next()
+
+    def check_timeouts(self, now_s: float) -> None:
+        """Close a connection that is idle or receives its headers for too long."""
+        limits = self.server.limits
+        waited_s = now_s - self._since_s
+        if self._in_headers and waited_s > limits.header_timeout_s:
+            self._refuse(408)
+            self._next()
+        elif self.is_idle and waited_s > limits.idle_timeout_s:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection after what is already written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._receiving = self._in_headers = True
+        self._since_s = self._loop.time()
+        self._target = b''
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._headers.append((name, value.strip(b' \t')))
+
+    def on_headers_complete(self) -> None:
+        """Begin the body, and ask for it where the client waits."""
+        size = len(self._target) + sum(len(key) + len(value) + 4 for key, value in self._headers)
+        self._in_headers = False
+        self._header_bytes = 0
+        if size > self.server.limits.header_limit_bytes:
+            self._refuse(431)
+        expected = find_header(tuple(self._headers), b'expect')
+        if expected is not None and expected.lower() == b'100-continue' and self.transport:
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes <= self.server.limits.body_limit_bytes:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """End a request."""
+        self._receiving = False
+        self._since_s = self._loop.time()
+        if self._refused or self._body_bytes > self.server.limits.body_limit_bytes:
+            return
+        headers = tuple(self._headers)
+        request = Request(self._parser.get_method(), self._target, headers, b''.join(self._body))
+        self._waiting.append((request, self._parser.should_keep_alive()))
+        if len(self._waiting) >= PIPELINE_LIMIT_COUNT and self.transport is not None:
+            self.transport.pause_reading()
+
+    def _refuse(self, status: int) -> None:
+        """Answer what cannot be read, after the requests before it, and close."""
+        if not self._refused:
+            self._refused = True
+            self._refusal = Response(status)
+
+    def _next(self) -> None:
+        while not self._answering and not self._closed:
+            if not self._waiting:
+                if self._refused and self.transport is not None:
+                    self.transport.write(encode_response(self._refusal, close=True))
+                    self.transport.close()
+                    self._closed = True
+                return
+            request, keep_alive = self._waiting.popleft()
+            self._start(request, keep_alive)
+
+    def _start(self, request: Request, keep_alive: bool) -> None:
+        self._answering = True
+        self._number += 1
+        number = self._number
+
+        def respond(response: Response) -> None:
+            if number == self._number and self._answering:
+                self._respond(response, keep_alive)
+
+        try:
+            self._cancel = self.server.handler(request, respond)
+        except Exception:
+            logger.exception('%s request failed', PREFIX)
+            respond(Response(500))
+        if not self._answering:
+            self._cancel = None
+
+    def _respond(self, response: Response, keep_alive: bool) -> None:
+        self._answering = False
+        self._cancel = None
+        self._since_s = self._loop.time()
+        if self._closed or self.transport is None:
+            return
+        close = not keep_alive or self.server.closing
+        self.transport.write(encode_response(response, close))
+        if close:
+            self.transport.close()
+            self._closed = True
+            return
+        if len(self._waiting) < PIPELINE_LIMIT_COUNT:
+            self.transport.resume_reading()
+        if self._waiting or self._refused:
+            self._loop.call_soon(self._next)
--- a/packages/daemon/src/pistachioloft_daemon/loop_timers.py
+++ b/packages/daemon/src/pistachioloft_daemon/loop_timers.py
@@ -9,6 +9,7 @@
     TimerCallback,
     TimerService,
     call_at,
+    cancel,
     next_due_ms,
     run_due,
     subscribe,
@@ -19,8 +20,9 @@
 
 
 def monotonic_ms() -> float:
-    """Return the monotonic time in milliseconds."""
-    return time.monotonic() * 1000.0
+    """Return the time since the machine's start, which also counts while it is suspended."""
+    # A lease that was counted without the suspended time would end too late.
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
 def wall_clock_ms() -> int:
@@ -49,6 +51,10 @@
         self._arm()
         return number
 
+    def cancel(self, number: int) -> None:
+        """End a subscription."""
+        cancel(self.service, number)
+
     def _arm(self) -> None:
         due_ms = next_due_ms(self.service)
         if due_ms is None or due_ms >= self.handle_due_ms:
@@ -56,7 +62,8 @@
         if self.handle is not None:
             self.handle.cancel()
         self.handle_due_ms = due_ms
-        self.handle = self.loop.call_at(due_ms / 1000.0, self._fire)
+        delay_s = max(0.0, due_ms - monotonic_ms()) / 1000.0
+        self.handle = self.loop.call_later(delay_s, self._fire)
 
     def _fire(self) -> None:
         self.handle = None
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform."""
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/platform/calls.py
@@ -0,0 +1,82 @@
+"""Read the platform's calls to an instance and write their outcomes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from pistachioloft_core.errors import RESULTS, CodedError, ResultCode
+
+from ..control_calls import (
+    Addresses,
+    Announce,
+    Call,
+    CheckReadiness,
+    Depart,
+    ListAddresses,
+    Outcome,
+    ReadRoutes,
+    SubmitRoutes,
+    UnknownCall,
+)
+from ..http1.messages import Response
+from .documents import decode_announcement, decode_departure, decode_routes
+from .names import ADDRESSES_PATH, ENDPOINTS_PATH, READINESS_PATH, RETRY_AFTER, ROUTES_PATH
+
+if TYPE_CHECKING:
+    from ..http1.messages import Request
+
+_JSON = ((b'Content-Type', b'application/json'),)
+
+
+def decode_call(request: Request) -> Call:
+    """Read a call of the platform."""
+    path, _, query = request.target.decode('latin-1').partition('?')
+    try:
+        return _decode(request, path, query)
+    except CodedError as error:
+        return UnknownCall(error.code, error.detail)
+
+
+def encode_outcome(outcome: Outcome) -> Response:
+    """Write the outcome of a call."""
+    if isinstance(outcome, Addresses):
+        answer = {'addrs': outcome.addresses, 'ttl_s': outcome.keep_ms / 1000.0}
+        return Response(200, _JSON, msgspec.json.encode(answer))
+    info = RESULTS[outcome.code]
+    if outcome.document:
+        return Response(200, _JSON, outcome.document)
+    if info.http_status == 200:
+        return Response(200, _JSON, b'{}')
+    headers = list(_JSON)
+    if outcome.retry_after_ms is not None:
+        headers.append((RETRY_AFTER, f'{outcome.retry_after_ms / 1000.0:.3f}'.encode()))
+    body = msgspec.json.encode({'error': outcome.detail or info.summary})
+    return Response(info.http_status, tuple(headers), body)
+
+
+def _decode(request: Request, path: str, query: str) -> Call:
+    method = request.method
+    if path == READINESS_PATH and method == b'GET':
+        return CheckReadiness()
+    if path == ADDRESSES_PATH and method == b'GET':
+        values = parse_qs(query)
+        return ListAddresses(
+            values.get('name', [''])[0],
+            values.get('region', [''])[0],
+            values.get('zone', [''])[0],
+        )
+    if path == ROUTES_PATH and method == b'GET':
+        return ReadRoutes()
+    if path == ROUTES_PATH and method == b'PUT':
+        return SubmitRoutes(decode_routes(request.body), request.body)
+    if path.startswith(ENDPOINTS_PATH):
+        endpoint = unquote(path.removeprefix(ENDPOINTS_PATH))
+        if method == b'PUT':
+            return Announce(decode_announcement(endpoint, request.body))
+        if method == b'DELETE':
+            return Depart(endpoint, decode_departure(request.body))
+    detail = f'there is no {method.decode("latin-1")} {path}'
+    raise CodedError(ResultCode.UNKNOWN_PATH, detail)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/platform/documents.py
@@ -0,0 +1,175 @@
+"""Decode the platform's JSON documents into the types of this project."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from pistachioloft_core.errors import CodedError, ResultCode
+from pistachioloft_core.messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_READY,
+    AnnouncedEndpoint,
+)
+from pistachioloft_core.messages.routes import (
+    DEFAULT_LIMITS,
+    CallerLimits,
+    Gather,
+    Route,
+    RouteSet,
+    ServiceRule,
+    WeightedService,
+)
+from pistachioloft_core.util.names import is_address
+
+_IDEMPOTENT = 'idempotent'
+_STANDINGS = {'ready': STANDING_READY, 'draining': STANDING_DRAINING}
+
+
+class _Part(msgspec.Struct, rename='camel'):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    service: str | None = None
+    # The services among which requests are divided, with their weights.
+    split: list[_Part] | None = None
+    # The services that each hold one shard.
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/health'
+    max_conns: int = 1
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = DEFAULT_LIMITS.header_limit_bytes
+    max_body_bytes: int = DEFAULT_LIMITS.body_limit_bytes
+    header_timeout_ms: float = DEFAULT_LIMITS.header_timeout_ms
+    idle_timeout_ms: float = DEFAULT_LIMITS.idle_timeout_ms
+
+
+class _Config(msgspec.Struct, rename='camel'):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Announcement(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    # Ready or draining.
+    state: str
+    seq: int
+    version: str = ''
+    cold_left_ms: float = 0.0
+    # The Unix millisecond of the start of the endpoint's process.
+    born: int = 0
+
+
+class _Departure(msgspec.Struct):
+    born: int = 0
+
+
+_config_decoder = msgspec.json.Decoder(_Config)
+_announcement_decoder = msgspec.json.Decoder(_Announcement)
+_departure_decoder = msgspec.json.Decoder(_Departure)
+
+
+def decode_routes(document: bytes) -> RouteSet:
+    """Decode a configuration."""
+    config: _Config = _decode(_config_decoder, document)
+    limits = config.limits
+    return RouteSet(
+        config.version,
+        tuple(_route(route) for route in config.routes),
+        tuple(
+            ServiceRule(service.name, service.health_path, service.max_conns)
+            for service in config.services
+        ),
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def decode_announcement(endpoint: str, body: bytes) -> AnnouncedEndpoint:
+    """Decode what an endpoint says of itself."""
+    said: _Announcement = _decode(_announcement_decoder, body)
+    standing = _STANDINGS.get(said.state)
+    if standing is None or not is_address(said.address) or not endpoint or not said.service:
+        raise CodedError(ResultCode.WRONG_TYPE, 'state, address, service or id is not usable')
+    if said.slots < 0 or said.seq < 0 or said.born < 0:
+        raise CodedError(ResultCode.OUT_OF_RANGE, 'a count or time is negative')
+    return AnnouncedEndpoint(
+        endpoint,
+        said.service,
+        said.address,
+        said.zone,
+        said.slots,
+        standing,
+        said.seq,
+        said.born,
+        max(0.0, said.cold_left_ms),
+        said.version,
+    )
+
+
+def decode_departure(body: bytes) -> int:
+    """Decode which start of an endpoint leaves, 0 if it does not say."""
+    if not body.strip():
+        return 0
+    said: _Departure = _decode(_departure_decoder, body)
+    return said.born
+
+
+def _decode(decoder: msgspec.json.Decoder[Any], data: bytes) -> Any:
+    try:
+        return decoder.decode(data)
+    except msgspec.ValidationError as error:
+        raise CodedError(ResultCode.WRONG_TYPE, str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise CodedError(ResultCode.MALFORMED, f'not valid JSON: {error}') from error
+
+
+def _route(route: _Route) -> Route:
+    services: tuple[WeightedService, ...] = ()
+    gather = None
+    if route.gather is not None:
+        gather = Gather(tuple(route.gather), route.top_k, route.min_coverage)
+    elif route.split is not None:
+        services = tuple(WeightedService(part.service, part.weight) for part in route.split)
+    elif route.service is not None:
+        services = (WeightedService(route.service),)
+    return Route(
+        route.name,
+        route.host,
+        route.path_prefix,
+        route.route_kind == _IDEMPOTENT,
+        route.timeout_ms,
+        route.target_latency_ms or route.timeout_ms,
+        route.priority,
+        max(1, route.attempts),
+        services,
+        gather,
+    )
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/platform/program.py
@@ -0,0 +1,36 @@
+"""Run an instance on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+from ..fleet_program import make_instance, run_instance
+from ..routed_requests import WireFormat
+from ..wire import ControlWire
+from . import traffic
+from .calls import decode_call, encode_outcome
+from .documents import decode_routes
+
+# The platform names the settings file in this variable.
+SETTINGS_VARIABLE = 'PISTACHIOLOFT_BOOT'
+
+
+def main() -> None:
+    """Run the instance that the settings file describes."""
+    wire = WireFormat(
+        traffic.decode_request,
+        traffic.encode_attempt,
+        traffic.decode_reply,
+        traffic.encode_reply,
+        traffic.encode_merged,
+        traffic.encode_refusal,
+    )
+    control_wire = ControlWire(decode_call, encode_outcome)
+    path = Path(os.environ.get(SETTINGS_VARIABLE, 'settings.toml'))
+    sys.exit(
+        run_instance(
+            path, lambda settings: make_instance(settings, wire, control_wire, decode_routes)
+        )
+    )
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -0,0 +1,137 @@
+"""Read requests of callers and replies of endpoints, and write both."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.connection.endpoint_load import LoadReport
+from pistachioloft_core.errors import RESULTS
+from pistachioloft_core.request.attempts import AttemptEnd, Ended, Refuse
+
+from ..http1.messages import Response, end_to_end_headers, find_header
+from ..routed_messages import EndpointReply, MergedReply, RoutedRequest, Unreadable
+from .names import (
+    EXPECTED_ENDPOINT,
+    MISSING_COUNT,
+    NOT_RUN,
+    RECEIPTS,
+    REQUEST_ID,
+    RETRY_AFTER,
+    TIME_LEFT,
+)
+
+if TYPE_CHECKING:
+    from ..http1.messages import Request
+
+# What the platform takes as a promise that a request has not run and never will.
+_PROMISES = frozenset((408, 421, 429, 503))
+_MISDIRECTED = 421
+# The gateway's own failure, which promises nothing.
+_BAD_GATEWAY = 502
+_REPLACED = (TIME_LEFT.lower(), EXPECTED_ENDPOINT.lower())
+
+
+def decode_request(request: Request) -> RoutedRequest | Unreadable:
+    """Read what routing needs from a caller's request."""
+    request_id = find_header(request.headers, REQUEST_ID.lower())
+    host = find_header(request.headers, b'host')
+    if request_id is None or host is None:
+        return Unreadable('the request has no id or no host')
+    time_left_ms = None
+    time_left = find_header(request.headers, TIME_LEFT.lower())
+    if time_left is not None:
+        try:
+            time_left_ms = float(time_left)
+        except ValueError:
+            return Unreadable('the time left is not a number')
+    parts = [request.method, b' ', request.target, b' HTTP/1.1\r\n']
+    for key, value in end_to_end_headers(request.headers):
+        if key.lower() not in _REPLACED:
+            parts += (key, b': ', value, b'\r\n')
+    if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
+        parts.append(b'Content-Length: %d\r\n' % len(request.body))
+    path = request.target.split(b'?', 1)[0].decode('latin-1')
+    return RoutedRequest(
+        request_id.decode('latin-1'),
+        host.decode('latin-1'),
+        path,
+        time_left_ms,
+        b''.join(parts),
+        request.body,
+        request,
+    )
+
+
+def encode_attempt(routed: RoutedRequest, endpoint: str, time_left_ms: float) -> bytes:
+    """Write a request for one endpoint, with the time that is left for it."""
+    return b'%b%b: %d\r\n%b: %b\r\n\r\n%b' % (
+        routed.head,
+        TIME_LEFT,
+        max(0, int(time_left_ms)),
+        EXPECTED_ENDPOINT,
+        endpoint.encode('latin-1'),
+        routed.body,
+    )
+
+
+def decode_reply(request_id: str, response: Response) -> AttemptEnd | None:
+    """Read how an attempt ended, None if the reply belongs to another request."""
+    headers = {key.lower(): value for key, value in response.headers}
+    echoed = headers.get(b'x-request-id')
+    if echoed is not None and echoed != request_id.encode('latin-1'):
+        return None
+    report = _load_report(headers.get(b'x-server-load'))
+    status = response.status
+    detail = f'status {status}'
+    if status == _MISDIRECTED or NOT_RUN.lower() in headers:
+        absent = status == _MISDIRECTED
+        return AttemptEnd(Ended.NOT_RUN, detail, report=report, absent=absent)
+    receipt = headers.get(b'x-response-stamp')
+    if 200 <= status < 300:
+        if receipt is None:
+            return AttemptEnd(Ended.FAILED, 'success without a receipt', report=report)
+        return AttemptEnd(Ended.ANSWERED, detail, EndpointReply(receipt, response), report)
+    # Passed on, such a status would promise that the request has not run.
+    reply = None if status in _PROMISES else EndpointReply(receipt or b'', response)
+    return AttemptEnd(Ended.FAILED, detail, reply, report)
+
+
+def encode_reply(reply: EndpointReply) -> Response:
+    """Write an endpoint's reply to the caller."""
+    response = reply.response
+    return Response(response.status, end_to_end_headers(response.headers), response.body)
+
+
+def encode_merged(reply: MergedReply) -> Response:
+    """Write the merged replies of shards to the caller."""
+    headers = [(RECEIPTS, b', '.join(reply.receipts))]
+    if reply.missing_count:
+        headers.append((MISSING_COUNT, str(reply.missing_count).encode()))
+    return Response(200, tuple(headers), reply.body)
+
+
+def encode_refusal(refusal: Refuse) -> Response:
+    """Write why a request got no reply; only what has not run gets a promise."""
+    info = RESULTS[refusal.code]
+    status = info.http_status
+    promised = info.run_status.value == 'not_run'
+    if status in _PROMISES and not promised:
+        status = _BAD_GATEWAY
+    headers: list[tuple[bytes, bytes]] = [(b'Content-Type', b'text/plain')]
+    if promised and refusal.retry_after_ms is not None:
+        headers.append((RETRY_AFTER, f'{refusal.retry_after_ms / 1000.0:.3f}'.encode()))
+    return Response(status, tuple(headers), f'{info.summary}\n'.encode())
+
+
+def _load_report(value: bytes | None) -> LoadReport | None:
+    if value is None:
+        return None
+    try:
+        numbers = [int(part) for part in value.split(b',')]
+    except ValueError:
+        return None
+    if len(numbers) < 3:
+        return None
+    # How long work takes on the endpoint's machine now, 100 as usual.
+    slowness = numbers[3] / 100.0 if len(numbers) > 3 and numbers[3] > 0 else 1.0
+    return LoadReport(numbers[0], numbers[1], max(1, numbers[2]), slowness)
--- a/packages/daemon/src/pistachioloft_daemon/proposals.py
+++ b/packages/daemon/src/pistachioloft_daemon/proposals.py
@@ -9,6 +9,7 @@
 
 from pistachioloft_core.messages.accepted import (
     AcceptedCommand,
+    AcceptRoutes,
     CloseClaim,
     CommandOutcome,
     DrainInstance,
@@ -138,8 +139,17 @@
             return ProposeRequest(proposal_id, open_claim=command)
         case CloseClaim():
             return ProposeRequest(proposal_id, close_claim=command)
+        case AcceptRoutes():
+            return ProposeRequest(proposal_id, routes=command)
     raise TypeError(f'{type(command).__name__} is not proposed by instances')
 
 
 def _command(request: ProposeRequest) -> AcceptedCommand | None:
-    return request.submit or request.drain or request.open_claim or request.close_claim
+    commands = (
+        request.submit,
+        request.drain,
+        request.open_claim,
+        request.close_claim,
+        request.routes,
+    )
+    return next((command for command in commands if command is not None), None)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -0,0 +1,325 @@
+"""Run the routed requests of callers on one entry instance."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.request import forward, gather
+from pistachioloft_core.request.attempts import (
+    AbandonAttempt,
+    Deliver,
+    DeliverMerged,
+    Note,
+    Refuse,
+    SendAttempt,
+    end_attempt,
+    withdraw_attempt,
+)
+from pistachioloft_core.request.forward import ForwardState
+from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.records import greatest_records
+from pistachioloft_core.request.split import SplitState, choose_service
+
+from .endpoint_pool import EndpointPool, PoolHooks
+from .loop_timers import monotonic_ms
+from .routed_messages import EndpointReply, MergedReply, Unreadable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pistachioloft_core.messages.routes import Route
+    from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
+    from pistachioloft_core.request.routed_state import RoutedState
+
+    from .http1.messages import Request, Response
+    from .http1.server import Cancel, Respond
+    from .loop_timers import LoopTimers
+    from .metrics import Metrics
+    from .routed_messages import RoutedRequest
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[routing]'
+# The way back to the caller, and the time in which this process is busy with others.
+ANSWER_MARGIN_MS = 6.0
+# An answer at the time limit must still be written.
+LIMIT_MARGIN_MS = 5.0
+# Callers that name no time are given the route's time limit.
+NO_ROUTES_RETRY_MS = 300.0
+STOPPING_RETRY_MS = 10.0
+IN_FLIGHT_LIMIT_COUNT = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class WireFormat:
+    """Name the functions that read and write the callers' and endpoints' protocol."""
+
+    decode_request: Callable[[Request], RoutedRequest | Unreadable]
+    encode_attempt: Callable[[RoutedRequest, str, float], bytes]
+    decode_reply: Callable[[str, Response], AttemptEnd | None]
+    encode_reply: Callable[[EndpointReply], Response]
+    encode_merged: Callable[[MergedReply], Response]
+    encode_refusal: Callable[[Refuse], Response]
+
+
+class InFlight:
+    """Hold one request from its arrival until its last attempt has ended."""
+
+    __slots__ = ('arrived_ms', 'check_at_ms', 'number', 'respond', 'routed', 'state', 'timer')
+
+    def __init__(
+        self,
+        number: int,
+        routed: RoutedRequest,
+        state: GatherState | ForwardState,
+        respond: Respond,
+        arrived_ms: float,
+    ) -> None:
+        self.number = number
+        self.routed = routed
+        self.state = state
+        self.respond: Respond | None = respond
+        self.arrived_ms = arrived_ms
+        self.timer = 0
+        self.check_at_ms = float('inf')
+
+
+class RoutedRequests:
+    """Hold the requests in flight and carry out what is decided on them."""
+
+    def __init__(
+        self, state: RoutedState, timers: LoopTimers, wire: WireFormat, metrics: Metrics
+    ) -> None:
+        self.state = state
+        self.timers = timers
+        self.wire = wire
+        self.metrics = metrics
+        self.pool = EndpointPool(PoolHooks(self._decode, self._on_end))
+        self.splits = SplitState()
+        self.requests: dict[int, InFlight] = {}
+        self.owner_of: dict[str, InFlight] = {}
+        self.number = 0
+        # Set while no quorum has confirmed the routes for too long, and while stopping.
+        self.fenced = True
+        self.refusing = False
+
+    def handle(self, request: Request, respond: Respond) -> Cancel | None:
+        """Answer a caller's request now or later."""
+        now_ms = monotonic_ms()
+        routed = self.wire.decode_request(request)
+        if isinstance(routed, Unreadable):
+            refusal = Refuse(ResultCode.MALFORMED, routed.detail)
+            self._refuse_at_once('', '', refusal, respond)
+            return None
+        refusal_or_route = self._find_route(routed)
+        if isinstance(refusal_or_route, Refuse):
+            self._refuse_at_once(routed.request_id, routed.path, refusal_or_route, respond)
+            return None
+        in_flight = self._start(now_ms, routed, refusal_or_route, respond)
+        return lambda: self._cancel(in_flight)
+
+    def in_flight_count(self) -> int:
+        """Count the requests without an answer."""
+        return sum(each.respond is not None for each in self.requests.values())
+
+    def _find_route(self, routed: RoutedRequest) -> Refuse | Route:
+        routes = self.state.routes
+        if routes is None or self.fenced:
+            detail = 'no configuration is confirmed here'
+            return Refuse(ResultCode.FENCED, detail, NO_ROUTES_RETRY_MS)
+        if self.refusing:
+            return Refuse(ResultCode.STOPPING, 'this instance is stopping', STOPPING_RETRY_MS)
+        if len(self.requests) >= IN_FLIGHT_LIMIT_COUNT:
+            detail = 'too many requests are in flight here'
+            return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
+        route = routes.find(routed.host, routed.path)
+        if route is None:
+            return Refuse(ResultCode.UNKNOWN_PATH, f'version {routes.version} has no such route')
+        return route
+
+    def _refuse_at_once(
+        self, request_id: str, path: str, refusal: Refuse, respond: Respond
+    ) -> None:
+        logger.info(
+            '%s request refused: request=%s path=%s code=%s reason="%s"',
+            PREFIX,
+            request_id,
+            path,
+            refusal.code.name.lower(),
+            refusal.detail,
+        )
+        self.metrics.count_request(refusal.code, 0.0)
+        respond(self.wire.encode_refusal(refusal))
+
+    def _start(
+        self, now_ms: float, routed: RoutedRequest, route: Route, respond: Respond
+    ) -> InFlight:
+        self.number += 1
+        time_left_ms = route.time_limit_ms
+        if routed.time_left_ms is not None:
+            time_left_ms = min(time_left_ms, routed.time_left_ms)
+        limit_ms = now_ms + max(0.0, time_left_ms - LIMIT_MARGIN_MS)
+        state: GatherState | ForwardState
+        if route.gather is not None:
+            answer_at_ms = now_ms + route.latency_target_ms - ANSWER_MARGIN_MS
+            state = GatherState(str(self.number), route, answer_at_ms, limit_ms)
+        else:
+            service = choose_service(self.splits, route)
+            state = ForwardState(str(self.number), route, service, limit_ms)
+        in_flight = InFlight(self.number, routed, state, respond, now_ms)
+        self.requests[self.number] = in_flight
+        if isinstance(state, GatherState):
+            actions = gather.start_gather(self.state, now_ms, state)
+        else:
+            actions = forward.start_forward(self.state, now_ms, state)
+        self._carry_out(now_ms, in_flight, actions)
+        self._arm(now_ms, in_flight)
+        return in_flight
+
+    def _on_end(self, attempt: Attempt, end: AttemptEnd) -> None:
+        now_ms = monotonic_ms()
+        end_attempt(self.state, now_ms, attempt, end)
+        in_flight = self.owner_of.pop(attempt.attempt_id, None)
+        if in_flight is None:
+            return
+        state = in_flight.state
+        if isinstance(state, GatherState):
+            actions = gather.on_attempt_end(self.state, now_ms, state, attempt, end)
+        else:
+            actions = forward.on_attempt_end(self.state, now_ms, state, attempt, end)
+        self._carry_out(now_ms, in_flight, actions)
+        if any(isinstance(action, SendAttempt) for action in actions):
+            self._arm(now_ms, in_flight)
+
+    def _on_timer(self, in_flight: InFlight, now_ms: float) -> None:
+        in_flight.timer = 0
+        in_flight.check_at_ms = float('inf')
+        state = in_flight.state
+        if state.done:
+            return
+        if isinstance(state, GatherState):
+            actions = gather.on_gather_timer(self.state, now_ms, state)
+        else:
+            actions = forward.on_forward_timer(self.state, now_ms, state)
+        self._carry_out(now_ms, in_flight, actions)
+        self._arm(now_ms, in_flight)
+
+    def _arm(self, now_ms: float, in_flight: InFlight) -> None:
+        state = in_flight.state
+        if state.done:
+            return
+        if isinstance(state, GatherState):
+            due_ms = gather.next_check_ms(self.state, now_ms, state)
+        else:
+            due_ms = forward.next_check_ms(self.state, now_ms, state)
+        if due_ms >= in_flight.check_at_ms:
+            return
+        if in_flight.timer:
+            self.timers.cancel(in_flight.timer)
+        in_flight.check_at_ms = due_ms
+        in_flight.timer = self.timers.at(due_ms, lambda ms: self._on_timer(in_flight, ms))
+
+    def _cancel(self, in_flight: InFlight) -> None:
+        if in_flight.respond is None:
+            return
+        in_flight.respond = None
+        state = in_flight.state
+        logger.info('%s caller left: request=%s', PREFIX, in_flight.routed.request_id)
+        if isinstance(state, GatherState):
+            actions = gather.cancel_gather(state)
+        else:
+            actions = forward.cancel_forward(state)
+        self._carry_out(monotonic_ms(), in_flight, actions)
+        self._finish(in_flight)
+
+    def _carry_out(self, now_ms: float, in_flight: InFlight, actions: list[RoutedAction]) -> None:
+        for action in actions:
+            match action:
+                case SendAttempt():
+                    self._send(in_flight, action)
+                case AbandonAttempt():
+                    self._abandon(now_ms, action)
+                case Note():
+                    logger.info(
+                        '%s %s: request=%s %s',
+                        PREFIX,
+                        action.kind,
+                        in_flight.routed.request_id,
+                        action.detail,
+                    )
+                case _:
+                    self._answer(now_ms, in_flight, action)
+
+    def _send(self, in_flight: InFlight, action: SendAttempt) -> None:
+        attempt = action.attempt
+        self.owner_of[attempt.attempt_id] = in_flight
+        endpoint = attempt.load.record.endpoint
+        data = self.wire.encode_attempt(in_flight.routed, endpoint, action.time_left_ms)
+        self.pool.send(attempt, data)
+
+    def _abandon(self, now_ms: float, action: AbandonAttempt) -> None:
+        if action.after_ms > 0:
+            later = AbandonAttempt(action.attempt, 0.0)
+            self.timers.at(now_ms + action.after_ms, lambda ms: self._abandon(ms, later))
+            return
+        attempt = action.attempt
+        if self.pool.abandon(attempt):
+            self.owner_of.pop(attempt.attempt_id, None)
+            withdraw_attempt(self.state, now_ms, attempt)
+
+    def _answer(
+        self, now_ms: float, in_flight: InFlight, action: Deliver | DeliverMerged | Refuse
+    ) -> None:
+        code, summary = ResultCode.COMPLETE, ''
+        match action:
+            case Deliver():
+                response = self.wire.encode_reply(action.reply)
+            case DeliverMerged():
+                response = self.wire.encode_merged(self._merge(in_flight, action))
+                summary = f' missing={action.missing_count}'
+                if action.missing_count:
+                    code = ResultCode.PARTIAL
+            case Refuse():
+                response = self.wire.encode_refusal(action)
+                code, summary = action.code, f' reason="{action.detail}"'
+        respond, in_flight.respond = in_flight.respond, None
+        if respond is not None:
+            respond(response)
+        elapsed_ms = now_ms - in_flight.arrived_ms
+        routes = self.state.routes
+        logger.info(
+            '%s request answered: request=%s route=%s version=%d status=%d code=%s ms=%.1f%s',
+            PREFIX,
+            in_flight.routed.request_id,
+            in_flight.state.route.name,
+            routes.version if routes is not None else 0,
+            response.status,
+            code.name.lower(),
+            elapsed_ms,
+            summary,
+        )
+        self.metrics.count_request(code, elapsed_ms)
+        self._finish(in_flight)
+
+    def _merge(self, in_flight: InFlight, action: DeliverMerged) -> MergedReply:
+        gathered = in_flight.state.route.gather
+        assert gathered is not None
+        replies: tuple[Any, ...] = action.replies
+        body = greatest_records((each.response.body for each in replies), gathered.top_count)
+        receipts = tuple(each.receipt for each in replies)
+        return MergedReply(receipts, action.missing_count, body)
+
+    def _finish(self, in_flight: InFlight) -> None:
+        self.requests.pop(in_flight.number, None)
+        if in_flight.timer:
+            self.timers.cancel(in_flight.timer)
+            in_flight.timer = 0
+
+    def _decode(self, attempt: Attempt, response: Response) -> AttemptEnd | None:
+        in_flight = self.owner_of.get(attempt.attempt_id)
+        if in_flight is None:
+            return None
+        return self.wire.decode_reply(in_flight.routed.request_id, response)
--- a/packages/daemon/src/pistachioloft_daemon/settings.py
+++ b/packages/daemon/src/pistachioloft_daemon/settings.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from pistachioloft_core.util.describe import count_of, describe_value
+from pistachioloft_core.util.describe import describe_value
 from pistachioloft_core.util.names import ADDRESS_RULE, NAME_RULE, is_address, is_name
 
+from .settings_reader import (
+    LOG_LEVEL_DEFAULT,
+    LOG_LEVELS,
+    SettingsReader,
+    check_keys,
+    fail,
+    read_tables,
+)
+
 ROLE_ENTRY = 'entry'
 ROLE_VOTER = 'voter'
 ROLES = (ROLE_ENTRY, ROLE_VOTER)
-LOG_LEVELS = ('debug', 'info', 'warning', 'error')
-LOG_LEVEL_DEFAULT = 'info'
 
 _KEYS = {
     'instance': ('id', 'failure_domain', 'roles'),
@@ -49,69 +54,10 @@
     log_level: str
 
 
-class SettingError(Exception):
-    """Report one mistake in a settings file."""
-
-    def __init__(self, file: Path, key: str, expected: str, found: str) -> None:
-        super().__init__(f'{file}: {key}: expected {expected}, found {found}')
-        self.file = file
-        self.key = key
-        self.expected = expected
-        self.found = found
-
-
-class _Reader:
-    """Collect the values and the mistakes of one settings file."""
-
-    def __init__(self, file: Path, tables: dict[str, Any]) -> None:
-        self.file = file
-        self.tables = tables
-        self.mistakes: list[SettingError] = []
-
-    def refuse(self, key: str, expected: str, found: str) -> None:
-        """Record a mistake."""
-        self.mistakes.append(SettingError(self.file, key, expected, found))
-
-    def table(self, name: str) -> dict[str, Any]:
-        """Give a table, or an empty one in place of anything else."""
-        value = self.tables.get(name, {})
-        return value if isinstance(value, dict) else {}
-
-    def text(self, table: str, key: str, expected: str, default: str | None = None) -> str:
-        """Give a text; record a mistake and give an empty one if there is none."""
-        value = self.table(table).get(key, default)
-        if isinstance(value, str):
-            return value
-        self.refuse(f'{table}.{key}', expected, describe_value(value))
-        return ''
-
-    def name(self, table: str, key: str) -> str:
-        """Give a name."""
-        value = self.text(table, key, NAME_RULE)
-        if value and not is_name(value):
-            self.refuse(f'{table}.{key}', NAME_RULE, describe_value(value))
-        elif value == '' and self.table(table).get(key) == '':
-            self.refuse(f'{table}.{key}', NAME_RULE, 'an empty text')
-        return value
-
-    def address(self, table: str, key: str) -> str:
-        """Give an IP address with a port."""
-        value = self.text(table, key, ADDRESS_RULE)
-        if isinstance(self.table(table).get(key), str) and not is_address(value):
-            self.refuse(f'{table}.{key}', ADDRESS_RULE, describe_value(value))
-        return value
-
-
 def load_settings(path: Path) -> Settings:
     """Load a settings file; all its mistakes are raised as one exception group."""
-    try:
-        tables = tomllib.loads(path.read_text(encoding='utf-8'))
-    except OSError as error:
-        _fail(path, [SettingError(path, '(file)', 'a readable file', error.strerror or str(error))])
-    except (ValueError, RecursionError) as error:
-        _fail(path, [SettingError(path, '(file)', 'valid TOML in UTF-8', str(error))])
-    reader = _Reader(path, tables)
-    _check_keys(reader)
+    reader = read_tables(path)
+    check_keys(reader, _KEYS)
     roles = _read_roles(reader)
     settings = Settings(
         instance=reader.name('instance', 'id'),
@@ -123,34 +69,15 @@
         peer_address=reader.address('listen', 'peer_address'),
         peers=_read_peers(reader),
         data_folder=_read_folder(reader, roles),
-        log_level=_read_level(reader),
+        log_level=reader.choice('log', 'level', LOG_LEVELS, LOG_LEVEL_DEFAULT),
     )
     _check_addresses(reader, settings)
     if reader.mistakes:
-        _fail(path, reader.mistakes)
+        fail(path, reader.mistakes)
     return settings
 
 
-def _fail(path: Path, mistakes: list[SettingError]) -> None:
-    raise ExceptionGroup(f'{path} has {count_of(len(mistakes), "mistake")}', mistakes)
-
-
-def _check_keys(reader: _Reader) -> None:
-    for name, value in reader.tables.items():
-        if name not in _KEYS:
-            reader.refuse(name, f'one of the tables {", ".join(_KEYS)}', 'an unknown key')
-            continue
-        if not isinstance(value, dict):
-            reader.refuse(name, 'a table', describe_value(value))
-            continue
-        keys = _KEYS[name]
-        for key in value if keys is not None else ():
-            if key not in (keys or ()):
-                expected = f'one of the keys {", ".join(keys or ())}'
-                reader.refuse(f'{name}.{key}', expected, 'an unknown key')
-
-
-def _read_roles(reader: _Reader) -> tuple[str, ...]:
+def _read_roles(reader: SettingsReader) -> tuple[str, ...]:
     expected = f'a list with at least one of {", ".join(ROLES)}'
     value = reader.table('instance').get('roles')
     if not isinstance(value, list) or not value:
@@ -165,7 +92,7 @@
     return tuple(role for role in value if role in ROLES)
 
 
-def _read_peers(reader: _Reader) -> tuple[PeerAddress, ...]:
+def _read_peers(reader: SettingsReader) -> tuple[PeerAddress, ...]:
     peers = []
     own = reader.table('instance').get('id')
     users: dict[str, str] = {}
@@ -185,7 +112,7 @@
     return tuple(peers)
 
 
-def _read_folder(reader: _Reader, roles: tuple[str, ...]) -> Path | None:
+def _read_folder(reader: SettingsReader, roles: tuple[str, ...]) -> Path | None:
     table = reader.table('data')
     if 'folder' not in table:
         if ROLE_VOTER in roles:
@@ -201,15 +128,7 @@
     return Path(folder)
 
 
-def _read_level(reader: _Reader) -> str:
-    expected = f'one of {", ".join(LOG_LEVELS)}'
-    level = reader.text('log', 'level', expected, LOG_LEVEL_DEFAULT)
-    if level not in LOG_LEVELS and isinstance(reader.table('log').get('level'), str):
-        reader.refuse('log.level', expected, describe_value(level))
-    return level
-
-
-def _check_addresses(reader: _Reader, settings: Settings) -> None:
+def _check_addresses(reader: SettingsReader, settings: Settings) -> None:
     users: dict[str, str] = {}
     for key in ('caller_address', 'operator_address', 'peer_address'):
         address = getattr(settings, key)
--- a/packages/daemon/src/pistachioloft_daemon/voter.py
+++ b/packages/daemon/src/pistachioloft_daemon/voter.py
@@ -12,7 +12,11 @@
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.errors import CodedError
-from pistachioloft_core.messages.accepted import AcceptedConfiguration, CommandOutcome
+from pistachioloft_core.messages.accepted import (
+    AcceptedConfiguration,
+    AcceptedRoutes,
+    CommandOutcome,
+)
 from pistachioloft_core.messages.agreement import (
     ENTRY_COMMAND,
     LogEntry,
@@ -40,6 +44,8 @@
 PROPOSAL_TIMEOUT_MS = 5000.0
 
 OutcomeCallback = Callable[[CommandOutcome | None], None]
+# Gets the log index that the read must reach, or none if this member does not lead.
+ReadCallback = Callable[[int | None], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +77,15 @@
     applied: Callable[[AcceptedConfiguration], None]
     role_changed: Callable[[bool], None]
     failed: Callable[[str], None]
+    routes_applied: Callable[[AcceptedRoutes], None] = lambda _routes: None
+
+
+@dataclass(frozen=True, slots=True)
+class PendingRead:
+    """Hold a read until a quorum confirms that this member led after it came."""
+
+    asked_ms: float
+    callback: ReadCallback
 
 
 class Voter:
@@ -101,6 +116,7 @@
         self.by_position: dict[tuple[int, int], str] = {}
         self.receiver = SnapshotReceiver()
         self.sending: dict[str, tuple[int, float]] = {}
+        self.reads: list[PendingRead] = []
         self.failed = False
         # One thread: a write that outlives a cancelled task still ends before the close.
         self.writer = ThreadPoolExecutor(1, 'storage')
@@ -124,6 +140,7 @@
         for pending in [each for each in self.pending.values() if each.expires_ms <= now_ms]:
             del self.pending[pending.proposal_id]
             pending.callback(None)
+        self._answer_reads(now_ms)
 
     def receive(self, message: Any) -> None:
         """Take a message of another member."""
@@ -148,6 +165,13 @@
             return
         self._feed(agreement.Propose(proposal_id, payload, wall_clock_ms()))
 
+    def read(self, callback: ReadCallback) -> None:
+        """Confirm with a quorum which index a read that came now must reach."""
+        if not self.leads():
+            callback(None)
+        else:
+            self.reads.append(PendingRead(monotonic_ms(), callback))
+
     def change_membership(self, change: agreement.MembershipChange) -> None:
         """Propose a membership change."""
         logger.info('%s membership change proposed: %s %s', PREFIX, change.kind, change.member)
@@ -168,6 +192,20 @@
         leader = agreement.leader_of(self.state)
         return None if leader is None else agreement.instance_of(leader)
 
+    def _answer_reads(self, now_ms: float) -> None:
+        if not self.reads:
+            return
+        leads = self.leads()
+        confirmed_ms = agreement.quorum_confirmed_ms(self.state, now_ms) if leads else 0.0
+        waiting, self.reads = self.reads, []
+        for read in waiting:
+            if not leads:
+                read.callback(None)
+            elif confirmed_ms > read.asked_ms:
+                read.callback(agreement.commit_index(self.state))
+            else:
+                self.reads.append(read)
+
     def _feed(self, event: agreement.Event | InstallSnapshot) -> None:
         if len(self.events) < EVENT_LIMIT:
             self.events.append(event)
@@ -180,6 +218,7 @@
             try:
                 while self.events:
                     await self._work(self._next_event())
+                self._answer_reads(monotonic_ms())
             except (VoterFailedError, agreement.AgreementError) as error:
                 self._fail(str(error))
             except Exception as error:
@@ -241,6 +280,7 @@
         logger.error('%s voter steps back: %s', PREFIX, reason)
         for proposal_id in list(self.pending):
             self._resolve(proposal_id, None)
+        self._answer_reads(monotonic_ms())
         self.hooks.failed(reason)
 
     def _apply(self, entry: LogEntry) -> None:
@@ -262,6 +302,9 @@
         in_force = accepted.accepted_configuration(self.accepted)
         if in_force.index == entry.index:
             self.hooks.applied(in_force)
+        routes = accepted.accepted_routes(self.accepted)
+        if routes.index == entry.index:
+            self.hooks.routes_applied(routes)
 
     def _resolve(self, proposal_id: str, outcome: CommandOutcome | None) -> None:
         pending = self.pending.pop(proposal_id, None)
@@ -318,6 +361,7 @@
         self.applied_term = meta.term
         logger.info('%s snapshot installed at index %d', PREFIX, meta.index)
         self.hooks.applied(accepted.accepted_configuration(state))
+        self.hooks.routes_applied(accepted.accepted_routes(state))
         for action in agreement.step(self.state, monotonic_ms(), agreement.SnapshotInstalled(meta)):
             await self._carry_out(action)
 
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/voter_keeper.py
@@ -0,0 +1,103 @@
+"""Keep a voter running on its data folder, also after the disk refused a write."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from .storage import StorageError
+from .voter import TICK_MS, Voter, VoterHooks
+from .voter_storage import VoterStorage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from .loop_timers import LoopTimers
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[storage]'
+# A full disk is often emptied within seconds; each try reads the folder once.
+REOPEN_INTERVAL_S = 0.5
+
+
+class VoterKeeper:
+    """Hold the voter, or the wait for its folder to be usable again."""
+
+    def __init__(
+        self,
+        folder: Path,
+        instance: str,
+        founders: tuple[str, ...],
+        hooks: VoterHooks,
+        started: Callable[[Voter], None],
+    ) -> None:
+        self.folder = folder
+        self.instance = instance
+        self.founders = founders
+        self.hooks = VoterHooks(
+            hooks.send, hooks.applied, hooks.role_changed, self._on_failed, hooks.routes_applied
+        )
+        self.failed = hooks.failed
+        self.started = started
+        self.voter: Voter | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.stopping = False
+
+    async def start(self, timers: LoopTimers) -> None:
+        """Open the folder and start the voter."""
+        timers.every(TICK_MS, self._tick)
+        try:
+            await self._open()
+        except (StorageError, OSError) as error:
+            logger.error('%s data folder not usable yet: %s', PREFIX, error)
+            self._reopen_later()
+
+    async def stop(self) -> None:
+        """Stop the voter and close the folder."""
+        self.stopping = True
+        if self.task is not None:
+            self.task.cancel()
+        if self.voter is not None:
+            await self.voter.stop()
+
+    def _tick(self, now_ms: float) -> None:
+        if self.voter is not None:
+            self.voter.tick(now_ms)
+
+    async def _open(self) -> None:
+        loop = asyncio.get_running_loop()
+        storage = await loop.run_in_executor(
+            None, VoterStorage, self.folder, self.instance, self.founders
+        )
+        voter = Voter(storage, self.hooks)
+        self.voter = voter
+        voter.start()
+        logger.info('%s voter started: member=%s', PREFIX, voter.member_id)
+        self.started(voter)
+
+    def _on_failed(self, reason: str) -> None:
+        self.failed(reason)
+        if not self.stopping:
+            self._reopen_later()
+
+    def _reopen_later(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._reopen())
+
+    async def _reopen(self) -> None:
+        failed, self.voter = self.voter, None
+        if failed is not None:
+            try:
+                await failed.stop()
+            except StorageError as error:
+                logger.warning('%s data folder closed after a failure: %s', PREFIX, error)
+        while True:
+            await asyncio.sleep(REOPEN_INTERVAL_S)
+            try:
+                await self._open()
+            except (StorageError, OSError) as error:
+                logger.warning('%s data folder still not usable: %s', PREFIX, error)
+            else:
+                return
--- a/packages/daemon/src/pistachioloft_daemon/voter_storage.py
+++ b/packages/daemon/src/pistachioloft_daemon/voter_storage.py
@@ -15,26 +15,37 @@
 
     from pistachioloft_core.messages.agreement import HardState, LogEntry, SnapshotMeta
 
+    from .storage import OpenedStorage
+
 logger = logging.getLogger(__name__)
 
 PREFIX = '[storage]'
 FIRST_SUFFIX = 'first'
 MEMBER_SUFFIX_BYTES = 6
 JOINING_CLUSTER = 'joining'
+FOUNDED_CLUSTER = 'founded'
 
 
 class VoterStorage:
     """Hold the open data folder of a voter and what it contained."""
 
-    def __init__(self, folder: Path, instance: str) -> None:
+    def __init__(self, folder: Path, instance: str, founders: tuple[str, ...] = ()) -> None:
         try:
             opened = open_storage(str(folder))
         except (NotInitialisedError, FileNotFoundError):
+            if instance in founders:
+                initialise_voter(folder, FOUNDED_CLUSTER, instance, founders)
+                opened = open_storage(str(folder))
+                self._keep(opened)
+                return
             # Without its folder this process cannot know what it voted for, so it is a new member.
             member_id = f'{instance}-{secrets.token_hex(MEMBER_SUFFIX_BYTES)}'
             logger.warning('%s empty data folder: joining as new member %s', PREFIX, member_id)
             initialise(str(folder), JOINING_CLUSTER, member_id, None)
             opened = open_storage(str(folder))
+        self._keep(opened)
+
+    def _keep(self, opened: OpenedStorage) -> None:
         self.storage = opened.storage
         self.stored = opened.stored
         if self.stored.torn_bytes:
--- /dev/null
+++ b/tests/test_announced/test_announced.py
@@ -0,0 +1,155 @@
+"""Guard against announcements that come late, twice or from an earlier start."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LAPSED,
+    STANDING_LEFT,
+    STANDING_READY,
+    AnnouncedEndpoint,
+)
+from pistachioloft_core.process.announced import (
+    LEFT_KEPT_MS,
+    AnnouncedState,
+    Merged,
+    expire,
+    mark_left,
+    merge,
+)
+
+RECORD = AnnouncedEndpoint(
+    'i-1', 'catalogue', '10.0.0.1:80', 'a', 2, STANDING_READY, sequence=5, born_ms=1_000
+)
+LEASE_MS = 4_000.0
+
+
+def standing(state: AnnouncedState, endpoint: str = 'i-1') -> str:
+    return state.endpoints[endpoint].record.standing
+
+
+def test_late_announcement_does_not_undo_a_drain() -> None:
+    """Guard against new work for an endpoint that said that it leaves."""
+    state = AnnouncedState()
+    merge(state, replace(RECORD, sequence=7, standing=STANDING_DRAINING), 10.0)
+    assert merge(state, replace(RECORD, sequence=6), 20.0) is Merged.OUTDATED
+    assert merge(state, replace(RECORD, sequence=8), 30.0) is Merged.OUTDATED
+    assert standing(state) == STANDING_DRAINING
+
+
+def test_later_start_under_the_same_name_is_a_new_endpoint() -> None:
+    """Guard against a restarted endpoint that is taken for the one that left."""
+    state = AnnouncedState()
+    merge(state, RECORD, 10.0)
+    assert mark_left(state, 'i-1', 0, 9_000, 20.0)
+    assert merge(state, replace(RECORD, sequence=1, born_ms=2_000), 30.0) is Merged.CHANGED
+    assert standing(state) == STANDING_READY
+
+
+def test_announcement_on_its_way_when_the_endpoint_left_is_too_late() -> None:
+    """Guard against an endpoint that comes back because its departure was faster."""
+    state = AnnouncedState()
+    assert mark_left(state, 'i-1', 0, 5_000, 20.0)
+    assert merge(state, RECORD, 30.0) is Merged.OUTDATED
+    assert standing(state) == STANDING_LEFT
+    assert merge(state, replace(RECORD, born_ms=6_000), 40.0) is Merged.CHANGED
+
+
+def test_address_belongs_to_the_latest_start() -> None:
+    """Guard against a delayed announcement that takes an address back."""
+    state = AnnouncedState()
+    other = replace(RECORD, endpoint='i-2', service='billing', born_ms=3_000, sequence=1)
+    merge(state, RECORD, 10.0)
+    merge(state, other, 20.0)
+    assert standing(state, 'i-1') == STANDING_LEFT
+    late = replace(RECORD, endpoint='i-0', born_ms=500)
+    merge(state, late, 30.0)
+    assert standing(state, 'i-0') == STANDING_LEFT
+    assert standing(state, 'i-2') == STANDING_READY
+
+
+def test_silence_lapses_and_a_newer_announcement_revives() -> None:
+    """Guard against a dead endpoint that stays usable, and a live one that stays lapsed."""
+    state = AnnouncedState()
+    merge(state, RECORD, 0.0)
+    assert expire(state, LEASE_MS - 1, LEASE_MS) == []
+    assert expire(state, LEASE_MS, LEASE_MS) == ['i-1']
+    assert merge(state, RECORD, LEASE_MS + 1) is Merged.OUTDATED
+    assert standing(state) == STANDING_LAPSED
+    assert merge(state, replace(RECORD, sequence=6), LEASE_MS + 2) is Merged.CHANGED
+    assert standing(state) == STANDING_READY
+
+
+def test_departures_are_forgotten_in_time() -> None:
+    """Guard against memory that only grows."""
+    state = AnnouncedState()
+    mark_left(state, 'i-1', 0, 5_000, 0.0)
+    expire(state, LEFT_KEPT_MS, LEASE_MS)
+    assert state.endpoints == {}
+
+
+RECORDS = st.builds(
+    AnnouncedEndpoint,
+    endpoint=st.sampled_from(('i-1', 'i-2')),
+    service=st.sampled_from(('catalogue', 'billing')),
+    address=st.sampled_from(('10.0.0.1:80', '10.0.0.2:80')),
+    failure_domain=st.just('a'),
+    slot_count=st.just(2),
+    standing=st.sampled_from((STANDING_READY, STANDING_DRAINING, STANDING_LEFT)),
+    sequence=st.integers(1, 4),
+    born_ms=st.integers(1, 4),
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(RECORDS, max_size=12))
+def test_an_address_has_one_endpoint_and_a_start_never_comes_back(
+    records: list[AnnouncedEndpoint],
+) -> None:
+    """Guard against two endpoints at one address and against leaving that is undone."""
+    state = AnnouncedState()
+    final: dict[tuple[str, int], str] = {}
+    for number, record in enumerate(records):
+        merge(state, record, float(number))
+        present = [
+            entry.record
+            for entry in state.endpoints.values()
+            if entry.record.standing != STANDING_LEFT
+        ]
+        addresses = [each.address for each in present]
+        assert len(addresses) == len(set(addresses))
+        for entry in state.endpoints.values():
+            key = (entry.record.endpoint, entry.record.born_ms)
+            if final.get(key) == STANDING_LEFT:
+                assert entry.record.standing == STANDING_LEFT
+            elif final.get(key) == STANDING_DRAINING:
+                assert entry.record.standing != STANDING_READY
+            final[key] = entry.record.standing
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(RECORDS, max_size=8), st.integers(0, 8))
+def test_readers_that_follow_revisions_miss_nothing(
+    records: list[AnnouncedEndpoint], stop: int
+) -> None:
+    """Guard against a change that a reader of the change log never sees."""
+    state = AnnouncedState()
+    copy: dict[str, AnnouncedEndpoint] = {}
+    revision = 0
+    for number, record in enumerate(records):
+        merge(state, record, float(number))
+        if number % 3 == stop % 3:
+            for name in state.changed_since(revision):
+                copy[name] = state.endpoints[name].record
+            revision = state.revision
+    for name in state.changed_since(revision):
+        copy[name] = state.endpoints[name].record
+    known = {name: entry.record for name, entry in state.endpoints.items()}
+    assert {name: each.standing for name, each in copy.items()} == {
+        name: each.standing for name, each in known.items()
+    }
--- /dev/null
+++ b/tests/test_gather/routed_player.py
@@ -0,0 +1,255 @@
+"""Play routed requests against endpoints in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pistachioloft_core.messages.fleet import STANDING_READY, AnnouncedEndpoint, HeardEndpoint
+from pistachioloft_core.messages.routes import (
+    Gather,
+    Route,
+    RouteSet,
+    ServiceRule,
+    WeightedService,
+)
+from pistachioloft_core.process.endpoint_table import apply_update
+from pistachioloft_core.request import forward, gather
+from pistachioloft_core.request.attempts import (
+    AbandonAttempt,
+    Attempt,
+    AttemptEnd,
+    Deliver,
+    DeliverMerged,
+    Ended,
+    Note,
+    Refuse,
+    RoutedAction,
+    SendAttempt,
+    end_attempt,
+    withdraw_attempt,
+)
+from pistachioloft_core.request.forward import ForwardState
+from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.routed_state import RoutedState, SharedLimits, set_routes
+from pistachioloft_core.version.route_table import RouteTable
+
+DOMAIN = 'a'
+Reply = tuple[float, AttemptEnd] | None
+# Gives the time until an attempt ends and how, or none if it never ends.
+Behaviour = Callable[[float, Attempt], Reply]
+Action = Deliver | DeliverMerged | Refuse
+Request = GatherState | ForwardState
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold what a caller got and when."""
+
+    action: Action
+    at_ms: float
+
+
+@dataclass
+class Played:
+    """Hold one request of the play."""
+
+    state: Request
+    arrived_ms: float
+    answer: Answer | None = None
+    notes: list[Note] = field(default_factory=list)
+
+
+def answered(delay_ms: float, text: str = 'part') -> Behaviour:
+    """Answer every attempt after a time."""
+    return lambda _now_ms, _attempt: (delay_ms, AttemptEnd(Ended.ANSWERED, reply=text))
+
+
+def refusing(delay_ms: float = 1.0) -> Behaviour:
+    """Refuse every attempt as not run."""
+    return lambda _now_ms, _attempt: (delay_ms, AttemptEnd(Ended.NOT_RUN, 'full'))
+
+
+def losing(delay_ms: float = 1.0) -> Behaviour:
+    """Lose the reply of every attempt."""
+    return lambda _now_ms, _attempt: (delay_ms, AttemptEnd(Ended.LOST, 'reset'))
+
+
+def silent(_now_ms: float, _attempt: Attempt) -> Reply:
+    """Never answer."""
+    return None
+
+
+class Player:
+    """Hold the virtual time, the endpoints and the requests."""
+
+    def __init__(
+        self,
+        shard_count: int = 4,
+        replica_count: int = 2,
+        floor: float = 0.75,
+        attempt_limit: int = 2,
+        allowance_count: float = 1_000.0,
+    ) -> None:
+        self.now_ms = 0.0
+        self.random = random.Random(7)
+        self.state = RoutedState(
+            'entry', DOMAIN, SharedLimits(0.2, allowance_count), random.Random(11)
+        )
+        self.behaviours: dict[str, Behaviour] = {}
+        self.sent: list[Attempt] = []
+        self.withdrawn: list[Attempt] = []
+        self.played: list[Played] = []
+        self.owner: dict[str, Played] = {}
+        self.open: dict[str, Attempt] = {}
+        self._numbers = itertools.count(1)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        shards = tuple(f's{number}' for number in range(shard_count))
+        self.gather_route = Route(
+            'all',
+            'h',
+            '/all/',
+            True,
+            1_000.0,
+            100.0,
+            1,
+            attempt_limit,
+            (),
+            Gather(shards, 5, floor),
+        )
+        self.single_route = Route(
+            'one', 'h', '/one/', True, 4_000.0, 400.0, 2, attempt_limit, (WeightedService('s0'),)
+        )
+        rules = tuple(ServiceRule(shard, '/health', 20) for shard in shards)
+        set_routes(
+            self.state,
+            RouteTable(RouteSet(1, (self.gather_route, self.single_route), rules)),
+        )
+        for shard in shards:
+            for replica in range(replica_count):
+                self.add_endpoint(shard, replica)
+
+    def add_endpoint(self, service: str, replica: int, domain: str = DOMAIN) -> str:
+        """Announce an endpoint that answers in 10 ms."""
+        name = f'{service}-{replica}'
+        number = len(self.behaviours) + 1
+        record = AnnouncedEndpoint(
+            name, service, f'10.0.0.{number}:80', domain, 2, STANDING_READY, 1, 1
+        )
+        apply_update(self.state.table, self.now_ms, (HeardEndpoint(record, 0.0),), True)
+        self.behaviours[name] = answered(10.0)
+        return name
+
+    def at(self, at_ms: float, callback: Callable[[], None]) -> None:
+        """Call back at a time."""
+        heapq.heappush(self._events, (at_ms, next(self._numbers), callback))
+
+    def run(self, until_ms: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, callback = heapq.heappop(self._events)
+            callback()
+        self.now_ms = until_ms
+
+    def query(self, answer_after_ms: float = 95.0, limit_ms: float = 1_000.0) -> Played:
+        """Start a query of all shards."""
+        now_ms = self.now_ms
+        number = next(self._numbers)
+        state = GatherState(
+            f'q{number}', self.gather_route, now_ms + answer_after_ms, now_ms + limit_ms
+        )
+        played = Played(state, now_ms)
+        self.played.append(played)
+        self._carry_out(played, gather.start_gather(self.state, now_ms, state))
+        self._arm(played)
+        return played
+
+    def request(self, idempotent: bool = True, limit_ms: float = 4_000.0) -> Played:
+        """Start a request of one endpoint."""
+        route = self.single_route
+        if not idempotent:
+            route = Route('unsafe', 'h', '/unsafe/', False, 4_000.0, 400.0, 2, 2, route.services)
+        state = ForwardState(f'r{next(self._numbers)}', route, 's0', self.now_ms + limit_ms)
+        played = Played(state, self.now_ms)
+        self.played.append(played)
+        self._carry_out(played, forward.start_forward(self.state, self.now_ms, state))
+        self._arm(played)
+        return played
+
+    def leave(self, played: Played) -> None:
+        """Let the caller leave."""
+        if isinstance(played.state, GatherState):
+            actions = gather.cancel_gather(played.state)
+        else:
+            actions = forward.cancel_forward(played.state)
+        self._carry_out(played, actions)
+
+    def sent_to(self, endpoint: str) -> int:
+        """Count the attempts that an endpoint got."""
+        return sum(attempt.load.record.endpoint == endpoint for attempt in self.sent)
+
+    def _arm(self, played: Played) -> None:
+        state = played.state
+        if state.done:
+            return
+        if isinstance(state, GatherState):
+            due_ms = gather.next_check_ms(self.state, self.now_ms, state)
+        else:
+            due_ms = forward.next_check_ms(self.state, self.now_ms, state)
+        self.at(due_ms, lambda: self._on_timer(played))
+
+    def _on_timer(self, played: Played) -> None:
+        state = played.state
+        if state.done:
+            return
+        if isinstance(state, GatherState):
+            actions = gather.on_gather_timer(self.state, self.now_ms, state)
+        else:
+            actions = forward.on_forward_timer(self.state, self.now_ms, state)
+        self._carry_out(played, actions)
+        self._arm(played)
+
+    def _carry_out(self, played: Played, actions: list[RoutedAction]) -> None:
+        for action in actions:
+            match action:
+                case SendAttempt():
+                    self._send(played, action.attempt)
+                case AbandonAttempt():
+                    self.at(
+                        self.now_ms + action.after_ms, lambda a=action.attempt: self._abandon(a)
+                    )
+                case Note():
+                    played.notes.append(action)
+                case _:
+                    assert played.answer is None, 'a caller gets one answer'
+                    played.answer = Answer(action, self.now_ms)
+
+    def _send(self, played: Played, attempt: Attempt) -> None:
+        self.sent.append(attempt)
+        self.owner[attempt.attempt_id] = played
+        self.open[attempt.attempt_id] = attempt
+        reply = self.behaviours[attempt.load.record.endpoint](self.now_ms, attempt)
+        if reply is not None:
+            delay_ms, end = reply
+            self.at(self.now_ms + delay_ms, lambda: self._end(attempt, end))
+
+    def _end(self, attempt: Attempt, end: AttemptEnd) -> None:
+        if self.open.pop(attempt.attempt_id, None) is None:
+            return
+        end_attempt(self.state, self.now_ms, attempt, end)
+        played = self.owner[attempt.attempt_id]
+        if isinstance(played.state, GatherState):
+            actions = gather.on_attempt_end(self.state, self.now_ms, played.state, attempt, end)
+        else:
+            actions = forward.on_attempt_end(self.state, self.now_ms, played.state, attempt, end)
+        self._carry_out(played, actions)
+        if any(isinstance(action, SendAttempt) for action in actions):
+            self._arm(played)
+
+    def _abandon(self, attempt: Attempt) -> None:
+        if self.open.pop(attempt.attempt_id, None) is not None:
+            self.withdrawn.append(attempt)
+            withdraw_attempt(self.state, self.now_ms, attempt)
--- /dev/null
+++ b/tests/test_routes/test_route_table.py
@@ -0,0 +1,96 @@
+"""Guard against requests on the wrong route and against sets of routes that cannot work."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachioloft_core.messages.routes import (
+    Gather,
+    Route,
+    RouteSet,
+    ServiceRule,
+    WeightedService,
+)
+from pistachioloft_core.version.route_table import RouteTable, check_routes
+
+ROUTE = Route(
+    'lots',
+    'shop.example',
+    '/lots/',
+    True,
+    4_000.0,
+    500.0,
+    2,
+    2,
+    (WeightedService('materials'),),
+)
+SERVICES = (ServiceRule('materials', '/health', 100), ServiceRule('claims', '/health', 100))
+PREFIXES = ('/', '/a/', '/a/b/', '/a/b/c/', '/ab/')
+
+
+def route_set(*routes: Route) -> RouteSet:
+    return RouteSet(7, routes, SERVICES)
+
+
+def table(*routes: Route) -> RouteTable:
+    return RouteTable(route_set(*routes))
+
+
+def test_longest_prefix_wins() -> None:
+    """Guard against a general route that hides a special one."""
+    special = replace(ROUTE, name='special', path_prefix='/lots/gold/')
+    found = table(ROUTE, special)
+    assert found.find('shop.example', '/lots/gold/7') == special
+    assert found.find('shop.example', '/lots/silver/7') == ROUTE
+    assert found.find('shop.example', '/lots') is None
+    assert found.find('other.example', '/lots/7') is None
+
+
+@pytest.mark.parametrize('host', ['shop.example', 'SHOP.example', 'shop.example:8104'])
+def test_host_is_matched_as_a_name(host: str) -> None:
+    """Guard against a request that is refused for its port or its case."""
+    assert table(ROUTE).find(host, '/lots/1') == ROUTE
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.sets(st.sampled_from(PREFIXES)), st.text(alphabet='/abc', max_size=8))
+def test_find_agrees_with_the_definition(prefixes: set[str], rest: str) -> None:
+    """Guard against an index that finds another route than a search of all would."""
+    path = '/' + rest
+    routes = [replace(ROUTE, name=prefix, path_prefix=prefix) for prefix in sorted(prefixes)]
+    matching = [route for route in routes if path.startswith(route.path_prefix)]
+    expected = max(matching, key=lambda route: len(route.path_prefix), default=None)
+    assert table(*routes).find('shop.example', path) == expected
+
+
+@pytest.mark.parametrize(
+    'routes',
+    [
+        (replace(ROUTE, services=(WeightedService('unknown'),)),),
+        (replace(ROUTE, services=(), gather=Gather(('materials', 'unknown'), 5, 0.5)),),
+        (ROUTE, replace(ROUTE, name='other')),
+        (ROUTE, replace(ROUTE, name='other', host='SHOP.example')),
+        (replace(ROUTE, services=(WeightedService('claims', 0), WeightedService('materials', 0))),),
+        (replace(ROUTE, services=(WeightedService('claims', -1), WeightedService('claims', 2))),),
+        (replace(ROUTE, time_limit_ms=0.0),),
+        (replace(ROUTE, services=()),),
+    ],
+)
+def test_mistakes_are_named(routes: tuple[Route, ...]) -> None:
+    """Guard against an invalid set of routes that is accepted."""
+    assert len(check_routes(route_set(*routes))) == 1
+
+
+def test_valid_routes_have_no_mistakes() -> None:
+    """Guard against a valid set of routes that is refused."""
+    split = (WeightedService('claims', 0), WeightedService('materials', 3))
+    gather = Gather(('claims', 'materials'), 5, 0.75)
+    routes = (
+        replace(ROUTE, services=split),
+        replace(ROUTE, name='all', path_prefix='/all/', services=(), gather=gather),
+    )
+    assert check_routes(route_set(*routes)) == ()
--- a/tests/test_settings/test_load.py
+++ b/tests/test_settings/test_load.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pistachioloft_daemon.settings import PeerAddress, SettingError, Settings, load_settings
+from pistachioloft_daemon.settings import PeerAddress, Settings, load_settings
+from pistachioloft_daemon.settings_reader import SettingError
 
 GOOD = """
 [instance]
