Keep live endpoints through a cut core and bound the connections to each

Changes: announcements are confirmed only where a majority of the voters hears this instance; a lapsed endpoint that still answers is kept; the pool holds a queue and a bound for each endpoint; an endpoint that refused is asked again after half of the usual latency; the answer is due at the deadline at the latest.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -49,6 +49,7 @@
         'in_flight_count',
         'overdue_count',
         'record',
+        'replied_ms',
         'report',
         'report_ms',
     )
@@ -60,6 +61,7 @@
         # Attempts in flight that have taken longer than the hedge delay.
         self.overdue_count = 0
         self.breaker = Breaker()
+        self.replied_ms = float('-inf')
         self.report: LoadReport | None = None
         self.report_ms = 0.0
         self._slowness = 1.0
@@ -84,12 +86,14 @@
         self._slowness_ms = now_ms
         self._shed = _blend(self.shed_share(now_ms), 0.0, SHED_WEIGHT)
         self._shed_ms = now_ms
+        self.replied_ms = now_ms
         self.breaker.reset()
 
     def note_shed(self, now_ms: float) -> None:
         """Take a reply that proves that the endpoint did not run the request."""
         self._shed = _blend(self.shed_share(now_ms), 1.0, SHED_WEIGHT)
         self._shed_ms = now_ms
+        self.replied_ms = now_ms
         self.breaker.unanswered_count = 0
 
     def note_late(self, now_ms: float, age_ms: float, usual_ms: float) -> None:
--- a/packages/core/src/pistachioloft_core/process/endpoint_table.py
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from ..connection.endpoint_load import EndpointLoad
-from ..messages.fleet import STANDING_DRAINING, STANDING_LEFT, STANDING_READY
+from ..messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LAPSED,
+    STANDING_LEFT,
+    STANDING_READY,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -14,6 +19,9 @@
     from ..messages.fleet import AnnouncedEndpoint, HeardEndpoint
 
 _FINAL = (STANDING_DRAINING, STANDING_LEFT)
+# An endpoint whose announcements stopped is still used for this long after its last reply:
+# what this instance sees itself outweighs what it is told.
+REPLY_LIFE_MS = 2_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +77,20 @@
     return changes
 
 
+def withdraw_silent(table: EndpointTable, now_ms: float) -> list[EndpointChange]:
+    """Give no more work to endpoints that lapsed and do not answer either."""
+    silent = [
+        load
+        for load in table.endpoints.values()
+        if load.record.standing == STANDING_LAPSED and now_ms >= load.replied_ms + REPLY_LIFE_MS
+    ]
+    return [
+        EndpointChange(load.record.endpoint, 'lapsed and silent')
+        for load in silent
+        if _withdraw(table, load)
+    ]
+
+
 def _replaces(known: AnnouncedEndpoint, record: AnnouncedEndpoint, settled: bool) -> bool:
     if record.born_ms != known.born_ms:
         return record.born_ms > known.born_ms
@@ -94,11 +116,12 @@
         load = EndpointLoad(record, cold_until_ms)
         table.endpoints[record.endpoint] = load
     load.cold_until_ms = cold_until_ms
+    answering = now_ms < load.replied_ms + REPLY_LIFE_MS
     if record.standing == STANDING_READY:
         members = table.services.setdefault(record.service, [])
         if load not in members:
             members.append(load)
-    else:
+    elif record.standing != STANDING_LAPSED or not answering:
         _withdraw(table, load)
     if before is not None and before.standing == record.standing and _same_start(before, record):
         return []
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -19,6 +19,8 @@
 from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ..messages.fleet import AnnouncedEndpoint
 
 SHARE_INTERVAL_MS = 200.0
@@ -69,6 +71,8 @@
         self.unsettled_since_ms: float | None = now_ms
         self.direct: set[str] = set()
         self.urgent: dict[str, float] = {}
+        # When each other control instance last heard this one, as far as it said.
+        self.heard_by: dict[str, float] = {}
         self.new_crashes: set[tuple[str, str, int]] = set()
 
 
@@ -157,6 +161,8 @@
         if known is None or sender.incarnation >= known.status.incarnation:
             state.controls[sender.instance] = _HeardControl(sender, now_ms, now_ms)
     for status in share.controls:
+        if status.instance == state.own.instance:
+            state.heard_by[sender.instance] = now_ms - status.age_ms
         _merge_control(state, now_ms, status)
     for entry in share.entries:
         _merge_entry(state, now_ms - entry.age_ms, entry, direct=False)
@@ -245,6 +251,13 @@
     )
 
 
+def is_heard(state: FleetState, now_ms: float, voters: Collection[str]) -> bool:
+    """Tell whether a majority of the voters hears what this instance shares."""
+    hearing = {name for name, at_ms in state.heard_by.items() if now_ms - at_ms < CONTROL_LIVE_MS}
+    count = sum(voter in hearing or voter == state.own.instance for voter in voters)
+    return 2 * count > len(voters)
+
+
 def live_members(state: FleetState, now_ms: float) -> tuple[str, ...]:
     """Return the members that other control instances said they are, lately and themselves."""
     return tuple(
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -87,10 +87,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DeliverMerged:
-    """Give the caller the merged replies; `missing_count` shards are not covered."""
+    """Give the caller the merged replies; the `missing` shards are not covered."""
 
     replies: tuple[Any, ...]
-    missing_count: int
+    missing: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -35,6 +35,9 @@
 # Where shards have no endpoint, callers are told to come back after about the time in which
 # a crashed endpoint starts again and is announced.
 UNSERVED_RETRY_MS = 1_000.0
+# An endpoint that refused is asked again after this part of the usual latency, about the time
+# in which one of its slots becomes free.
+REFUSED_PART = 0.5
 # Refused tries of one shard are repeated this often at most within one query.
 TRIES_PER_SHARD = 6
 
@@ -49,6 +52,7 @@
         'refuser',
         'replied',
         'reply',
+        'retry_at_ms',
         'run_count',
         'service',
         'tried',
@@ -64,6 +68,7 @@
         self.try_count = 0
         # The endpoint that refused last; it may have room after the others were tried.
         self.refuser = ''
+        self.retry_at_ms = 0.0
         self.hedged = False
         self.exhausted = False
         self.replied = False
@@ -92,7 +97,7 @@
         self.request_id = request_id
         self.route = route
         # From here on a partial answer that reaches the floor is worth more than waiting.
-        self.answer_at_ms = answer_at_ms
+        self.answer_at_ms = min(answer_at_ms, limit_ms)
         self.limit_ms = limit_ms
         self.shards = [ShardState(name) for name in gather.shards]
         self.shard_of: dict[str, ShardState] = {}
@@ -151,6 +156,7 @@
         if end.ended is Ended.NOT_RUN and not end.absent:
             shard.tried.discard(endpoint)
             shard.refuser = endpoint
+            shard.retry_at_ms = now_ms + usual_latency_ms(state, query.route) * REFUSED_PART
         actions += _retry(state, now_ms, query, shard, free=end.ended is Ended.NOT_SENT)
     return actions + _conclude(now_ms, query)
 
@@ -188,8 +194,11 @@
     for shard in query.shards:
         if shard.replied or shard.hedged or shard.exhausted:
             continue
-        checked_ms = shard.open[-1].sent_ms if shard.open else now_ms
-        due_ms = min(due_ms, max(checked_ms + late_ms, now_ms + late_ms / 4))
+        if shard.open:
+            check_ms = max(shard.open[-1].sent_ms + late_ms, now_ms + late_ms / 4)
+        else:
+            check_ms = max(shard.retry_at_ms, now_ms + late_ms / 4)
+        due_ms = min(due_ms, check_ms)
     return due_ms
 
 
@@ -209,7 +218,7 @@
         return None
     excluded = shard.tried | {shard.refuser} if shard.refuser else shard.tried
     load = choose_endpoint(state, now_ms, query.route, shard.service, excluded)
-    if load is None and shard.refuser:
+    if load is None and shard.refuser and now_ms >= shard.retry_at_ms:
         load = choose_endpoint(state, now_ms, query.route, shard.service, shard.tried)
     return load
 
@@ -297,8 +306,8 @@
 def _answer(query: GatherState) -> list[RoutedAction]:
     query.done = True
     replies = tuple(shard.reply for shard in query.shards if shard.replied)
-    missing_count = len(query.shards) - len(replies)
-    return [DeliverMerged(replies, missing_count), *_abandon_open(query, LINGER_MS)]
+    missing = tuple(shard.service for shard in query.shards if not shard.replied)
+    return [DeliverMerged(replies, missing), *_abandon_open(query, LINGER_MS)]
 
 
 def _give_up(query: GatherState, reason: str) -> list[RoutedAction]:
--- a/packages/daemon/src/pistachioloft_daemon/control_face.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_face.py
@@ -137,8 +137,11 @@
             self.instance.push()
         if record.standing == STANDING_DRAINING:
             self._confirm_leaving(record.endpoint, answer)
-        else:
+        elif self.instance.confirmed():
             answer(Done())
+        else:
+            # Behind a cut, nobody else would know that the endpoint lives.
+            answer(Done(ResultCode.NO_QUORUM, '', b'', RETRY_AFTER_MS))
 
     def _depart(self, call: Depart, answer: Answer) -> None:
         now_ms = monotonic_ms()
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -123,13 +123,16 @@
         self.seeds = seeds
 
     def confirmed(self) -> bool:
-        """Tell whether this instance is in contact with a quorum."""
+        """Tell whether this instance hears a quorum and is heard by one."""
+        now_ms = monotonic_ms()
         voter = self.keeper.voter
         if voter is None or voter.failed:
             return False
         if voter.leads():
             return True
-        return agreement.hears_leader(voter.state, monotonic_ms())
+        voters = [agreement.instance_of(m) for m in agreement.membership(voter.state).voters]
+        hears = agreement.hears_leader(voter.state, now_ms)
+        return hears and fleet.is_heard(self.fleet, now_ms, voters)
 
     def leader(self) -> str | None:
         """Return the instance that leads as far as is known here."""
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from pistachioloft_core.request.attempts import AttemptEnd, Ended
 
@@ -40,18 +40,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolHooks:
-    """Name the callbacks of the pool."""
+    """Name the callbacks of the pool; `limit` bounds the connections to one endpoint."""
 
     decode: DecodeReply
     ended: OnEnd
+    limit: Callable[[AnnouncedEndpoint], int]
 
 
 class PooledConnection:
     """Hold one connection, the attempt on it and how long it may stay idle."""
 
-    def __init__(self, pool: EndpointPool, endpoint: str) -> None:
+    def __init__(self, pool: EndpointPool, target: _Target) -> None:
         self.pool = pool
-        self.endpoint = endpoint
+        self.target = target
         self.attempt: Attempt | None = None
         self.idle_limit_s = IDLE_DEFAULT_S * IDLE_PART
         self.idle_since_s = 0.0
@@ -64,14 +65,15 @@
             return False
         end = self.pool.hooks.decode(attempt, response)
         if end is None:
-            logger.info('%s %s: reply to another request dropped', PREFIX, self.endpoint)
+            name = self.target.record.endpoint
+            logger.info('%s %s: reply to another request dropped', PREFIX, name)
             return False
         self._note_idle_limit(response)
         if reusable:
             self.pool.release(self)
         else:
-            self.pool.drop(self)
             self.wire.close()
+            self.pool.drop(self)
         self.pool.hooks.ended(attempt, end)
         return True
 
@@ -86,6 +88,10 @@
             end = self.pool.hooks.decode(attempt, body_complete)
         self.pool.hooks.ended(attempt, end or AttemptEnd(Ended.LOST, detail))
 
+    def is_fresh(self, now_s: float) -> bool:
+        """Tell whether the endpoint surely keeps the connection open for one more request."""
+        return not self.wire.closing and now_s - self.idle_since_s < self.idle_limit_s
+
     def _note_idle_limit(self, response: Response) -> None:
         value = find_header(response.headers, b'keep-alive')
         if value is None or KEEP_ALIVE_PARAMETER not in value:
@@ -95,105 +101,130 @@
             self.idle_limit_s = int(digits) * IDLE_PART
 
 
+class _Target:
+    """Hold the connections to one endpoint and the attempts that wait for one."""
+
+    def __init__(self, record: AnnouncedEndpoint) -> None:
+        self.record = record
+        self.idle: list[PooledConnection] = []
+        self.open: set[PooledConnection] = set()
+        self.opening_count = 0
+        self.queue: dict[str, tuple[Attempt, bytes]] = {}
+
+
 class EndpointPool:
-    """Hold the connections to all endpoints; the caller bounds how many are in use."""
+    """Hold the connections to all endpoints."""
 
     def __init__(self, hooks: PoolHooks) -> None:
         self.hooks = hooks
-        self.idle: dict[str, list[PooledConnection]] = {}
-        self.all: dict[str, set[PooledConnection]] = {}
+        self.targets: dict[str, _Target] = {}
         self.by_attempt: dict[str, PooledConnection] = {}
-        self.waiting: dict[str, tuple[Attempt, bytes]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.opened_count = 0
 
     def send(self, attempt: Attempt, data: bytes) -> None:
-        """Send an attempt on an idle connection, or on a new one."""
-        record = attempt.load.record
-        connection = self._take_idle(record.endpoint)
+        """Send an attempt on an idle connection, or on the next that is free or opened."""
+        target = self._target(attempt.load.record)
+        connection = self._take_idle(target)
         if connection is not None:
             self._start(connection, attempt, data)
             return
-        self.waiting[attempt.attempt_id] = (attempt, data)
-        self._spawn(self._open(record, attempt.attempt_id))
+        target.queue[attempt.attempt_id] = (attempt, data)
+        self._open_more(target)
 
     def abandon(self, attempt: Attempt) -> bool:
         """Withdraw an attempt and tell whether it was still in flight."""
-        if self.waiting.pop(attempt.attempt_id, None) is not None:
+        target = self.targets.get(attempt.load.record.endpoint)
+        if target is not None and target.queue.pop(attempt.attempt_id, None) is not None:
             return True
         connection = self.by_attempt.get(attempt.attempt_id)
         if connection is None:
             return False
-        self.drop(connection)
         connection.wire.close()
+        self.drop(connection)
         return True
 
     def warm(self, record: AnnouncedEndpoint) -> None:
         """Open a connection to an endpoint that has none."""
-        if not self.all.get(record.endpoint):
-            self._spawn(self._open(record, ''))
+        target = self._target(record)
+        if not target.open and not target.opening_count:
+            self._open(target)
 
     def forget(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that gets no new work."""
-        for connection in self.idle.pop(endpoint, []):
-            connection.wire.close()
-            self.drop(connection)
+        target = self.targets.get(endpoint)
+        if target is not None:
+            self._close_idle(target, target.idle)
 
     def close_aged(self) -> None:
         """Close the connections that were idle for nearly as long as their endpoint allows."""
         now_s = monotonic_ms() / 1000.0
-        for connections in list(self.idle.values()):
-            for connection in list(connections):
-                if now_s - connection.idle_since_s >= connection.idle_limit_s:
-                    connections.remove(connection)
-                    connection.wire.close()
-                    self.drop(connection)
+        for target in list(self.targets.values()):
+            self._close_idle(target, [each for each in target.idle if not each.is_fresh(now_s)])
 
     def release(self, connection: PooledConnection) -> None:
-        """Make a connection idle whose reply was taken."""
+        """Give a free connection to the next attempt, or keep it idle."""
         self._forget_attempt(connection)
-        connection.idle_since_s = monotonic_ms() / 1000.0
-        self.idle.setdefault(connection.endpoint, []).append(connection)
+        target = connection.target
+        if target.queue:
+            attempt, data = target.queue.pop(next(iter(target.queue)))
+            self._start(connection, attempt, data)
+        else:
+            connection.idle_since_s = monotonic_ms() / 1000.0
+            target.idle.append(connection)
 
     def drop(self, connection: PooledConnection) -> None:
         """Forget a closed connection."""
         self._forget_attempt(connection)
-        idle = self.idle.get(connection.endpoint)
-        if idle is not None and connection in idle:
-            idle.remove(connection)
-        known = self.all.get(connection.endpoint)
-        if known is not None:
-            known.discard(connection)
-            if not known:
-                del self.all[connection.endpoint]
+        target = connection.target
+        target.open.discard(connection)
+        if connection in target.idle:
+            target.idle.remove(connection)
+        if target.queue:
+            self._open_more(target)
+        elif not target.open and not target.opening_count:
+            self.targets.pop(target.record.endpoint, None)
 
     def connection_count(self) -> int:
         """Count the open connections."""
-        return sum(len(connections) for connections in self.all.values())
+        return sum(len(target.open) for target in self.targets.values())
 
     def stop(self) -> None:
         """Close everything."""
         for task in self.tasks:
             task.cancel()
-        for connections in list(self.all.values()):
-            for connection in list(connections):
+        for target in list(self.targets.values()):
+            for connection in list(target.open):
                 connection.wire.close()
 
+    def _target(self, record: AnnouncedEndpoint) -> _Target:
+        target = self.targets.get(record.endpoint)
+        if target is not None and target.record.address == record.address:
+            return target
+        if target is not None:
+            # The endpoint started again elsewhere; attempts in flight end by themselves.
+            self._close_idle(target, target.idle)
+        target = self.targets[record.endpoint] = _Target(record)
+        return target
+
+    def _close_idle(self, target: _Target, connections: list[PooledConnection]) -> None:
+        for connection in list(connections):
+            connection.wire.close()
+            self.drop(connection)
+
     def _forget_attempt(self, connection: PooledConnection) -> None:
         attempt, connection.attempt = connection.attempt, None
         if attempt is not None:
             self.by_attempt.pop(attempt.attempt_id, None)
 
-    def _take_idle(self, endpoint: str) -> PooledConnection | None:
-        connections = self.idle.get(endpoint)
+    def _take_idle(self, target: _Target) -> PooledConnection | None:
         now_s = monotonic_ms() / 1000.0
-        while connections:
-            connection = connections.pop()
-            fresh = now_s - connection.idle_since_s < connection.idle_limit_s
-            if fresh and not connection.wire.closing:
+        while target.idle:
+            connection = target.idle.pop()
+            if connection.is_fresh(now_s):
                 return connection
             connection.wire.close()
-            self.drop(connection)
+            target.open.discard(connection)
         return None
 
     def _start(self, connection: PooledConnection, attempt: Attempt, data: bytes) -> None:
@@ -201,31 +232,39 @@
         self.by_attempt[attempt.attempt_id] = connection
         connection.wire.send(data)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+    def _open_more(self, target: _Target) -> None:
+        room = self.hooks.limit(target.record) - len(target.open) - target.opening_count
+        for _ in range(min(room, len(target.queue) - target.opening_count)):
+            self._open(target)
+
+    def _open(self, target: _Target) -> None:
+        target.opening_count += 1
+        self.opened_count += 1
+        task = asyncio.get_running_loop().create_task(self._connect(target))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _open(self, record: AnnouncedEndpoint, attempt_id: str) -> None:
-        connection = PooledConnection(self, record.endpoint)
-        self.all.setdefault(record.endpoint, set()).add(connection)
-        host, port = record.address.rsplit(':', 1)
+    async def _connect(self, target: _Target) -> None:
+        connection = PooledConnection(self, target)
+        host, port = target.record.address.rsplit(':', 1)
         loop = asyncio.get_running_loop()
-        self.opened_count += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: connection.wire, host, int(port))
         except (OSError, TimeoutError) as error:
-            self.drop(connection)
-            self._fail(attempt_id, f'cannot connect to {record.address}: {error!r}')
+            target.opening_count -= 1
+            self._fail_waiting(target, f'cannot connect to {target.record.address}: {error!r}')
+            return
+        target.opening_count -= 1
+        if connection.wire.closing:
+            self._fail_waiting(target, f'{target.record.address} closed a new connection')
             return
-        waiting = self.waiting.pop(attempt_id, None)
-        if waiting is not None:
-            self._start(connection, *waiting)
-        elif not connection.wire.closing:
-            self.release(connection)
-
-    def _fail(self, attempt_id: str, detail: str) -> None:
-        waiting = self.waiting.pop(attempt_id, None)
-        if waiting is not None:
-            self.hooks.ended(waiting[0], AttemptEnd(Ended.NOT_SENT, detail, absent=True))
+        target.open.add(connection)
+        self.release(connection)
+
+    def _fail_waiting(self, target: _Target, detail: str) -> None:
+        waiting, target.queue = target.queue, {}
+        if not target.open and not target.opening_count:
+            self.targets.pop(target.record.endpoint, None)
+        for attempt, _ in waiting.values():
+            self.hooks.ended(attempt, AttemptEnd(Ended.NOT_SENT, detail, absent=True))
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -83,7 +83,7 @@
         await self.readiness.start()
         await self.callers.start()
         self.timers.every(TICK_MS, self._tick)
-        self.timers.every(POOL_CHECK_MS, lambda _now_ms: self.requests.pool.close_aged())
+        self.timers.every(POOL_CHECK_MS, self._check_endpoints)
         self._tick(monotonic_ms())
         logger.info(
             '%s entry instance started: instance=%s label=%s callers=%s',
@@ -163,6 +163,15 @@
         self.peers.connect(due.to, f'{due.to}:{self.settings.control_peer_port}')
         self.peers.send(due.to, due.poll)
 
+    def _check_endpoints(self, now_ms: float) -> None:
+        self.requests.pool.close_aged()
+        self._note_changes(endpoint_table.withdraw_silent(self.state.table, now_ms))
+
+    def _note_changes(self, changes: list[endpoint_table.EndpointChange]) -> None:
+        for change in changes:
+            logger.info('[membership] endpoint %s: %s', change.endpoint, change.detail)
+        self._update_connections([change.endpoint for change in changes])
+
     def _on_message(self, sender: str, message: Any) -> None:
         if isinstance(message, FeedReply):
             self._on_feed(sender, message)
@@ -179,9 +188,7 @@
         if reply.whole and reply.settled:
             changes += endpoint_table.keep_only(table, reply.endpoints)
         set_entry_count(self.state, reply.entry_count)
-        for change in changes:
-            logger.info('[membership] endpoint %s: %s', change.endpoint, change.detail)
-        self._update_connections([change.endpoint for change in changes])
+        self._note_changes(changes)
 
     def _adopt(self, version: int, document: bytes) -> None:
         routes = self.state.routes
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -21,6 +21,7 @@
 from pistachioloft_core.request.forward import ForwardState
 from pistachioloft_core.request.gather import GatherState
 from pistachioloft_core.request.records import greatest_records
+from pistachioloft_core.request.routed_state import connection_share
 from pistachioloft_core.request.split import SplitState, choose_service
 
 from .endpoint_pool import EndpointPool, PoolHooks
@@ -51,6 +52,8 @@
 NO_ROUTES_RETRY_MS = 300.0
 STOPPING_RETRY_MS = 10.0
 IN_FLIGHT_LIMIT_COUNT = 1_000
+# Missing shards that a log line names.
+LOGGED_SHARD_COUNT = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +100,11 @@
         self.timers = timers
         self.wire = wire
         self.metrics = metrics
-        self.pool = EndpointPool(PoolHooks(self._decode, self._on_end))
+        self.pool = EndpointPool(
+            PoolHooks(
+                self._decode, self._on_end, lambda record: connection_share(state, record.service)
+            )
+        )
         self.splits = SplitState()
         self.requests: dict[int, InFlight] = {}
         self.owner_of: dict[str, InFlight] = {}
@@ -279,8 +286,8 @@
                 response = self.wire.encode_reply(action.reply)
             case DeliverMerged():
                 response = self.wire.encode_merged(self._merge(in_flight, action))
-                summary = f' missing={action.missing_count}'
-                if action.missing_count:
+                summary = f' missing={",".join(action.missing[:LOGGED_SHARD_COUNT]) or "none"}'
+                if action.missing:
                     code = ResultCode.PARTIAL
             case Refuse():
                 response = self.wire.encode_refusal(action)
@@ -310,7 +317,7 @@
         replies: tuple[Any, ...] = action.replies
         body = greatest_records((each.response.body for each in replies), gathered.top_count)
         receipts = tuple(each.receipt for each in replies)
-        return MergedReply(receipts, action.missing_count, body)
+        return MergedReply(receipts, len(action.missing), body)
 
     def _finish(self, in_flight: InFlight) -> None:
         self.requests.pop(in_flight.number, None)
--- /dev/null
+++ b/tests/test_fleet/test_feed.py
@@ -0,0 +1,146 @@
+"""Guard against an entry instance that loses contact, or believes the wrong instance."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from pistachioloft_core.messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LAPSED,
+    STANDING_READY,
+    AnnouncedEndpoint,
+    EntryStatus,
+    FeedReply,
+    HeardEndpoint,
+)
+from pistachioloft_core.process import feed
+from pistachioloft_core.process.endpoint_table import (
+    REPLY_LIFE_MS,
+    EndpointTable,
+    apply_update,
+    keep_only,
+    withdraw_silent,
+)
+
+SEEDS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+ENTRY = EntryStatus('10.0.1.1', 1, 'a', '10.0.1.1:80', '10.0.1.1:90', True, False, 0)
+RECORD = AnnouncedEndpoint('i-1', 'catalogue', '10.9.0.1:80', 'a', 2, STANDING_READY, 1, 1_000)
+
+
+def reply(poll_id: int, revision: int = 1, since: int = 0, settled: bool = True) -> FeedReply:
+    return FeedReply(poll_id, 7, True, settled, since == 0, since, revision, (), 3, b'', SEEDS, 2)
+
+
+def started() -> feed.FeedState:
+    return feed.FeedState(SEEDS, random.Random(3))
+
+
+def test_another_instance_is_asked_when_one_is_silent() -> None:
+    """Guard against an entry instance that waits for a dead control instance."""
+    state = started()
+    asked = []
+    for now_ms in range(0, 2_000, 50):
+        due = feed.next_poll(state, float(now_ms), ENTRY)
+        if due is not None:
+            asked.append(due.to)
+    assert set(asked) == set(SEEDS)
+
+
+def test_an_instance_that_answers_is_kept() -> None:
+    """Guard against polls that wander and lose what each instance knows of them."""
+    state = started()
+    asked = set()
+    for now_ms in range(0, 5_000, 50):
+        due = feed.next_poll(state, float(now_ms), ENTRY)
+        if due is not None:
+            asked.add(due.to)
+            feed.on_feed(state, now_ms + 1.0, due.to, reply(due.poll.poll_id))
+    assert len(asked) == 1
+
+
+def test_an_instance_without_a_quorum_is_left() -> None:
+    """Guard against an entry instance that follows a control instance behind a cut."""
+    state = started()
+    first = feed.next_poll(state, 0.0, ENTRY)
+    assert first is not None
+    unsure = replace(reply(first.poll.poll_id), confirmed=False, settled=False)
+    feed.on_feed(state, 1.0, first.to, unsure)
+    second = feed.next_poll(state, 2.0, ENTRY)
+    assert second is not None
+    assert second.to != first.to
+    assert feed.stale_ms(state, 2.0) == float('inf')
+
+
+def test_late_reply_does_not_count_as_fresh() -> None:
+    """Guard against a reply that waited in a buffer and looks like news."""
+    state = started()
+    due = feed.next_poll(state, 0.0, ENTRY)
+    assert due is not None
+    assert feed.on_feed(state, 5_000.0, due.to, reply(due.poll.poll_id))
+    assert feed.stale_ms(state, 5_000.0) == 5_000.0
+    assert not feed.on_feed(state, 5_001.0, due.to, reply(due.poll.poll_id))
+
+
+def test_update_after_a_lost_one_is_not_applied() -> None:
+    """Guard against a change of endpoints that is skipped because an update was lost."""
+    state = started()
+    due = feed.next_poll(state, 0.0, ENTRY)
+    assert due is not None
+    assert feed.on_feed(state, 1.0, due.to, reply(due.poll.poll_id, revision=5))
+    assert not feed.on_feed(state, 2.0, due.to, reply(0, revision=8, since=7))
+    assert feed.on_feed(state, 3.0, due.to, reply(0, revision=8, since=4))
+    following = feed.next_poll(state, 1_000.0, ENTRY)
+    assert following is not None
+    assert following.poll.endpoint_revision == 8
+
+
+def put(
+    table: EndpointTable, record: AnnouncedEndpoint, settled: bool, now_ms: float = 0.0
+) -> None:
+    apply_update(table, now_ms, (HeardEndpoint(record, 0.0),), settled)
+
+
+def usable(table: EndpointTable) -> list[str]:
+    return [load.record.endpoint for load in table.usable('catalogue')]
+
+
+def test_only_a_settled_sender_lapses_endpoints() -> None:
+    """Guard against a restarted control instance that empties the table."""
+    table = EndpointTable()
+    put(table, RECORD, True)
+    put(table, replace(RECORD, standing=STANDING_LAPSED), False)
+    assert usable(table) == ['i-1']
+    put(table, replace(RECORD, standing=STANDING_LAPSED), True)
+    assert usable(table) == []
+
+
+def test_lapsed_endpoint_that_answers_stays_until_it_is_silent() -> None:
+    """Guard against a lost feed that outweighs the replies that this instance gets."""
+    table = EndpointTable()
+    put(table, RECORD, True)
+    table.endpoints['i-1'].note_reply(1_000.0, 10.0, 10.0)
+    put(table, replace(RECORD, standing=STANDING_LAPSED), True, 1_500.0)
+    assert usable(table) == ['i-1']
+    assert withdraw_silent(table, 1_000.0 + REPLY_LIFE_MS - 1) == []
+    assert len(withdraw_silent(table, 1_000.0 + REPLY_LIFE_MS)) == 1
+    assert usable(table) == []
+
+
+def test_draining_endpoint_gets_no_new_work_from_anyone() -> None:
+    """Guard against a drain that an unsettled sender undoes."""
+    table = EndpointTable()
+    put(table, RECORD, True)
+    put(table, replace(RECORD, standing=STANDING_DRAINING, sequence=2), False)
+    put(table, replace(RECORD, sequence=3), True)
+    assert usable(table) == []
+
+
+def test_whole_list_removes_what_it_does_not_name() -> None:
+    """Guard against endpoints that stay for ever because their end was missed."""
+    table = EndpointTable()
+    put(table, RECORD, True)
+    other = replace(RECORD, endpoint='i-2', address='10.9.0.2:80')
+    put(table, other, True)
+    keep_only(table, (HeardEndpoint(other, 0.0),))
+    assert usable(table) == ['i-2']
--- /dev/null
+++ b/tests/test_fleet/test_fleet.py
@@ -0,0 +1,187 @@
+"""Guard against control instances that forget, invent or wrongly lapse endpoints."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from pistachioloft_core.messages.fleet import (
+    STANDING_DRAINING,
+    STANDING_LAPSED,
+    STANDING_LEFT,
+    STANDING_READY,
+    AnnouncedEndpoint,
+    ControlStatus,
+    EntryStatus,
+    FeedPoll,
+    FeedReply,
+    RequestCrash,
+)
+from pistachioloft_core.process import fleet
+from pistachioloft_core.process.announced import Merged
+from pistachioloft_core.process.directory import choose_entries
+
+HEARTBEAT_MS = 1_200.0
+RECORD = AnnouncedEndpoint('i-1', 'catalogue', '10.9.0.1:80', 'a', 2, STANDING_READY, 1, 1_000)
+ENTRY = EntryStatus('10.0.1.1', 1, 'a', '10.0.1.1:80', '10.0.1.1:90', True, False, 0)
+
+
+def control(number: int, now_ms: float = 0.0) -> fleet.FleetState:
+    status = ControlStatus(f'10.0.0.{number}', 1, 'a', f'10.0.0.{number}-first')
+    return fleet.FleetState(status, HEARTBEAT_MS, now_ms)
+
+
+def settle(state: fleet.FleetState) -> None:
+    state.unsettled_since_ms = None
+
+
+def exchange(states: list[fleet.FleetState], now_ms: float) -> None:
+    """Carry one round of shares between all instances."""
+    shares = [(state, fleet.take_news(state, now_ms)) for state in states]
+    for sender, share in shares:
+        for receiver in states:
+            if receiver is not sender:
+                fleet.on_share(receiver, now_ms, share)
+
+
+def poll(state: fleet.FleetState, now_ms: float, revision: int = 0) -> FeedReply:
+    incarnation = state.own.incarnation if revision else 0
+    question = FeedPoll(1, ENTRY, incarnation, revision)
+    return fleet.on_feed_poll(state, now_ms, question, True, 5, b'document')
+
+
+def standing(state: fleet.FleetState) -> str:
+    return state.announced.endpoints['i-1'].record.standing
+
+
+def test_what_one_hears_all_know_after_a_round() -> None:
+    """Guard against an endpoint that is known only where it announced itself."""
+    states = [control(1), control(2), control(3)]
+    fleet.on_announcement(states[0], 10.0, RECORD)
+    exchange(states, 20.0)
+    assert all(standing(state) == STANDING_READY for state in states)
+
+
+def test_endpoint_that_announces_itself_elsewhere_does_not_lapse() -> None:
+    """Guard against a live endpoint that lapses where it is only heard of."""
+    states = [control(1), control(2)]
+    for state in states:
+        settle(state)
+    for beat in range(1, 12):
+        now_ms = beat * HEARTBEAT_MS
+        fleet.on_announcement(states[0], now_ms, replace(RECORD, sequence=beat))
+        exchange(states, now_ms + 100.0)
+        for state in states:
+            fleet.tick(state, now_ms + 200.0, True)
+        assert standing(states[1]) == STANDING_READY
+
+
+def test_instance_without_a_quorum_lapses_nothing() -> None:
+    """Guard against all endpoints being lost because one control instance was cut off."""
+    state = control(1)
+    settle(state)
+    fleet.on_announcement(state, 0.0, RECORD)
+    for now_ms in range(0, 20_000, 200):
+        fleet.tick(state, float(now_ms), False)
+    assert standing(state) == STANDING_READY
+    assert not fleet.is_settled(state)
+
+
+def test_instance_that_was_cut_off_trusts_itself_after_a_whole_share() -> None:
+    """Guard against lapses from a table that missed announcements during a cut."""
+    cut, other = control(1), control(2)
+    settle(other)
+    fleet.on_announcement(cut, 0.0, RECORD)
+    fleet.on_announcement(other, 9_000.0, replace(RECORD, sequence=8))
+    fleet.tick(cut, 10_000.0, False)
+    fleet.tick(cut, 10_200.0, True)
+    assert standing(cut) == STANDING_READY
+    fleet.on_share(cut, 10_300.0, fleet.whole_share(other, 10_300.0))
+    assert fleet.is_settled(cut)
+    fleet.tick(cut, 10_400.0, True)
+    assert standing(cut) == STANDING_READY
+
+
+def test_silent_endpoint_lapses_and_entries_are_told() -> None:
+    """Guard against requests to an endpoint that is gone."""
+    state = control(1)
+    settle(state)
+    fleet.on_announcement(state, 0.0, RECORD)
+    first = poll(state, 10.0)
+    assert first.whole
+    assert fleet.tick(state, state.lease_ms, True)
+    update = poll(state, state.lease_ms + 1, first.endpoint_revision)
+    assert [heard.record.standing for heard in update.endpoints] == [STANDING_LAPSED]
+    assert not update.whole
+
+
+def test_drain_is_repeated_until_all_have_it() -> None:
+    """Guard against a drain that is forgotten because one share was lost."""
+    states = [control(1), control(2)]
+    fleet.on_announcement(states[0], 0.0, RECORD)
+    exchange(states, 10.0)
+    fleet.on_announcement(states[0], 20.0, replace(RECORD, sequence=2, standing=STANDING_DRAINING))
+    fleet.take_news(states[0], 30.0)
+    exchange(states, 230.0)
+    assert standing(states[1]) == STANDING_DRAINING
+
+
+def test_departure_outlives_a_late_announcement_elsewhere() -> None:
+    """Guard against an endpoint that comes back through another control instance."""
+    states = [control(1), control(2)]
+    fleet.on_departure(states[0], 10.0, 'i-1', 0, 5_000)
+    exchange(states, 20.0)
+    assert fleet.on_announcement(states[1], 30.0, RECORD) is Merged.OUTDATED
+    assert standing(states[1]) == STANDING_LEFT
+
+
+def test_instance_knows_whether_a_majority_hears_it() -> None:
+    """Guard against acknowledging what nobody else learns, behind a cut in one direction."""
+    states = [control(1), control(2), control(3)]
+    voters = [state.own.instance for state in states]
+    exchange(states, 10.0)
+    exchange(states, 210.0)
+    assert fleet.is_heard(states[0], 210.0, voters)
+    for now_ms in range(410, 3_000, 200):
+        fleet.take_news(states[0], float(now_ms))
+        exchange(states[1:], float(now_ms))
+        for other in states[1:]:
+            fleet.on_share(states[0], float(now_ms), fleet.take_news(other, float(now_ms)))
+    assert not fleet.is_heard(states[0], 3_000.0, voters)
+    assert fleet.is_heard(states[1], 3_000.0, voters)
+
+
+def test_entries_are_known_everywhere_while_they_poll_one() -> None:
+    """Guard against callers that are sent to a part of the entry instances only."""
+    states = [control(1), control(2)]
+    poll(states[0], 10.0)
+    exchange(states, 20.0)
+    assert choose_entries(fleet.live_entries(states[1], 30.0), 'a') == ('10.0.1.1:80',)
+    assert fleet.live_entries(states[1], 30.0 + fleet.ENTRY_LIVE_MS) == ()
+
+
+def test_stopping_entry_is_not_given_to_callers() -> None:
+    """Guard against callers that are sent to an instance that is about to end."""
+    state = control(1)
+    stopping = replace(ENTRY, ready=False, stopping=True)
+    fleet.on_feed_poll(state, 10.0, FeedPoll(1, stopping, 0, 0), True, 5, b'')
+    assert choose_entries(fleet.live_entries(state, 20.0), 'a') == ()
+
+
+def test_document_is_sent_only_to_who_lacks_it() -> None:
+    """Guard against a configuration that is sent again with each poll."""
+    state = control(1)
+    assert poll(state, 10.0).document == b'document'
+    current = replace(ENTRY, route_version=5)
+    reply = fleet.on_feed_poll(state, 20.0, FeedPoll(2, current, 0, 0), True, 5, b'document')
+    assert reply.document == b''
+    assert reply.route_version == 5
+
+
+def test_crash_reports_reach_all_entries() -> None:
+    """Guard against a request that crashes endpoints through each entry instance anew."""
+    states = [control(1), control(2)]
+    crash = RequestCrash('digest', 'i-1', 1_000, 5.0)
+    question = FeedPoll(1, ENTRY, 0, 0, 0.0, (crash,))
+    fleet.on_feed_poll(states[0], 10.0, question, True, 5, b'')
+    exchange(states, 20.0)
+    assert [each.digest for each in poll(states[1], 30.0).crashes] == ['digest']
--- a/tests/test_gather/routed_player.py
+++ b/tests/test_gather/routed_player.py
@@ -105,6 +105,7 @@
         self.played: list[Played] = []
         self.owner: dict[str, Played] = {}
         self.open: dict[str, Attempt] = {}
+        self.timer_count = 0
         self._numbers = itertools.count(1)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         shards = tuple(f's{number}' for number in range(shard_count))
@@ -202,6 +203,8 @@
         self.at(due_ms, lambda: self._on_timer(played))
 
     def _on_timer(self, played: Played) -> None:
+        self.timer_count += 1
+        assert self.timer_count < 100_000, 'a request is looked at without end'
         state = played.state
         if state.done:
             return
--- a/tests/test_gather/test_gather.py
+++ b/tests/test_gather/test_gather.py
@@ -36,7 +36,7 @@
     player = Player()
     played = player.query()
     player.run(2_000.0)
-    assert merged(played).missing_count == 0
+    assert merged(played).missing == ()
     assert len(merged(played).replies) == 4
     assert len(player.sent) == 4
 
@@ -54,7 +54,7 @@
     player.run(5_000.0)
     played = player.query()
     player.run(7_000.0)
-    assert merged(played).missing_count == 0
+    assert merged(played).missing == ()
     assert played.answer is not None
     assert played.answer.at_ms - played.arrived_ms < 95.0
 
@@ -65,11 +65,25 @@
     player.behaviours['s3-0'] = player.behaviours['s3-1'] = silent
     played = player.query(answer_after_ms=95.0)
     player.run(2_000.0)
-    assert merged(played).missing_count == 1
+    assert len(merged(played).missing) == 1
     assert played.answer is not None
     assert played.answer.at_ms == 95.0
 
 
+def test_a_deadline_before_the_target_is_kept() -> None:
+    """Guard against a query that is looked at without end between its deadline and its target."""
+    player = Player(floor=0.75)
+    player.behaviours['s3-0'] = player.behaviours['s3-1'] = silent
+    played = player.query(answer_after_ms=95.0, limit_ms=40.0)
+    player.run(39.0)
+    check_count = player.timer_count
+    player.run(60.0)
+    assert len(merged(played).missing) == 1
+    assert played.answer is not None
+    assert played.answer.at_ms == 40.0
+    assert player.timer_count <= check_count + 2
+
+
 def test_below_the_floor_a_query_waits_and_then_says_that_nothing_came() -> None:
     """Guard against an answer that covers less than its operators allow."""
     player = Player(floor=0.75)
@@ -77,7 +91,7 @@
         player.behaviours[f'{shard}-0'] = player.behaviours[f'{shard}-1'] = answered(300.0)
     played = player.query(answer_after_ms=95.0)
     player.run(2_000.0)
-    assert merged(played).missing_count <= 1
+    assert len(merged(played).missing) <= 1
     for shard in ('s2', 's3'):
         player.behaviours[f'{shard}-0'] = player.behaviours[f'{shard}-1'] = silent
     late = player.query(answer_after_ms=95.0)
@@ -115,7 +129,7 @@
     player.run(1.5)
     player.behaviours['s0-0'] = player.behaviours['s0-1'] = answered(5.0)
     player.run(500.0)
-    assert merged(played).missing_count == 0
+    assert merged(played).missing == ()
 
 
 def test_an_endpoint_runs_a_query_once() -> None:
@@ -185,7 +199,7 @@
         assert played.answer.at_ms <= played.arrived_ms + 1_000.0
         action = played.answer.action
         if isinstance(action, DeliverMerged):
-            assert len(action.replies) + action.missing_count == 4
+            assert len(action.replies) + len(action.missing) == 4
             assert len(action.replies) >= 3
     assert all(load.in_flight_count == 0 for load in player.state.table.endpoints.values())
     assert all(load.overdue_count == 0 for load in player.state.table.endpoints.values())
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -32,7 +32,7 @@
     def __init__(self, serve: Serve) -> None:
         self.serve = serve
         self.ends: asyncio.Queue[tuple[str, AttemptEnd]] = asyncio.Queue()
-        self.pool = EndpointPool(PoolHooks(self.decode, self.ended))
+        self.pool = EndpointPool(PoolHooks(self.decode, self.ended, lambda _record: 2))
         self.connection_count = 0
         self.load: EndpointLoad | None = None
         self.number = 0
