Count lateness from the write and without the round trip

Cause: an attempt that waited for a connection counted as late with those that an endpoint had: after a restart one query hedged all 30 shards at once, and the new connections of power-cycled entries met endpoints that still counted the old ones.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -52,6 +52,7 @@
         'replied_ms',
         'report',
         'report_ms',
+        'trip_ms',
     )
 
     def __init__(self, record: AnnouncedEndpoint, cold_until_ms: float) -> None:
@@ -64,6 +65,8 @@
         self.replied_ms = float('-inf')
         self.report: LoadReport | None = None
         self.report_ms = 0.0
+        # The round trip to the endpoint, which is no part of its own latency.
+        self.trip_ms = 0.0
         self._slowness = 1.0
         self._slowness_ms = 0.0
         self._shed = 0.0
--- a/packages/core/src/pistachioloft_core/process/latency.py
+++ b/packages/core/src/pistachioloft_core/process/latency.py
@@ -20,10 +20,11 @@
 class ServiceLatency:
     """Hold the recent latencies of one service."""
 
-    __slots__ = ('_next', '_samples', '_since_sort', 'median_ms', 'p95_ms')
+    __slots__ = ('_next', '_ordered', '_samples', '_since_sort', 'median_ms', 'p95_ms')
 
     def __init__(self) -> None:
         self._samples: list[float] = []
+        self._ordered: list[float] = []
         self._next = 0
         self._since_sort = 0
         self.median_ms = DEFAULT_MEDIAN_MS
@@ -34,6 +35,11 @@
         """Tell whether enough samples are known for the percentiles."""
         return len(self._samples) >= MIN_SAMPLE_COUNT
 
+    def quantile_ms(self, share: float) -> float:
+        """Return the latency that a share of the samples does not exceed."""
+        count = len(self._ordered)
+        return self._ordered[min(count - 1, int(count * share))] if count else DEFAULT_MEDIAN_MS
+
     def add(self, latency_ms: float) -> None:
         """Add one sample, replacing the oldest when the window is full."""
         if len(self._samples) < WINDOW_SIZE:
@@ -47,7 +53,7 @@
             self._since_sort >= RECOMPUTE_EVERY and count > MIN_SAMPLE_COUNT
         ):
             self._since_sort = 0
-            ordered = sorted(self._samples)
+            ordered = self._ordered = sorted(self._samples)
             self.median_ms = ordered[count // 2]
             p95_ms = ordered[min(count - 1, (count * 95) // 100)]
             self.p95_ms = max(p95_ms, LATE_FACTOR * self.median_ms)
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..process.observed import PROBE_MS
-from .hedge_delay import usual_latency_ms
+from .hedge_delay import late_after_ms, usual_latency_ms
 from .routed_state import route_latency
 
 if TYPE_CHECKING:
@@ -17,6 +17,13 @@
     from .routed_state import RoutedState
 
 
+# A new connection takes a round trip and a few milliseconds of the endpoint.
+CONNECT_GRACE_MS = 15.0
+# An attempt that is late and cannot be helped now is looked at again after this part of the
+# time after which it was late.
+RECHECK_PART = 0.25
+
+
 class Ended(Enum):
     """Tell how an attempt ended; only the first two prove that nothing ran."""
 
@@ -42,7 +49,18 @@
 class Attempt:
     """Hold one request in flight on one endpoint."""
 
-    __slots__ = ('attempt_id', 'hedge', 'load', 'overdue', 'route', 'sent_ms', 'service')
+    __slots__ = (
+        'attempt_id',
+        'begun_ms',
+        'check_at_ms',
+        'hedge',
+        'late_after_ms',
+        'load',
+        'overdue',
+        'route',
+        'sent_ms',
+        'service',
+    )
 
     def __init__(
         self,
@@ -50,17 +68,27 @@
         route: Route,
         service: str,
         load: EndpointLoad,
-        sent_ms: float,
+        begun_ms: float,
+        late_after_ms: float,
         hedge: bool,
     ) -> None:
         self.attempt_id = attempt_id
         self.route = route
         self.service = service
         self.load = load
-        self.sent_ms = sent_ms
+        self.begun_ms = begun_ms
+        # When it was written to a connection; until then it waits for one.
+        self.sent_ms: float | None = None
+        self.late_after_ms = late_after_ms
+        self.check_at_ms = begun_ms + CONNECT_GRACE_MS + late_after_ms
         self.hedge = hedge
         self.overdue = False
 
+    def latency_ms(self, now_ms: float) -> float:
+        """Return how long the endpoint has had the request, without the way there and back."""
+        since_ms = self.begun_ms if self.sent_ms is None else self.sent_ms
+        return max(0.0, now_ms - since_ms - self.load.trip_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
@@ -114,6 +142,7 @@
 
 
 def begin_attempt(
+    state: RoutedState,
     now_ms: float,
     attempt_id: str,
     route: Route,
@@ -125,7 +154,19 @@
     load.in_flight_count += 1
     if load.breaker.broken:
         load.breaker.probe_until_ms = now_ms + PROBE_MS
-    return Attempt(attempt_id, route, service, load, now_ms, hedge)
+    late_ms = late_after_ms(state, route, service) + load.trip_ms
+    return Attempt(attempt_id, route, service, load, now_ms, late_ms, hedge)
+
+
+def note_sent(attempt: Attempt, now_ms: float) -> None:
+    """Take note that an attempt was written to a connection."""
+    attempt.sent_ms = now_ms
+    attempt.check_at_ms = now_ms + attempt.late_after_ms
+
+
+def check_later(attempt: Attempt, now_ms: float) -> None:
+    """Look at a late attempt again in a while."""
+    attempt.check_at_ms = now_ms + RECHECK_PART * attempt.late_after_ms
 
 
 def note_overdue(state: RoutedState, now_ms: float, attempt: Attempt) -> None:
@@ -134,7 +175,7 @@
         attempt.overdue = True
         attempt.load.overdue_count += 1
     usual_ms = usual_latency_ms(state, attempt.route)
-    attempt.load.note_late(now_ms, now_ms - attempt.sent_ms, usual_ms)
+    attempt.load.note_late(now_ms, attempt.latency_ms(now_ms), usual_ms)
 
 
 def end_attempt(state: RoutedState, now_ms: float, attempt: Attempt, end: AttemptEnd) -> None:
@@ -143,7 +184,7 @@
     _release(attempt)
     if end.report is not None:
         load.note_report(now_ms, end.report)
-    latency_ms = now_ms - attempt.sent_ms
+    latency_ms = attempt.latency_ms(now_ms)
     if end.ended in (Ended.ANSWERED, Ended.FAILED):
         usual_ms = usual_latency_ms(state, attempt.route)
         if end.ended is Ended.ANSWERED:
@@ -161,7 +202,7 @@
     """Count an attempt that was given up without a reply."""
     _release(attempt)
     usual_ms = usual_latency_ms(state, attempt.route)
-    attempt.load.note_late(now_ms, now_ms - attempt.sent_ms, usual_ms)
+    attempt.load.note_late(now_ms, attempt.latency_ms(now_ms), usual_ms)
     attempt.load.note_lost(now_ms, False)
 
 
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -17,10 +17,10 @@
     RoutedAction,
     SendAttempt,
     begin_attempt,
+    check_later,
     note_overdue,
 )
 from .gather import LINGER_MS, UNSERVED_RETRY_MS
-from .hedge_delay import hedge_delay_ms
 from .placement import choose_endpoint, has_usable
 from .routed_state import budget_of
 
@@ -82,7 +82,7 @@
         request.done = True
         detail = f'all connections to service {request.service} are in use'
         return [Refuse(ResultCode.OVERLOADED, detail, REFUSED_RETRY_MS)]
-    return [_send(now_ms, request, load, hedge=False)]
+    return [_send(state, now_ms, request, load, hedge=False)]
 
 
 def on_attempt_end(
@@ -114,10 +114,10 @@
         return []
     if now_ms >= request.limit_ms:
         return _give_up(request, 'the time limit is reached')
-    late_ms = hedge_delay_ms(state, request.route)
-    if not request.open or now_ms - request.open[-1].sent_ms < late_ms:
+    if not request.open or now_ms < request.open[-1].check_at_ms:
         return []
     late = request.open[-1]
+    check_later(late, now_ms)
     note_overdue(state, now_ms, late)
     if request.hedged or not request.route.idempotent:
         return []
@@ -125,9 +125,9 @@
     if load is None or not take_hedge(budget_of(state, request.service), now_ms):
         return []
     request.hedged = True
-    age_ms = now_ms - late.sent_ms
+    age_ms = now_ms - late.begun_ms
     names = f'{late.load.record.endpoint} late after {age_ms:.0f} ms, also {load.record.endpoint}'
-    return [Note('hedge', names), _send(now_ms, request, load, hedge=True)]
+    return [Note('hedge', names), _send(state, now_ms, request, load, hedge=True)]
 
 
 def cancel_forward(request: ForwardState) -> list[RoutedAction]:
@@ -138,13 +138,11 @@
     return [AbandonAttempt(attempt, 0.0) for attempt in request.open]
 
 
-def next_check_ms(state: RoutedState, now_ms: float, request: ForwardState) -> float:
+def next_check_ms(request: ForwardState) -> float:
     """Return when the request must be looked at again."""
     if request.hedged or not request.open:
         return request.limit_ms
-    late_ms = hedge_delay_ms(state, request.route)
-    due_ms = max(request.open[-1].sent_ms + late_ms, now_ms + late_ms / 4)
-    return min(request.limit_ms, due_ms)
+    return min(request.limit_ms, request.open[-1].check_at_ms)
 
 
 def _pick(state: RoutedState, now_ms: float, request: ForwardState) -> EndpointLoad | None:
@@ -159,10 +157,12 @@
     return load
 
 
-def _send(now_ms: float, request: ForwardState, load: EndpointLoad, hedge: bool) -> SendAttempt:
+def _send(
+    state: RoutedState, now_ms: float, request: ForwardState, load: EndpointLoad, hedge: bool
+) -> SendAttempt:
     request.try_count += 1
     attempt_id = f'{request.request_id}.{request.try_count}'
-    attempt = begin_attempt(now_ms, attempt_id, request.route, request.service, load, hedge)
+    attempt = begin_attempt(state, now_ms, attempt_id, request.route, request.service, load, hedge)
     request.tried.add(load.record.endpoint)
     request.open.append(attempt)
     request.run_count += 1
@@ -177,7 +177,7 @@
     load = _pick(state, now_ms, request)
     if load is None or not (free or take_retry(budget_of(state, request.service), now_ms)):
         return _give_up(request, 'no other endpoint can be tried')
-    return [_send(now_ms, request, load, hedge=False)]
+    return [_send(state, now_ms, request, load, hedge=False)]
 
 
 def _deliver(request: ForwardState, reply: Any) -> list[RoutedAction]:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -18,9 +18,10 @@
     RoutedAction,
     SendAttempt,
     begin_attempt,
+    check_later,
     note_overdue,
 )
-from .hedge_delay import hedge_delay_ms, usual_latency_ms
+from .hedge_delay import usual_latency_ms
 from .placement import choose_endpoint, has_usable
 from .routed_state import budget_of
 
@@ -38,6 +39,8 @@
 # An endpoint that refused is asked again after this part of the usual latency, about the time
 # in which one of its slots becomes free.
 REFUSED_PART = 0.5
+# A shard whose endpoints have no room is looked at again after this time, about a request.
+WAITING_CHECK_MS = 5.0
 # Refused tries of one shard are repeated this often at most within one query.
 TRIES_PER_SHARD = 6
 
@@ -166,14 +169,15 @@
     if query.done:
         return []
     actions: list[RoutedAction] = []
-    late_ms = hedge_delay_ms(state, query.route)
     for shard in query.shards:
         if shard.replied:
             continue
         if not shard.open:
             actions += _retry(state, now_ms, query, shard, free=shard.try_count == 0)
-        elif now_ms - shard.open[-1].sent_ms >= late_ms:
-            note_overdue(state, now_ms, shard.open[-1])
+        elif now_ms >= shard.open[-1].check_at_ms:
+            newest = shard.open[-1]
+            check_later(newest, now_ms)
+            note_overdue(state, now_ms, newest)
             if not shard.hedged:
                 actions += _hedge(state, now_ms, query, shard)
     return actions + _conclude(now_ms, query)
@@ -185,19 +189,18 @@
     return _abandon_open(query, 0.0)
 
 
-def next_check_ms(state: RoutedState, now_ms: float, query: GatherState) -> float:
+def next_check_ms(now_ms: float, query: GatherState) -> float:
     """Return when the query must be looked at again."""
     due_ms = query.limit_ms
     if now_ms < query.answer_at_ms:
         due_ms = min(due_ms, query.answer_at_ms)
-    late_ms = hedge_delay_ms(state, query.route)
     for shard in query.shards:
         if shard.replied or shard.hedged or shard.exhausted:
             continue
         if shard.open:
-            check_ms = max(shard.open[-1].sent_ms + late_ms, now_ms + late_ms / 4)
+            check_ms = shard.open[-1].check_at_ms
         else:
-            check_ms = max(shard.retry_at_ms, now_ms + late_ms / 4)
+            check_ms = max(shard.retry_at_ms, now_ms + WAITING_CHECK_MS)
         due_ms = min(due_ms, check_ms)
     return due_ms
 
@@ -233,7 +236,7 @@
 ) -> SendAttempt:
     query.sent_count += 1
     attempt_id = f'{query.request_id}.{query.sent_count}'
-    attempt = begin_attempt(now_ms, attempt_id, query.route, shard.service, load, hedge)
+    attempt = begin_attempt(state, now_ms, attempt_id, query.route, shard.service, load, hedge)
     shard.tried.add(load.record.endpoint)
     shard.open.append(attempt)
     shard.run_count += 1
@@ -270,7 +273,7 @@
         return []
     shard.hedged = True
     late = shard.open[-1]
-    age_ms = now_ms - late.sent_ms
+    age_ms = now_ms - late.begun_ms
     detail = (
         f'{shard.service}: {late.load.record.endpoint} late after {age_ms:.0f} ms, '
         f'also {load.record.endpoint}'
--- a/packages/core/src/pistachioloft_core/request/hedge_delay.py
+++ b/packages/core/src/pistachioloft_core/request/hedge_delay.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .routed_state import route_latency
+from ..process.budget import hedge_scarcity
+from .routed_state import budget_of, route_latency
 
 if TYPE_CHECKING:
     from ..messages.routes import Route
@@ -14,25 +15,31 @@
 # latency target, and late after the next one.
 UNLEARNED_USUAL_PART = 0.2
 UNLEARNED_LATE_PART = 0.4
-# Where a part of the endpoints is slow, the 95th percentile is theirs; an attempt that
-# takes this many times the median is late whatever the others do.
+# With an ample budget an attempt is late past the first share of all attempts, with a spent
+# one past the second; in between it follows the budget.
+AMPLE_SHARE = 0.90
+SCARCE_SHARE = 0.97
+# Where a part of the endpoints is slow, these shares are theirs; an attempt that takes this
+# many times the median is late whatever the others do.
 LATE_MEDIAN_FACTOR = 2.5
 # A shorter delay would measure the scheduling of this process.
-SHORTEST_DELAY_MS = 3.0
+SHORTEST_DELAY_MS = 2.0
 
 
 def usual_latency_ms(state: RoutedState, route: Route) -> float:
-    """Return the median latency of an attempt of a route."""
+    """Return the median latency of an attempt of a route, without the round trip."""
     latency = route_latency(state, route.name)
     if not latency.is_learned:
         return route.latency_target_ms * UNLEARNED_USUAL_PART
     return latency.median_ms
 
 
-def hedge_delay_ms(state: RoutedState, route: Route) -> float:
-    """Return the age at which an attempt of a route counts as late."""
+def late_after_ms(state: RoutedState, route: Route, service: str) -> float:
+    """Return the latency past which an attempt counts as late, without the round trip."""
     latency = route_latency(state, route.name)
     if not latency.is_learned:
         return max(SHORTEST_DELAY_MS, route.latency_target_ms * UNLEARNED_LATE_PART)
-    late_ms = min(latency.p95_ms, LATE_MEDIAN_FACTOR * latency.median_ms)
+    scarcity = hedge_scarcity(budget_of(state, service))
+    share = AMPLE_SHARE + (SCARCE_SHARE - AMPLE_SHARE) * scarcity
+    late_ms = min(latency.quantile_ms(share), LATE_MEDIAN_FACTOR * latency.median_ms)
     return max(SHORTEST_DELAY_MS, late_ms)
--- a/packages/core/src/pistachioloft_core/request/patience.py
+++ b/packages/core/src/pistachioloft_core/request/patience.py
@@ -9,7 +9,7 @@
 
 # The time from a due answer to its last byte leaving this process: the timer fires late, and
 # the replies are merged and written.
-OWN_DELAY_MS = 2.0
+OWN_DELAY_MS = 4.0
 
 
 def answer_time_ms(route: Route, now_ms: float, spent_ms: float, return_ms: float) -> float:
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -15,8 +15,11 @@
     from ..version.route_table import RouteTable
 
 # Part of the shared allowances that the instances divide; the rest covers instances that
-# count each other late, and connections that an earlier process of an instance left open.
+# count each other late.
 SHARED_PART = 0.9
+# Part of an endpoint's connections that the instances use together: after a loss of power, an
+# endpoint still counts the connections of the processes before.
+CONNECTION_PART = 0.5
 # Part of an instance's allowance of extra tries that hedges leave to retries.
 RESERVE_PART = 0.25
 
@@ -102,7 +105,7 @@
     rule = state.routes.rules.get(service) if state.routes is not None else None
     if rule is None:
         return 1
-    return max(1, int(rule.connection_limit * SHARED_PART / state.entry_count))
+    return max(1, round(rule.connection_limit * CONNECTION_PART / state.entry_count))
 
 
 def _budget_limits(state: RoutedState) -> BudgetLimits:
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pistachioloft_core.request.attempts import AttemptEnd, Ended
+from pistachioloft_core.request.attempts import AttemptEnd, Ended, note_sent
 
 from .http1.client import ClientConnection
 from .http1.messages import find_header
+from .http1.round_trip import round_trip_ms
 from .loop_timers import monotonic_ms
 
 if TYPE_CHECKING:
@@ -56,6 +57,7 @@
         self.attempt: Attempt | None = None
         self.idle_limit_s = IDLE_DEFAULT_S * IDLE_PART
         self.idle_since_s = 0.0
+        self.trip_ms = 0.0
         self.wire = ClientConnection(self)
 
     def on_reply(self, response: Response, reusable: bool) -> bool:
@@ -230,6 +232,8 @@
     def _start(self, connection: PooledConnection, attempt: Attempt, data: bytes) -> None:
         connection.attempt = attempt
         self.by_attempt[attempt.attempt_id] = connection
+        attempt.load.trip_ms = connection.trip_ms
+        note_sent(attempt, monotonic_ms())
         connection.wire.send(data)
 
     def _open_more(self, target: _Target) -> None:
@@ -260,6 +264,7 @@
             self._fail_waiting(target, f'{target.record.address} closed a new connection')
             return
         target.open.add(connection)
+        connection.trip_ms = round_trip_ms(connection.wire.transport)
         self.release(connection)
 
     def _fail_waiting(self, target: _Target, detail: str) -> None:
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/http1/round_trip.py
@@ -0,0 +1,30 @@
+"""The round-trip time of a connection as the kernel measured it."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+
+# Where Linux gives the smoothed round-trip time in struct tcp_info, in microseconds.
+TCP_INFO_TRIP_OFFSET = 68
+TCP_INFO_BYTES = 72
+_TRIP_FIELD = struct.Struct('=I')
+
+
+def round_trip_ms(transport: asyncio.Transport | None) -> float:
+    """Return the round-trip time that the kernel measured on a connection, 0 if unknown."""
+    raw = transport.get_extra_info('socket') if transport is not None else None
+    if raw is None:
+        return 0.0
+    try:
+        info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    trip_us: int = _TRIP_FIELD.unpack_from(info, TCP_INFO_TRIP_OFFSET)[0]
+    return trip_us / 1000.0
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +12,7 @@
 import httptools
 
 from .messages import Request, Response, encode_response, find_header
+from .round_trip import round_trip_ms
 
 logger = logging.getLogger(__name__)
 
@@ -24,10 +23,6 @@
 # this are not read.
 PIPELINE_LIMIT_COUNT = 16
 BACKLOG_COUNT = 1024
-# Where Linux gives the smoothed round-trip time in struct tcp_info, in microseconds.
-TCP_INFO_TRIP_OFFSET = 68
-TCP_INFO_BYTES = 72
-_TRIP_FIELD = struct.Struct('=I')
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,21 +42,6 @@
 Handler = Callable[[Request, Respond], Cancel | None]
 
 
-def round_trip_ms(transport: asyncio.Transport | None) -> float:
-    """Return the round-trip time that the kernel measured on a connection, 0 if unknown."""
-    raw = transport.get_extra_info('socket') if transport is not None else None
-    if raw is None:
-        return 0.0
-    try:
-        info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-    except OSError:
-        return 0.0
-    if len(info) < TCP_INFO_BYTES:
-        return 0.0
-    trip_us: int = _TRIP_FIELD.unpack_from(info, TCP_INFO_TRIP_OFFSET)[0]
-    return trip_us / 1000.0
-
-
 class HttpServer:
     """Listen on one address and hand each request to a handler."""
 
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -219,9 +219,9 @@
         if state.done:
             return
         if isinstance(state, GatherState):
-            due_ms = gather.next_check_ms(self.state, now_ms, state)
+            due_ms = gather.next_check_ms(now_ms, state)
         else:
-            due_ms = forward.next_check_ms(self.state, now_ms, state)
+            due_ms = forward.next_check_ms(state)
         if due_ms >= in_flight.check_at_ms:
             return
         if in_flight.timer:
--- a/tests/test_gather/routed_player.py
+++ b/tests/test_gather/routed_player.py
@@ -30,6 +30,7 @@
     RoutedAction,
     SendAttempt,
     end_attempt,
+    note_sent,
     withdraw_attempt,
 )
 from pistachioloft_core.request.forward import ForwardState
@@ -197,9 +198,9 @@
         if state.done:
             return
         if isinstance(state, GatherState):
-            due_ms = gather.next_check_ms(self.state, self.now_ms, state)
+            due_ms = gather.next_check_ms(self.now_ms, state)
         else:
-            due_ms = forward.next_check_ms(self.state, self.now_ms, state)
+            due_ms = forward.next_check_ms(state)
         self.at(due_ms, lambda: self._on_timer(played))
 
     def _on_timer(self, played: Played) -> None:
@@ -232,6 +233,7 @@
 
     def _send(self, played: Played, attempt: Attempt) -> None:
         self.sent.append(attempt)
+        note_sent(attempt, self.now_ms)
         self.owner[attempt.attempt_id] = played
         self.open[attempt.attempt_id] = attempt
         reply = self.behaviours[attempt.load.record.endpoint](self.now_ms, attempt)
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -69,7 +69,7 @@
     def send(self) -> Attempt:
         assert self.load is not None
         self.number += 1
-        attempt = Attempt(str(self.number), ROUTE, 's', self.load, 0.0, False)
+        attempt = Attempt(str(self.number), ROUTE, 's', self.load, 0.0, 50.0, False)
         self.pool.send(attempt, f'GET /{self.number} HTTP/1.1\r\nHost: h\r\n\r\n'.encode())
         return attempt
 
