Send a third of the control bytes between failure domains

Changes: fleet messages travel as arrays; an announcement that changed nothing is a tuple of four; polls go to the control instance of the own failure domain, and endpoints are told its address.

What is left between failure domains is queries whose shards have no endpoint nearby.

--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -1,8 +1,13 @@
-"""Messages between instances that find each other from seed addresses."""
+"""
+Messages between instances that find each other from seed addresses.
+
+They are frozen structs that travel as arrays: as maps, the names of the fields would be most of
+what the instances say to each other all the time.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 STANDING_READY = 'ready'
 STANDING_DRAINING = 'draining'
@@ -10,8 +15,7 @@
 STANDING_LAPSED = 'lapsed'
 
 
-@dataclass(frozen=True, slots=True)
-class AnnouncedEndpoint:
+class AnnouncedEndpoint(Struct, frozen=True, array_like=True):
     """Carry what one start of an endpoint said of itself; a start is named by `born_ms`."""
 
     endpoint: str
@@ -26,16 +30,14 @@
     software_version: str = ''
 
 
-@dataclass(frozen=True, slots=True)
-class HeardEndpoint:
+class HeardEndpoint(Struct, frozen=True, array_like=True):
     """Carry an announcement with the time since it was heard."""
 
     record: AnnouncedEndpoint
     age_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class EntryStatus:
+class EntryStatus(Struct, frozen=True, array_like=True):
     """Carry what an entry instance says of itself."""
 
     instance: str
@@ -50,20 +52,31 @@
     age_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class ControlStatus:
+class ControlStatus(Struct, frozen=True, array_like=True):
     """Carry what a control instance says of itself; `member` names its disk."""
 
     instance: str
     incarnation: int
     failure_domain: str
     member: str
+    control_address: str = ''
     stopping: bool = False
     age_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class RequestCrash:
+# An endpoint that announced itself again without a change: its name, the start and the sequence
+# that it announced, and the age of the announcement. A tuple, as most of a share is these.
+Renewal = tuple[str, int, int, float]
+
+
+class ControlPlace(Struct, frozen=True, array_like=True):
+    """Name a control instance and where it is."""
+
+    instance: str
+    failure_domain: str
+
+
+class RequestCrash(Struct, frozen=True, array_like=True):
     """Report that an endpoint crashed while it ran a request with this digest."""
 
     digest: str
@@ -72,8 +85,7 @@
     age_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class ControlShare:
+class ControlShare(Struct, frozen=True, array_like=True):
     """Tell another control instance what was heard, all of it or what is new."""
 
     control: ControlStatus
@@ -83,26 +95,24 @@
     controls: tuple[ControlStatus, ...]
     entries: tuple[EntryStatus, ...]
     endpoints: tuple[HeardEndpoint, ...]
+    renewals: tuple[Renewal, ...] = ()
     crashes: tuple[RequestCrash, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class LeavingNotice:
+class LeavingNotice(Struct, frozen=True, array_like=True):
     """Ask another control instance to note that an endpoint is leaving or has left."""
 
     notice_id: int
     endpoint: HeardEndpoint
 
 
-@dataclass(frozen=True, slots=True)
-class LeavingNoted:
+class LeavingNoted(Struct, frozen=True, array_like=True):
     """Confirm a notice of a leaving endpoint."""
 
     notice_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class FeedPoll:
+class FeedPoll(Struct, frozen=True, array_like=True):
     """Ask a control instance for what an entry instance does not know yet."""
 
     poll_id: int
@@ -114,8 +124,7 @@
     crashes: tuple[RequestCrash, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class FeedReply:
+class FeedReply(Struct, frozen=True, array_like=True):
     """Bring an entry instance up to date; poll 0 marks an update that nobody asked for."""
 
     poll_id: int
@@ -128,20 +137,18 @@
     endpoints: tuple[HeardEndpoint, ...]
     route_version: int
     document: bytes
-    controls: tuple[str, ...]
+    controls: tuple[ControlPlace, ...]
     entry_count: int
     crashes: tuple[RequestCrash, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRequest:
+class ReadRequest(Struct, frozen=True, array_like=True):
     """Ask the leader which index a read of the accepted state must reach."""
 
     read_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadReply:
+class ReadReply(Struct, frozen=True, array_like=True):
     """Give the index that a quorum confirmed after the request, None if there is none."""
 
     read_id: int
--- a/packages/core/src/pistachioloft_core/process/announced.py
+++ b/packages/core/src/pistachioloft_core/process/announced.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from ..messages.fleet import (
     STANDING_DRAINING,
     STANDING_LAPSED,
@@ -122,6 +123,18 @@
     return Merged.CHANGED
 
 
+def renew(
+    state: AnnouncedState, endpoint: str, born_ms: int, sequence: int, heard_ms: float
+) -> Merged | None:
+    """Apply an announcement that changed nothing; none if its start is not known here."""
+    entry = state.endpoints.get(endpoint)
+    if entry is None or entry.record.born_ms != born_ms or not entry.record.service:
+        return None
+    known = entry.record
+    standing = STANDING_READY if known.standing == STANDING_LAPSED else known.standing
+    return merge(state, replace(known, sequence=sequence, standing=standing), heard_ms)
+
+
 def mark_left(
     state: AnnouncedState, endpoint: str, born_ms: int, latest_born_ms: int, now_ms: float
 ) -> bool:
--- a/packages/core/src/pistachioloft_core/process/feed.py
+++ b/packages/core/src/pistachioloft_core/process/feed.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..messages.fleet import EntryStatus, FeedPoll, FeedReply, RequestCrash
+from ..messages.fleet import ControlPlace, EntryStatus, FeedPoll, FeedReply, RequestCrash
 
 if TYPE_CHECKING:
     import random
@@ -22,6 +22,8 @@
 # A control instance that has no quorum or does not know all endpoints yet is left for
 # another, but not more often than this: where none is better, it still has news.
 LEAVE_INTERVAL_MS = 1_000.0
+# An instance that was given up is asked again after this time, if it is the nearest.
+AVOID_MS = 5_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,9 +37,12 @@
 class FeedState:
     """Hold the control instances, the one that is polled and how fresh its answers are."""
 
-    def __init__(self, seeds: tuple[str, ...], random_source: random.Random) -> None:
+    def __init__(
+        self, seeds: tuple[str, ...], failure_domain: str, random_source: random.Random
+    ) -> None:
         self.seeds = seeds
-        self.controls: tuple[str, ...] = ()
+        self.failure_domain = failure_domain
+        self.controls: tuple[ControlPlace, ...] = ()
         self.target: str | None = None
         self.missed_count = 0
         self.due_ms = float('-inf')
@@ -49,6 +54,8 @@
         self.confirmed_ms: float | None = None
         self.left_ms = float('-inf')
         self.crashes: list[RequestCrash] = []
+        # When each control instance was given up as silent or without a quorum.
+        self.silent: dict[str, float] = {}
         # When each control instance was last heard, or first asked.
         self.heard: dict[str, float] = {}
 
@@ -60,7 +67,8 @@
 
 def candidates(state: FeedState) -> tuple[str, ...]:
     """Return the control instances that can be asked, known ones first."""
-    return tuple(dict.fromkeys((*state.controls, *state.seeds)))
+    known = (place.instance for place in state.controls)
+    return tuple(dict.fromkeys((*known, *state.seeds)))
 
 
 def next_poll(state: FeedState, now_ms: float, entry: EntryStatus) -> SendPoll | None:
@@ -69,10 +77,10 @@
     if now_ms < state.due_ms or not names:
         return None
     if state.target is not None and state.missed_count >= MISSED_LIMIT:
+        state.silent[state.target] = now_ms
         state.target = None
     if state.target not in names:
-        state.target = names[state.turn % len(names)]
-        state.turn += 1
+        state.target = _choose(state, now_ms, names)
         state.missed_count = 0
     target = state.target
     assert target is not None
@@ -90,6 +98,16 @@
     return SendPoll(target, poll)
 
 
+def _choose(state: FeedState, now_ms: float, names: tuple[str, ...]) -> str:
+    """Choose an instance of the own failure domain, else the next in turn."""
+    for place in state.controls:
+        silent_ms = now_ms - state.silent.get(place.instance, float('-inf'))
+        if place.failure_domain == state.failure_domain and silent_ms >= AVOID_MS:
+            return place.instance
+    state.turn += 1
+    return names[state.turn % len(names)]
+
+
 def on_feed(state: FeedState, now_ms: float, sender: str, reply: FeedReply) -> bool:
     """Take an update and tell whether its endpoints can be applied."""
     state.heard[sender] = now_ms
@@ -106,9 +124,11 @@
     state.cursors[sender] = (reply.control_incarnation, max(known, reply.endpoint_revision))
     if reply.controls:
         state.controls = reply.controls
-        kept = set(reply.controls) | set(state.seeds)
+        kept = {place.instance for place in reply.controls} | set(state.seeds)
+        _go_home(state, now_ms)
         state.cursors = {name: value for name, value in state.cursors.items() if name in kept}
         state.heard = {name: value for name, value in state.heard.items() if name in kept}
+        state.silent = {name: value for name, value in state.silent.items() if name in kept}
     return True
 
 
@@ -127,6 +147,22 @@
     state.due_ms = min(state.due_ms, now_ms)
 
 
+def _go_home(state: FeedState, now_ms: float) -> None:
+    """Move on to an instance of the own failure domain if the present one is elsewhere."""
+    domains = {place.instance: place.failure_domain for place in state.controls}
+    if state.target is None or domains.get(state.target) == state.failure_domain:
+        return
+    near = [
+        place.instance
+        for place in state.controls
+        if place.failure_domain == state.failure_domain
+        and now_ms - state.silent.get(place.instance, float('-inf')) >= AVOID_MS
+    ]
+    if near:
+        state.target = near[0]
+        state.missed_count = 0
+
+
 def _note_answer(
     state: FeedState, now_ms: float, sender: str, sent_ms: float, reply: FeedReply
 ) -> None:
@@ -139,5 +175,6 @@
         state.due_ms = min(state.due_ms, now_ms + SEARCH_INTERVAL_MS)
     if not reply.settled and now_ms - state.left_ms >= LEAVE_INTERVAL_MS:
         state.left_ms = now_ms
+        state.silent[sender] = now_ms
         state.target = None
         state.due_ms = now_ms
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from ..messages.fleet import (
     STANDING_DRAINING,
     STANDING_LEFT,
+    ControlPlace,
     ControlShare,
     ControlStatus,
     EntryStatus,
@@ -16,7 +19,7 @@
     HeardEndpoint,
     RequestCrash,
 )
-from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge
+from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge, renew
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -70,6 +73,10 @@
         # Since when this instance may have missed announcements; None once it knows all.
         self.unsettled_since_ms: float | None = now_ms
         self.direct: set[str] = set()
+        # Among these, the ones that announced nothing new.
+        self.renewed: set[str] = set()
+        # A peer did not know an endpoint that was renewed.
+        self.needs_whole = False
         self.urgent: dict[str, float] = {}
         # When each other control instance last heard this one, as far as it said.
         self.heard_by: dict[str, float] = {}
@@ -85,7 +92,11 @@
     """Take an announcement that came here."""
     merged = merge(state.announced, record, now_ms)
     if merged is not Merged.OUTDATED:
-        state.direct.add(record.endpoint)
+        if merged is Merged.RENEWED and record.endpoint not in state.direct:
+            state.renewed.add(record.endpoint)
+        else:
+            state.direct.add(record.endpoint)
+            state.renewed.discard(record.endpoint)
         _note_urgent(state, now_ms, record.endpoint)
     return merged
 
@@ -118,13 +129,20 @@
     """Build a share of what was heard here since the last call."""
     names = sorted(state.direct | set(state.urgent))
     crashes = sorted(state.new_crashes)
-    state.direct, state.new_crashes = set(), set()
+    renewals = tuple(
+        (name, entry.record.born_ms, entry.record.sequence, now_ms - entry.heard_ms)
+        for name in sorted(state.renewed)
+        if (entry := state.announced.endpoints.get(name)) is not None
+    )
+    state.direct, state.renewed, state.new_crashes = set(), set(), set()
     entries = tuple(
         _aged(each, now_ms)
         for each in state.entries.values()
         if each.direct and now_ms - each.heard_ms < ENTRY_LIVE_MS
     )
-    return _make_share(state, now_ms, False, names, entries, crashes)
+    share = _make_share(state, now_ms, False, names, entries, crashes)
+    state.needs_whole = False
+    return replace(share, renewals=renewals)
 
 
 def _make_share(
@@ -144,11 +162,11 @@
         state.own,
         is_settled(state),
         whole,
-        not is_settled(state),
+        state.needs_whole or not is_settled(state),
         controls,
         entries,
         heard_endpoints(state.announced, now_ms, names),
-        tuple(RequestCrash(*key, now_ms - state.crashes[key]) for key in crashes),
+        crashes=tuple(RequestCrash(*key, now_ms - state.crashes[key]) for key in crashes),
     )
 
 
@@ -168,6 +186,9 @@
         _merge_entry(state, now_ms - entry.age_ms, entry, direct=False)
     for heard in share.endpoints:
         merge(state.announced, heard.record, now_ms - heard.age_ms)
+    for endpoint, born_ms, sequence, age_ms in share.renewals:
+        if renew(state.announced, endpoint, born_ms, sequence, now_ms - age_ms) is None:
+            state.needs_whole = True
     for crash in share.crashes:
         add_crash(state, now_ms, crash, spread=False)
     if share.whole and share.settled:
@@ -215,7 +236,7 @@
         endpoints=heard_endpoints(state.announced, now_ms, names),
         route_version=route_version,
         document=document,
-        controls=(state.own.instance, *live_controls(state, now_ms)),
+        controls=_live_places(state, now_ms),
         entry_count=len(live_entries(state, now_ms)),
         crashes=_newest_crashes(state, now_ms),
     )
@@ -242,13 +263,18 @@
     return bool(lapsed)
 
 
+def control_address_in(state: FleetState, now_ms: float, failure_domain: str) -> str:
+    """Return where a live control instance of a failure domain is called, '' if there is none."""
+    others = (each.status for each in state.controls.values() if _is_live(each, now_ms))
+    for status in (state.own, *others):
+        if status.failure_domain == failure_domain and not status.stopping:
+            return status.control_address
+    return ''
+
+
 def live_controls(state: FleetState, now_ms: float) -> tuple[str, ...]:
     """Return the other control instances that were heard of lately."""
-    return tuple(
-        name
-        for name, each in sorted(state.controls.items())
-        if now_ms - each.heard_ms < CONTROL_LIVE_MS
-    )
+    return tuple(name for name, each in sorted(state.controls.items()) if _is_live(each, now_ms))
 
 
 def is_heard(state: FleetState, now_ms: float, voters: Collection[str]) -> bool:
@@ -297,6 +323,19 @@
         state.new_crashes.add(key)
 
 
+def _is_live(heard: _HeardControl, now_ms: float) -> bool:
+    return now_ms - heard.heard_ms < CONTROL_LIVE_MS
+
+
+def _live_places(state: FleetState, now_ms: float) -> tuple[ControlPlace, ...]:
+    others = (each.status for each in state.controls.values() if _is_live(each, now_ms))
+    return tuple(
+        ControlPlace(status.instance, status.failure_domain)
+        for status in (state.own, *others)
+        if not status.stopping
+    )
+
+
 def _newest_crashes(state: FleetState, now_ms: float) -> tuple[RequestCrash, ...]:
     newest = list(state.crashes.items())[-FEED_CRASH_COUNT:]
     return tuple(RequestCrash(*key, now_ms - at_ms) for key, at_ms in newest)
--- a/packages/daemon/src/pistachioloft_daemon/control_calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_calls.py
@@ -75,6 +75,13 @@
     retry_after_ms: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Announced:
+    """Confirm an announcement; the next may go to the address, if there is one."""
+
+    next_address: str
+
+
 @dataclass(frozen=True, slots=True)
 class Addresses:
     """List addresses for callers and how long to keep them."""
@@ -83,4 +90,4 @@
     keep_ms: float
 
 
-Outcome = Done | Addresses
+Outcome = Done | Announced | Addresses
--- a/packages/daemon/src/pistachioloft_daemon/control_face.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_face.py
@@ -22,6 +22,7 @@
 from .control_calls import (
     Addresses,
     Announce,
+    Announced,
     CheckReadiness,
     Depart,
     Done,
@@ -138,7 +139,8 @@
         if record.standing == STANDING_DRAINING:
             self._confirm_leaving(record.endpoint, answer)
         elif self.instance.confirmed():
-            answer(Done())
+            domain = record.failure_domain
+            answer(Announced(fleet.control_address_in(self.instance.fleet, now_ms, domain)))
         else:
             # Behind a cut, nobody else would know that the endpoint lives.
             answer(Done(ResultCode.NO_QUORUM, '', b'', RETRY_AFTER_MS))
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -6,6 +6,8 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from pistachioloft_core.messages import fleet as messages
 from pistachioloft_core.messages import peer as peer_messages
 from pistachioloft_core.messages.accepted import AcceptedRoutes
@@ -51,7 +53,11 @@
         self.metrics = Metrics()
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
         own = messages.ControlStatus(
-            settings.instance, wall_clock_ms(), settings.failure_domain, ''
+            settings.instance,
+            wall_clock_ms(),
+            settings.failure_domain,
+            '',
+            settings.control_address,
         )
         self.fleet = fleet.FleetState(own, settings.heartbeat_ms, monotonic_ms())
         self.seeds = settings.seeds
@@ -155,10 +161,7 @@
     def _on_voter(self, voter: Voter) -> None:
         self.proposals.voter = voter
         self.reads.voter = voter
-        own = self.fleet.own
-        self.fleet.own = messages.ControlStatus(
-            own.instance, own.incarnation, own.failure_domain, voter.member_id
-        )
+        self.fleet.own = replace(self.fleet.own, member=voter.member_id)
         self._on_routes(accepted_routes(voter.accepted))
 
     def _on_routes(self, routes: AcceptedRoutes) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -71,7 +71,7 @@
         limits = SharedLimits(settings.bounds.extra_share, settings.bounds.extra_allowance_count)
         self.state = RoutedState(settings.instance, settings.failure_domain, limits, source)
         self.requests = RoutedRequests(self.state, self.timers, wire, self.metrics)
-        self.feed = feed.FeedState(settings.seeds, source)
+        self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
         self.stopping = False
         self.callers = HttpServer(settings.caller_address, self.requests.handle, ServerLimits())
--- a/packages/daemon/src/pistachioloft_daemon/platform/calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/calls.py
@@ -12,6 +12,7 @@
 from ..control_calls import (
     Addresses,
     Announce,
+    Announced,
     Call,
     CheckReadiness,
     Depart,
@@ -45,6 +46,9 @@
     if isinstance(outcome, Addresses):
         answer = {'addrs': outcome.addresses, 'ttl_s': outcome.keep_ms / 1000.0}
         return Response(200, _JSON, msgspec.json.encode(answer))
+    if isinstance(outcome, Announced):
+        beat = {'heartbeatAddress': outcome.next_address} if outcome.next_address else {}
+        return Response(200, _JSON, msgspec.json.encode(beat))
     info = RESULTS[outcome.code]
     if outcome.document:
         return Response(200, _JSON, outcome.document)
--- a/tests/test_announced/test_announced.py
+++ b/tests/test_announced/test_announced.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from pistachioloft_core.messages.fleet import (
     STANDING_DRAINING,
--- a/tests/test_fleet/test_fleet.py
+++ b/tests/test_fleet/test_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from pistachioloft_core.messages.fleet import (
     STANDING_DRAINING,
@@ -75,6 +75,23 @@
         assert standing(states[1]) == STANDING_READY
 
 
+def test_renewals_of_an_unknown_endpoint_ask_for_everything() -> None:
+    """Guard against an endpoint that stays unknown where only its renewals are heard."""
+    states = [control(1), control(2)]
+    settle(states[0])
+    settle(states[1])
+    fleet.on_announcement(states[0], 10.0, RECORD)
+    fleet.take_news(states[0], 20.0)
+    fleet.on_announcement(states[0], 1_210.0, replace(RECORD, sequence=2))
+    exchange(states, 1_220.0)
+    assert 'i-1' not in states[1].announced.endpoints
+    asking = fleet.take_news(states[1], 1_420.0)
+    assert asking.wants_whole
+    fleet.on_share(states[1], 1_430.0, fleet.whole_share(states[0], 1_430.0))
+    assert standing(states[1]) == STANDING_READY
+    assert not fleet.take_news(states[1], 1_620.0).wants_whole
+
+
 def test_instance_without_a_quorum_lapses_nothing() -> None:
     """Guard against all endpoints being lost because one control instance was cut off."""
     state = control(1)
