Send callers to as many entry instances as the endpoints can bear

Changes: the connection limits of the queried shards bound the number of instances that callers are sent to, chosen by rendezvous and spread over the failure domains; only these open connections ahead of need, and they divide connections and budgets among themselves. Callers of a failure domain with two such instances stay in it.

--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -1,14 +1,12 @@
-"""
-Messages between instances that find each other from seed addresses.
-
-They are frozen structs that travel as arrays: as maps, the names of the fields would be most of
-what the instances say to each other all the time.
-"""
+"""Messages between instances that find each other from seed addresses."""
 
 from __future__ import annotations
 
 from msgspec import Struct
 
+# These are structs rather than data classes since they travel as arrays: as maps, the names of
+# the fields would be most of what the instances say to each other all the time.
+
 STANDING_READY = 'ready'
 STANDING_DRAINING = 'draining'
 STANDING_LEFT = 'left'
@@ -138,7 +136,8 @@
     route_version: int
     document: bytes
     controls: tuple[ControlPlace, ...]
-    entry_count: int
+    # The entry instances that callers are sent to.
+    chosen: tuple[str, ...]
     crashes: tuple[RequestCrash, ...] = ()
 
 
--- a/packages/core/src/pistachioloft_core/process/directory.py
+++ b/packages/core/src/pistachioloft_core/process/directory.py
@@ -2,17 +2,67 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from .addresses import rendezvous_weight
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..messages.fleet import EntryStatus
+    from ..messages.routes import RouteSet
 
 ADDRESS_LIMIT_COUNT = 64
+# Part of an endpoint's connections that the entry instances use together. After a loss of power,
+# an endpoint still counts the connections of the processes before; about half leaves room for
+# both.
+CONNECTION_PART = 0.55
+# With one connection to each endpoint, two queries at a time would queue at an entry instance.
+CONNECTIONS_PER_ENTRY = 2
+# Callers of a failure domain are sent to its own entry instances if there are as many, so that
+# the loss of one leaves another.
+NEAR_COUNT = 2
+
+
+def entry_limit(routes: RouteSet) -> int | None:
+    """Return how many entry instances the endpoints' connections can bear, None if any."""
+    limits = {rule.service: rule.connection_limit for rule in routes.services}
+    # A query uses every endpoint of its shards; other requests spread over their endpoints.
+    shards = {
+        shard
+        for route in routes.routes
+        if route.gather is not None
+        for shard in route.gather.shards
+    }
+    bounds = [limits[shard] for shard in shards if shard in limits]
+    if not bounds:
+        return None
+    return max(1, int(min(bounds) * CONNECTION_PART / CONNECTIONS_PER_ENTRY))
 
 
-def choose_entries(entries: Iterable[EntryStatus], failure_domain: str) -> tuple[str, ...]:
-    """Return the addresses of the ready entry instances for a caller."""
+def chosen_entries(
+    entries: Iterable[EntryStatus], limit_count: int | None
+) -> tuple[EntryStatus, ...]:
+    """Choose the entry instances that get callers, spread over the failure domains."""
     ready = [entry for entry in entries if entry.ready and not entry.stopping]
-    return tuple(entry.caller_address for entry in ready)[:ADDRESS_LIMIT_COUNT]
+    if limit_count is None or len(ready) <= limit_count:
+        return tuple(ready)
+    # A stable choice: an instance that is lost changes only its own place.
+    domains: defaultdict[str, list[EntryStatus]] = defaultdict(list)
+    for entry in sorted(ready, key=lambda each: rendezvous_weight('entry', each.instance)):
+        domains[entry.failure_domain].append(entry)
+    chosen: list[EntryStatus] = []
+    while len(chosen) < limit_count:
+        for name in sorted(domains):
+            if domains[name] and len(chosen) < limit_count:
+                chosen.append(domains[name].pop())
+    return tuple(chosen)
+
+
+def caller_addresses(chosen: Iterable[EntryStatus], failure_domain: str) -> tuple[str, ...]:
+    """Return the addresses for a caller, those of its own failure domain if these suffice."""
+    chosen = tuple(chosen)
+    near = [entry for entry in chosen if entry.failure_domain == failure_domain]
+    used = near if len(near) >= NEAR_COUNT else chosen
+    return tuple(entry.caller_address for entry in used)[:ADDRESS_LIMIT_COUNT]
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -20,6 +20,7 @@
     RequestCrash,
 )
 from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge, renew
+from .directory import chosen_entries
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -78,6 +79,8 @@
         # A peer did not know an endpoint that was renewed.
         self.needs_whole = False
         self.urgent: dict[str, float] = {}
+        # How many entry instances the endpoints can bear; None for any number.
+        self.entry_limit: int | None = None
         # When each other control instance last heard this one, as far as it said.
         self.heard_by: dict[str, float] = {}
         self.new_crashes: set[tuple[str, str, int]] = set()
@@ -237,7 +240,10 @@
         route_version=route_version,
         document=document,
         controls=_live_places(state, now_ms),
-        entry_count=len(live_entries(state, now_ms)),
+        chosen=tuple(
+            entry.instance
+            for entry in chosen_entries(live_entries(state, now_ms), state.entry_limit)
+        ),
         crashes=_newest_crashes(state, now_ms),
     )
 
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..process.budget import BudgetLimits, BudgetState, set_limits
+from ..process.directory import CONNECTION_PART
 from ..process.endpoint_table import EndpointTable
 from ..process.latency import LatencyState, ServiceLatency, service_latency
 
@@ -17,9 +18,6 @@
 # Part of the shared allowances that the instances divide; the rest covers instances that
 # count each other late.
 SHARED_PART = 0.9
-# Part of an endpoint's connections that the instances use together: after a loss of power, an
-# endpoint still counts the connections of the processes before.
-CONNECTION_PART = 0.5
 # Part of an instance's allowance of extra tries that hedges leave to retries.
 RESERVE_PART = 0.25
 
--- a/packages/daemon/src/pistachioloft_daemon/control_face.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_face.py
@@ -16,7 +16,6 @@
 )
 from pistachioloft_core.process import fleet
 from pistachioloft_core.process.announced import Merged
-from pistachioloft_core.process.directory import choose_entries
 from pistachioloft_core.version.route_table import check_routes
 
 from .control_calls import (
@@ -233,8 +232,7 @@
         self.instance.reads.confirm(on_confirmed)
 
     def _list_addresses(self, call: ListAddresses, answer: Answer) -> None:
-        entries = fleet.live_entries(self.instance.fleet, monotonic_ms())
-        addresses = choose_entries(entries, call.failure_domain)
+        addresses = self.instance.addresses(call.failure_domain)
         if not addresses:
             answer(Done(ResultCode.FENCED, 'no entry instance is known here', b'', RETRY_AFTER_MS))
             return
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -8,11 +8,13 @@
 
 from msgspec.structs import replace
 
+from pistachioloft_core.errors import CodedError
 from pistachioloft_core.messages import fleet as messages
 from pistachioloft_core.messages import peer as peer_messages
 from pistachioloft_core.messages.accepted import AcceptedRoutes
 from pistachioloft_core.messages.agreement import AgreementMessage
 from pistachioloft_core.process import agreement, fleet
+from pistachioloft_core.process.directory import caller_addresses, chosen_entries, entry_limit
 from pistachioloft_core.process.voters import voter_target, wanted_voters
 from pistachioloft_core.version.accepted import accepted_routes
 
@@ -23,10 +25,15 @@
 from .peers import Peers
 from .proposals import Proposals
 from .reads import Reads
+from .routes_document import unpack_document
 from .voter import VoterHooks
 from .voter_keeper import VoterKeeper
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pistachioloft_core.messages.routes import RouteSet
+
     from .fleet_settings import FleetSettings
     from .voter import Voter
     from .wire import ControlWire
@@ -47,8 +54,14 @@
 class ControlInstance:
     """Hold the parts of one control instance."""
 
-    def __init__(self, settings: FleetSettings, wire: ControlWire) -> None:
+    def __init__(
+        self,
+        settings: FleetSettings,
+        wire: ControlWire,
+        decode_routes: Callable[[bytes], RouteSet],
+    ) -> None:
         self.settings = settings
+        self.decode_routes = decode_routes
         self.timers = LoopTimers(asyncio.get_running_loop())
         self.metrics = Metrics()
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
@@ -171,8 +184,20 @@
         logger.info(
             '[agreement] routes accepted: version=%d index=%d', routes.version, routes.index
         )
+        try:
+            decoded = self.decode_routes(unpack_document(routes.document))
+        except CodedError as error:
+            logger.error('[agreement] routes of version %d: %s', routes.version, error.detail)
+        else:
+            self.fleet.entry_limit = entry_limit(decoded)
         self.push()
 
+    def addresses(self, failure_domain: str) -> tuple[str, ...]:
+        """Return the addresses that a caller of a failure domain should use."""
+        entries = fleet.live_entries(self.fleet, monotonic_ms())
+        chosen = chosen_entries(entries, self.fleet.entry_limit)
+        return caller_addresses(chosen, failure_domain)
+
     def _tick(self, now_ms: float) -> None:
         self.proposals.leader = self.leader() or self.proposals.leader
         self.proposals.tick(now_ms)
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -74,6 +74,7 @@
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
         self.stopping = False
+        self.chosen = False
         self.callers = HttpServer(settings.caller_address, self.requests.handle, ServerLimits())
         self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
 
@@ -187,8 +188,18 @@
         changes = endpoint_table.apply_update(table, now_ms, reply.endpoints, reply.settled)
         if reply.whole and reply.settled:
             changes += endpoint_table.keep_only(table, reply.endpoints)
-        set_entry_count(self.state, reply.entry_count)
         self._note_changes(changes)
+        self._note_chosen(reply.chosen)
+
+    def _note_chosen(self, chosen: tuple[str, ...]) -> None:
+        """Divide connections and budgets among the instances that get callers."""
+        was_chosen = self.chosen
+        self.chosen = self.settings.instance in chosen
+        # An instance without callers still answers who comes, with one share more.
+        set_entry_count(self.state, len(chosen) + (0 if self.chosen else 1))
+        if self.chosen != was_chosen:
+            logger.info('[placement] callers are sent here: %s', self.chosen)
+            self._update_connections(list(self.state.table.endpoints))
 
     def _adopt(self, version: int, document: bytes) -> None:
         routes = self.state.routes
@@ -218,7 +229,7 @@
         for endpoint in endpoints:
             load = self.state.table.endpoints.get(endpoint)
             if load is not None and load in self.state.table.usable(load.record.service):
-                if load.record.service in used:
+                if self.chosen and load.record.service in used:
                     self.requests.pool.warm(load.record)
             else:
                 self.requests.pool.forget(endpoint)
--- a/packages/daemon/src/pistachioloft_daemon/fleet_program.py
+++ b/packages/daemon/src/pistachioloft_daemon/fleet_program.py
@@ -71,7 +71,7 @@
     """Build the instance for the role that the settings name."""
     if settings.role == ROLE_ENTRY:
         return EntryInstance(settings, wire, control_wire, decode_routes)
-    return ControlInstance(settings, control_wire)
+    return ControlInstance(settings, control_wire, decode_routes)
 
 
 async def _run(path: Path, settings: FleetSettings, make: MakeInstance) -> None:
