Test the whole path with real processes, and bound the log lines of each part

Logs went to standard error, one write a line, without a bound but the queue's.

Changes: tools/fleet holds stand-ins of the platform (searchers, operator, callers) around real processes on loopback; eight tests play the path with kills, a wiped disk, a stop under load and lost replies. Lines go to standard output in one write each 50 ms; each part has 150 ordinary lines a second and a burst of 600, and what is left out is counted. A stop ends at 0.88 of the grace time; closing the data folder takes 2 s at most.

--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -47,6 +47,8 @@
 # for good while new ones work.
 RECONNECT_MS = 1_000.0
 STOP_WAIT_S = 0.3
+# A disk that hangs must not hold up the end of the process.
+CLOSE_TIMEOUT_S = 2.0
 # Callers keep an answer for this long; they leave a stopping or lost instance that much later.
 ADDRESS_KEEP_MS = 5_000.0
 
@@ -134,7 +136,12 @@
         """Close sockets and files."""
         for server in self.servers:
             server.stop()
-        await self.keeper.stop()
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self.keeper.stop()
+        except TimeoutError:
+            # What was promised is synced already; only the orderly end of the file is missing.
+            logger.warning('%s data folder not closed in time', PREFIX)
         self.peers.stop()
         logger.info('%s control instance stopped: instance=%s', PREFIX, self.settings.instance)
 
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -42,12 +42,12 @@
 PREFIX = '[process]'
 TICK_MS = 50.0
 POOL_CHECK_MS = 500.0
-# A stop is known everywhere after about two polls; until then callers are sent here.
+# Parts of the grace time of a stop. Callers keep an address for nearly all of it, so they are
+# served first; what is refused later has time to be asked elsewhere, and the last part is for
+# closing what is open before the process is killed.
 STOP_PART_SERVING = 0.7
-STOP_PART_EXIT = 0.95
+STOP_PART_EXIT = 0.88
 STOP_CHECK_S = 0.05
-# An instance on which nobody has called for this long while it stops can end sooner.
-QUIET_EXIT_S = 1.0
 
 
 class EntryInstance:
--- a/packages/daemon/src/pistachioloft_daemon/logs.py
+++ b/packages/daemon/src/pistachioloft_daemon/logs.py
@@ -1,19 +1,19 @@
-"""Write log records to standard error without blocking the thread that logs."""
+"""Write log lines to standard output without blocking the thread that logs."""
 
 from __future__ import annotations
 
 import contextlib
 import logging
 import os
-import queue
+import threading
 import time
-from logging.handlers import QueueHandler, QueueListener
+from collections import deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from typing import TextIO
 
-STDERR_FD = 2
+STDOUT_FD = 1
 PARTS = (
     'routing',
     'placement',
@@ -27,8 +27,15 @@
     'process',
 )
 DEFAULT_PART = 'process'
-QUEUE_RECORD_COUNT = 8192
-STOP_TIMEOUT_S = 2.0
+# Lines that wait while the output is blocked; more would take memory that requests need.
+QUEUE_LINE_COUNT = 4096
+# The writer waits this long for more lines, so that one write takes many.
+GATHER_S = 0.05
+STOP_TIMEOUT_S = 0.3
+# Ordinary lines of one part that are written a second, and that a burst may add. An entry
+# instance writes about two for each request and one for each extra try.
+LINES_PER_S = 150.0
+BURST_LINE_COUNT = 600.0
 
 # Modules whose name does not contain the name of their part.
 _PART_OF_MODULE = {
@@ -49,100 +56,143 @@
 
 
 class LogHandle:
-    """Hold the queue, listener and drop count of the configured logs."""
+    """Hold the handler and the writer of the configured logs."""
 
-    def __init__(self, handler: _BoundedHandler, listener: _Listener) -> None:
+    def __init__(self, handler: _Handler, writer: _Writer) -> None:
         self._handler = handler
-        self._listener = listener
+        self._writer = writer
 
     @property
     def dropped_count(self) -> int:
-        """Count the records that did not fit the queue."""
-        return self._handler.dropped_count
+        """Count the lines that did not fit the queue."""
+        return self._writer.dropped_count
 
     def stop(self) -> None:
         """Write what is queued and stop, waiting no longer than STOP_TIMEOUT_S."""
         logging.getLogger().removeHandler(self._handler)
-        self._listener.stop()
+        self._handler.report_left_out()
+        self._writer.stop()
 
 
-class _BoundedHandler(QueueHandler):
-    """Queue records and count those that do not fit."""
+class _Allowance:
+    """Hold how many ordinary lines of one part may still be written."""
 
-    def __init__(self, records: queue.Queue[logging.LogRecord]) -> None:
-        super().__init__(records)
-        self.dropped_count = 0
+    __slots__ = ('at_s', 'left', 'left_out_count')
 
-    def enqueue(self, record: logging.LogRecord) -> None:
-        """Queue a record without waiting."""
-        try:
-            self.queue.put_nowait(record)
-        except queue.Full:
-            # The handler's lock is held here, so the count loses no update.
-            self.dropped_count += 1
+    def __init__(self) -> None:
+        self.left = BURST_LINE_COUNT
+        self.at_s = time.monotonic()
+        self.left_out_count = 0
 
+    def take(self) -> bool:
+        """Take one line."""
+        now_s = time.monotonic()
+        self.left = min(BURST_LINE_COUNT, self.left + LINES_PER_S * (now_s - self.at_s))
+        self.at_s = now_s
+        if self.left < 1.0:
+            self.left_out_count += 1
+            return False
+        self.left -= 1.0
+        return True
 
-class _LineWriter(logging.Handler):
-    """Write lines to standard error or to a stream."""
 
-    def __init__(self, stream: TextIO | None) -> None:
-        super().__init__()
-        self._stream = stream
+class _Handler(logging.Handler):
+    """Format records and queue their lines, within the allowance of each part."""
 
-    def createLock(self) -> None:  # noqa: N802
-        """Do without a lock, as only the listener's thread writes."""
-        # A lock that a blocked write holds would also block logging.shutdown, and with it the
-        # end of the process.
-        self.lock = None
+    def __init__(self, writer: _Writer) -> None:
+        super().__init__()
+        self._writer = writer
+        self._allowances: dict[str, _Allowance] = {}
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write a record; a line that cannot be written is lost."""
-        with contextlib.suppress(OSError, ValueError):
-            line = f'{self.format(record)}\n'
-            if self._stream is not None:
-                self._stream.write(line)
+        """Queue the line of a record without waiting."""
+        try:
+            line = self.format(record)
+        except Exception:
+            self.handleError(record)
+            return
+        if record.levelno < logging.WARNING:
+            part = line.split('[', 1)[-1].split(']', 1)[0]
+            allowance = self._allowances.setdefault(part, _Allowance())
+            if not allowance.take():
                 return
-            data = line.encode('utf-8', 'backslashreplace')
-            while data:
-                data = data[os.write(STDERR_FD, data) :]
+            self._report(part, allowance)
+        self._writer.put(line)
 
+    def report_left_out(self) -> None:
+        """Write how many lines of each part were left out since the last report."""
+        for part, allowance in self._allowances.items():
+            self._report(part, allowance)
 
-class _Listener(QueueListener):
-    """Write queued records and report the dropped ones."""
+    def _report(self, part: str, allowance: _Allowance) -> None:
+        if allowance.left_out_count:
+            count, allowance.left_out_count = allowance.left_out_count, 0
+            self._writer.put(_own_line(f'{count} log lines of [{part}] were left out.'))
 
-    queue: queue.Queue[logging.LogRecord | None]
 
-    def __init__(self, source: _BoundedHandler, target: logging.Handler) -> None:
-        super().__init__(source.queue, target)
-        self._source = source
-        self._reported_count = 0
+class _Writer:
+    """Write queued lines on a thread of its own."""
 
-    def handle(self, record: logging.LogRecord) -> None:
-        """Write a record, preceded by the number of dropped ones if it changed."""
-        self._report_drops()
-        super().handle(record)
+    def __init__(self, stream: TextIO | None, queue_line_count: int) -> None:
+        self.dropped_count = 0
+        self._stream = stream
+        self._limit = queue_line_count
+        self._lines: deque[str] = deque()
+        self._wake = threading.Event()
+        self._stopping = False
+        self._reported_count = 0
+        self._thread = threading.Thread(target=self._run, name='logs', daemon=True)
+        self._thread.start()
 
-    def stop(self) -> None:
-        """Stop after the queued records, or leave a blocked writer behind."""
-        thread, self._thread = self._thread, None
-        if thread is None:
-            return
-        try:
-            # The base class takes None as the end of the queue.
-            self.queue.put(None, timeout=STOP_TIMEOUT_S)
-        except queue.Full:
+    def put(self, line: str) -> None:
+        """Queue a line, or count it if there is no room."""
+        if len(self._lines) >= self._limit:
+            self.dropped_count += 1
             return
-        thread.join(STOP_TIMEOUT_S)
-        if not thread.is_alive():
-            self._report_drops()
+        self._lines.append(line)
+        if not self._wake.is_set():
+            self._wake.set()
 
-    def _report_drops(self) -> None:
-        dropped = self._source.dropped_count - self._reported_count
+    def stop(self) -> None:
+        """Write what is queued, or leave a blocked writer behind."""
+        self._stopping = True
+        self._wake.set()
+        self._thread.join(STOP_TIMEOUT_S)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            self._wake.wait()
+            if not self._stopping:
+                time.sleep(GATHER_S)
+            self._wake.clear()
+            self._write_queued()
+
+    def _write_queued(self) -> None:
+        lines: list[str] = []
+        while self._lines:
+            lines.append(self._lines.popleft())
+        dropped = self.dropped_count - self._reported_count
         if dropped:
             self._reported_count += dropped
             text = f'{dropped} log records did not fit the queue and were dropped.'
-            fields = {'name': __name__, 'levelno': logging.WARNING, 'msg': text}
-            super().handle(logging.makeLogRecord(fields))
+            lines.append(_own_line(text))
+        # A line that cannot be written is lost.
+        with contextlib.suppress(OSError, ValueError):
+            self._write(''.join(f'{line}\n' for line in lines))
+
+    def _write(self, text: str) -> None:
+        if self._stream is not None:
+            self._stream.write(text)
+            return
+        data = text.encode('utf-8', 'backslashreplace')
+        while data:
+            data = data[os.write(STDOUT_FD, data) :]
+
+
+def _own_line(text: str) -> str:
+    """Build a line of this module."""
+    fields = {'name': __name__, 'levelno': logging.WARNING, 'msg': text}
+    return LineFormatter().format(logging.makeLogRecord(fields))
 
 
 class LineFormatter(logging.Formatter):
@@ -160,17 +210,6 @@
         return f'{seconds}.{int(record.msecs):03d}Z {level} {message.translate(_ESCAPES)}'
 
 
-class _MessageFormatter(logging.Formatter):
-    """Merge arguments and traceback of a record in the thread that logs."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        """Give the message with its traceback."""
-        message = record.getMessage()
-        if record.exc_info and record.exc_info[0] is not None:
-            message = f'{message}\n{self.formatException(record.exc_info)}'
-        return message
-
-
 def part_of(logger_name: str) -> str:
     """Give the part that a logger's name stands for."""
     for segment in reversed(logger_name.split('.')):
@@ -194,19 +233,16 @@
 
 
 def configure_logs(
-    level: str, stream: TextIO | None = None, queue_record_count: int = QUEUE_RECORD_COUNT
+    level: str, stream: TextIO | None = None, queue_line_count: int = QUEUE_LINE_COUNT
 ) -> LogHandle:
-    """Send all log records to standard error through a bounded queue."""
-    handler = _BoundedHandler(queue.Queue(queue_record_count))
-    handler.setFormatter(_MessageFormatter())
+    """Send all log records to standard output through a bounded queue."""
+    writer = _Writer(stream, queue_line_count)
+    handler = _Handler(writer)
+    handler.setFormatter(LineFormatter())
     handler.addFilter(_is_wanted)
-    target = _LineWriter(stream)
-    target.setFormatter(LineFormatter())
-    listener = _Listener(handler, target)
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
     root.addHandler(handler)
     root.setLevel(level.upper())
-    listener.start()
-    return LogHandle(handler, listener)
+    return LogHandle(handler, writer)
--- /dev/null
+++ b/tests/test_fleet_processes/test_whole_path.py
@@ -0,0 +1,213 @@
+"""Guard against a fleet of real processes that does not serve, or serves untruly."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tools.fleet.searcher import DROP, Plan
+from tools.fleet.site import SHARD_COUNT, Site
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+Play = Callable[[Site], Awaitable[None]]
+
+
+def run(folder: Path, play: Play, **options: int) -> None:
+    async def whole() -> None:
+        async with Site(folder, **options) as site:
+            await site.serving()
+            await play(site)
+
+    asyncio.run(whole())
+
+
+def test_queries_and_requests_are_answered_truly(tmp_path: Path) -> None:
+    """Guard against answers of other requests, untrue coverage and changed requests."""
+
+    async def play(site: Site) -> None:
+        answer = await site.call('/all/gold?x=%2f')
+        assert answer.status == 200
+        assert len(answer.receipts) == SHARD_COUNT
+        assert all(each.startswith(f'{answer.request_id}.') for each in answer.receipts)
+        records = [answer.body[at : at + 16] for at in range(0, len(answer.body), 16)]
+        assert records == sorted(records, reverse=True)
+        assert len(records) == 5
+        asked = [each for searcher in site.searchers for each in searcher.asked]
+        own = [each for each in asked if each.request_id == answer.request_id]
+        assert {each.target for each in own} == {'/all/gold?x=%2f'}
+
+        single = await site.call('/one/lot')
+        assert single.status == 200
+        assert single.headers['X-Response-Stamp'].startswith(f'{single.request_id}.')
+        posted = await site.call('/once/bill', method='POST', body=b'\x00\xffbill')
+        assert posted.status == 200
+        (ran,) = [
+            each
+            for searcher in site.of_service('single')
+            for each in searcher.asked
+            if each.request_id == posted.request_id
+        ]
+        assert (ran.method, ran.body) == ('POST', b'\x00\xffbill')
+        assert (await site.call('/nowhere/x')).status == 404
+
+    run(tmp_path, play)
+
+
+def test_lost_reply_of_a_bill_is_no_promise(tmp_path: Path) -> None:
+    """Guard against a bill that runs twice, or is called not run though it ran."""
+
+    async def play(site: Site) -> None:
+        for searcher in site.of_service('single'):
+            searcher.behaviour = lambda _request_id: Plan(status=DROP)
+        answer = await site.call('/once/bill', method='POST', body=b'bill')
+        assert answer.status not in (408, 421, 429, 503)
+        ran = sum(each.run_count(answer.request_id) for each in site.of_service('single'))
+        assert ran == 1
+        for searcher in site.of_service('single'):
+            searcher.behaviour = lambda _request_id: Plan(not_run=True)
+        refused = await site.call('/once/bill', method='POST', body=b'bill')
+        assert refused.status == 503
+        assert 'Retry-After' in refused.headers
+
+    run(tmp_path, play)
+
+
+def test_caller_that_leaves_stops_the_searchers(tmp_path: Path) -> None:
+    """Guard against searchers that work for a caller that is gone."""
+
+    async def play(site: Site) -> None:
+        for searcher in site.searchers:
+            searcher.behaviour = lambda _request_id: Plan(delay_s=1.5)
+        task = asyncio.create_task(site.call('/all/slow'))
+        await asyncio.sleep(0.2)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+        async def stopped() -> bool:
+            return sum(searcher.cancelled_count for searcher in site.searchers) >= SHARD_COUNT
+
+        assert await site.until(stopped, 'searchers to stop', 1.0) < 0.5
+
+    run(tmp_path, play)
+
+
+def test_draining_searcher_gets_no_new_work(tmp_path: Path) -> None:
+    """Guard against work for a searcher after its leaving was acknowledged."""
+
+    async def play(site: Site) -> None:
+        leaving, staying = site.of_service('s1')
+        leaving.state = 'draining'
+        assert await site.announce(leaving)
+        await asyncio.sleep(0.3)
+        before = len(leaving.asked)
+        for _ in range(20):
+            answer = await site.call('/all/x')
+            assert (answer.status, answer.missing_count) == (200, 0)
+        assert len(leaving.asked) == before
+        assert staying.asked
+
+    run(tmp_path, play)
+
+
+def test_routes_are_in_force_everywhere_and_read_back(tmp_path: Path) -> None:
+    """Guard against an acknowledged configuration that an instance does not use."""
+
+    async def play(site: Site) -> None:
+        route = {
+            **site.document(0)['routes'][1],
+            'name': 'r-new',
+            'pathPrefix': '/new/',
+        }
+        assert (await site.call('/new/x')).status == 404
+        version = await site.submit(extra_routes=[route])
+
+        async def everywhere() -> bool:
+            addresses = [site.fleet.caller_address(each) for each in site.fleet.entries]
+            answers = [await site.call('/new/x', address) for address in addresses]
+            return all(answer.status == 200 for answer in answers)
+
+        assert await site.until(everywhere, 'the new route', 3.0) < 3.0
+        for number in range(len(site.fleet.controls)):
+            assert await site.read(number) == site.accepted[version]
+
+    run(tmp_path, play)
+
+
+def test_stop_of_an_entry_cuts_no_request(tmp_path: Path) -> None:
+    """Guard against a planned stop that cuts a request or leaves callers at a closed door."""
+
+    async def play(site: Site) -> None:
+        for searcher in site.searchers:
+            searcher.behaviour = lambda _request_id: Plan(delay_s=0.05)
+        stopping = site.fleet.entries[0]
+        address = site.fleet.caller_address(stopping)
+        statuses: list[int] = []
+
+        async def caller() -> None:
+            async with aiohttp.ClientSession() as session:
+                while site.fleet.is_running(stopping):
+                    answer = await site.call('/all/x', address, session=session)
+                    if answer.status == 0:
+                        return
+                    statuses.append(answer.status)
+
+        callers = [asyncio.create_task(caller()) for _ in range(4)]
+        await asyncio.sleep(0.3)
+        site.fleet.signal(stopping, signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        assert address not in await site.addresses()
+        assert not await site.ready(0)
+        await asyncio.gather(*callers)
+        process = site.fleet.processes[stopping.name]
+        assert process.wait(5.0) == 0
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) > 20
+
+    run(tmp_path, play)
+
+
+def test_all_control_instances_restart_with_what_was_accepted(tmp_path: Path) -> None:
+    """Guard against a restart that forgets an acknowledged configuration."""
+
+    async def play(site: Site) -> None:
+        version = await site.submit()
+        for machine in site.fleet.controls:
+            site.fleet.kill(machine)
+        for machine in site.fleet.controls:
+            site.fleet.start(machine)
+
+        async def back() -> bool:
+            document = await site.read()
+            return document is not None and document['version'] == version
+
+        await site.until(back, 'the accepted routes', 10.0)
+        await site.submit()
+
+    run(tmp_path, play)
+
+
+def test_wiped_control_instance_joins_again(tmp_path: Path) -> None:
+    """Guard against a lost disk that votes, and a group that can lose no more afterwards."""
+
+    async def play(site: Site) -> None:
+        wiped = site.fleet.controls[0]
+        site.fleet.kill(wiped)
+        site.fleet.wipe(wiped)
+        site.fleet.start(wiped)
+
+        async def joined() -> bool:
+            logs = [site.fleet.log(machine) for machine in site.fleet.controls]
+            return any(f'promote {wiped.ip}-' in log for log in logs)
+
+        await site.until(joined, 'the new member to vote', 15.0)
+        version = await site.submit()
+        site.fleet.kill(site.fleet.controls[1])
+        assert await site.submit() == version + 1
+
+    run(tmp_path, play)
--- a/tests/test_settings/test_logs.py
+++ b/tests/test_settings/test_logs.py
@@ -6,11 +6,18 @@
 import logging
 import re
 import threading
+import time
 from typing import TYPE_CHECKING
 
 import pytest
 
-from pistachioloft_daemon.logs import configure_logs, part_logger, part_of
+from pistachioloft_daemon.logs import (
+    BURST_LINE_COUNT,
+    LINES_PER_S,
+    configure_logs,
+    part_logger,
+    part_of,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -38,9 +45,9 @@
 
 
 def test_blocked_output_drops_and_counts() -> None:
-    """Guard against a full pipe on standard error that stops the event loop."""
+    """Guard against a full pipe on standard output that stops the event loop."""
     stream = BlockedStream()
-    handle = configure_logs('info', stream, queue_record_count=4)
+    handle = configure_logs('info', stream, queue_line_count=4)
     for number in range(20):
         part_logger('routing').info('Chose endpoint %d.', number)
     dropped = handle.dropped_count
@@ -52,6 +59,27 @@
     assert any(f'[process] {dropped} log records did not fit' in line for line in lines)
 
 
+def test_ordinary_lines_are_bounded_and_counted() -> None:
+    """Guard against a busy part that fills the log, and against a silent gap in it."""
+    stream = io.StringIO()
+    handle = configure_logs('info', stream)
+    sent_count = int(BURST_LINE_COUNT) + 500
+    for number in range(sent_count):
+        part_logger('routing').info('Chose endpoint %d.', number)
+    part_logger('routing').warning('Endpoint lost.')
+    part_logger('lease').info('Routes in force.')
+    time.sleep(2.0 / LINES_PER_S)
+    part_logger('routing').info('Chose the last endpoint.')
+    handle.stop()
+    lines = stream.getvalue().splitlines()
+    chosen = sum('Chose endpoint' in line for line in lines)
+    assert BURST_LINE_COUNT <= chosen < sent_count
+    assert any('Endpoint lost' in line for line in lines)
+    assert any('Routes in force' in line for line in lines)
+    reports = [re.search(r'(\d+) log lines of \[routing\] were left out', each) for each in lines]
+    assert sum(int(found.group(1)) for found in reports if found) == sent_count - chosen
+
+
 def test_one_line_with_time_level_and_prefix() -> None:
     """Guard against input that forges a second log line, and against a lost traceback."""
     stream = io.StringIO()
--- /dev/null
+++ b/tools/fleet/searcher.py
@@ -0,0 +1,164 @@
+"""A stand-in searcher that speaks the platform's protocol and keeps what it was asked."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from aiohttp import web
+
+# Ends a request without a reply.
+DROP = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Hold one request that the searcher ran or refused."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    at_s: float
+    ran: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Say how a searcher treats one request."""
+
+    delay_s: float = 0.003
+    status: int = 200
+    body: bytes | None = None
+    not_run: bool = False
+
+
+Behaviour = Callable[[str], Plan]
+
+
+class StandInSearcher:
+    """Hold one searcher of one service."""
+
+    def __init__(
+        self,
+        endpoint: str,
+        service: str,
+        failure_domain: str,
+        ip: str,
+        slot_count: int = 2,
+        connection_limit: int = 20,
+    ) -> None:
+        self.endpoint = endpoint
+        self.service = service
+        self.failure_domain = failure_domain
+        self.ip = ip
+        self.slot_count = slot_count
+        self.connection_limit = connection_limit
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.address = ''
+        self.state = 'ready'
+        self.asked: list[Asked] = []
+        self.behaviour: Behaviour = lambda _request_id: Plan()
+        self.running_count = 0
+        self.cancelled_count = 0
+        self._numbers = itertools.count(1)
+        self._slots = asyncio.Semaphore(slot_count)
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen, on a port of the kernel's choice unless one is given."""
+        server = web.Server(self._handle, handler_cancellation=True, keepalive_timeout=30)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.ip, port)
+        await site.start()
+        self.address = f'{self.ip}:{self._runner.addresses[0][1]}'
+
+    async def stop(self) -> None:
+        """Close the address and every connection."""
+        if self._runner is not None:
+            runner, self._runner = self._runner, None
+            # What is in progress is cut, as a crash does.
+            await asyncio.wait_for(runner.cleanup(), 10.0)
+
+    def announcement(self) -> dict[str, object]:
+        """Build what the searcher says of itself next."""
+        self.sequence += 1
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.failure_domain,
+            'version': 'v1',
+            'slots': self.slot_count,
+            'state': self.state,
+            'coldLeftMs': 0,
+            'seq': self.sequence,
+            'born': self.born_ms,
+        }
+
+    def run_count(self, request_id: str) -> int:
+        """Count how often a request ran here."""
+        return sum(each.ran and each.request_id == request_id for each in self.asked)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get('X-Request-Id', '')
+        expected = request.headers.get('X-Target-Instance', self.endpoint)
+        plan = self.behaviour(request_id)
+        body = await request.read()
+        refused = expected != self.endpoint or plan.not_run
+        self.asked.append(
+            Asked(
+                request_id,
+                request.method,
+                request.path_qs if not request.raw_path else request.raw_path,
+                tuple((key.decode(), value.decode()) for key, value in request.raw_headers),
+                body,
+                time.monotonic(),
+                not refused,
+            )
+        )
+        if expected != self.endpoint:
+            return web.Response(status=421, headers={'X-Instance-Id': self.endpoint})
+        if plan.not_run:
+            return web.Response(status=503, headers=self._headers(request_id, not_run=True))
+        return await self._run(request, request_id, plan)
+
+    async def _run(self, request: web.BaseRequest, request_id: str, plan: Plan) -> web.Response:
+        try:
+            async with self._slots:
+                self.running_count += 1
+                try:
+                    await asyncio.sleep(plan.delay_s)
+                finally:
+                    self.running_count -= 1
+        except asyncio.CancelledError:
+            self.cancelled_count += 1
+            raise
+        if plan.status == DROP:
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response()
+        content = plan.body if plan.body is not None else self._records(request_id)
+        return web.Response(
+            status=plan.status, body=content, headers=self._headers(request_id, not_run=False)
+        )
+
+    def _headers(self, request_id: str, not_run: bool) -> dict[str, str]:
+        headers = {
+            'X-Request-Id': request_id,
+            'X-Server-Load': f'{self.running_count},0,{self.slot_count}',
+        }
+        if not_run:
+            headers['X-Not-Executed'] = '1'
+        else:
+            headers['X-Response-Stamp'] = f'{request_id}.{self.service}.{next(self._numbers)}'
+        return headers
+
+    def _records(self, request_id: str) -> bytes:
+        name = f'{self.service}{request_id}'.encode()[-12:].rjust(12, b'.')
+        return b''.join(bytes([rank]) + b'\0\0\0' + name for rank in (7, 200, 31))
