Take one slow reply for a pause and only a streak of them for a slow endpoint

Cause: searchers pause for 120 ms each 3 s.

Change: the first slow reply counts as just slow and is half forgotten in 0.2 s; each further one in a row, sent after the last, is remembered three times as long, up to 5 s.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -12,9 +12,15 @@
 
 # Weight of the newest reply in the estimate of slowness; about the last 4 replies count.
 SLOWNESS_WEIGHT = 0.25
-# Without replies, half of the distance to an ordinary endpoint is forgotten in this time.
-# An endpoint at ten times the usual latency is tried again after about three of them.
-SLOWNESS_HALF_LIFE_MS = 2_000.0
+# A reply that took this many times the usual latency was slow.
+SLOW_FACTOR = 2.5
+# Without replies, half of the distance to an ordinary endpoint is forgotten in this time. One
+# slow reply is mostly a pause that has ended with it; each further one in a row makes it more
+# likely that the endpoint is slow, and is remembered for longer.
+SLOWNESS_HALF_LIFE_MS = 200.0
+SLOWNESS_HALF_LIFE_FACTOR = 3.0
+LONGEST_HALF_LIFE_MS = 5_000.0
+LONGEST_STREAK = 9
 # Weight of the newest outcome in the estimate of how many requests an endpoint sheds.
 SHED_WEIGHT = 0.2
 SHED_HALF_LIFE_MS = 2_000.0
@@ -42,6 +48,8 @@
     __slots__ = (
         '_shed',
         '_shed_ms',
+        '_slow_ms',
+        '_slow_streak',
         '_slowness',
         '_slowness_ms',
         'breaker',
@@ -69,12 +77,16 @@
         self.trip_ms = 0.0
         self._slowness = 1.0
         self._slowness_ms = 0.0
+        self._slow_streak = 0
+        self._slow_ms = float('-inf')
         self._shed = 0.0
         self._shed_ms = 0.0
 
     def slowness(self, now_ms: float) -> float:
         """Return the latency of this endpoint as a multiple of its route's median."""
-        left = _decay(now_ms - self._slowness_ms, SLOWNESS_HALF_LIFE_MS)
+        factor = SLOWNESS_HALF_LIFE_FACTOR ** max(0, self._slow_streak - 1)
+        half_life_ms = min(LONGEST_HALF_LIFE_MS, SLOWNESS_HALF_LIFE_MS * factor)
+        left = _decay(now_ms - self._slowness_ms, half_life_ms)
         return 1.0 + (self._slowness - 1.0) * left
 
     def shed_share(self, now_ms: float) -> float:
@@ -85,6 +97,16 @@
         """Take a reply that the endpoint worked on."""
         lowest, highest = SLOWNESS_RANGE
         sample = min(highest, max(lowest, latency_ms / max(usual_ms, 1.0)))
+        if sample < SLOW_FACTOR:
+            self._slow_streak = 0
+        elif now_ms - latency_ms > self._slow_ms:
+            # It was sent after the last slow reply, so it tells of something new.
+            self._slow_streak = min(LONGEST_STREAK, self._slow_streak + 1)
+            self._slow_ms = now_ms
+            if self._slow_streak == 1:
+                sample = SLOW_FACTOR
+        else:
+            sample = self.slowness(now_ms)
         self._slowness = _blend(self.slowness(now_ms), sample, SLOWNESS_WEIGHT)
         self._slowness_ms = now_ms
         self._shed = _blend(self.shed_share(now_ms), 0.0, SHED_WEIGHT)
--- /dev/null
+++ b/tests/test_gather/test_placement.py
@@ -0,0 +1,129 @@
+"""Guard against attempts on endpoints that are slow, far, full or gone."""
+
+from __future__ import annotations
+
+from pistachioloft_core.connection.endpoint_load import EndpointLoad, LoadReport
+from pistachioloft_core.request.attempts import AttemptEnd, Ended
+from pistachioloft_core.request.placement import choose_endpoint
+from tests.test_gather.routed_player import Behaviour, Player, answered, silent
+
+USUAL_MS = 10.0
+
+
+def player_with_remote() -> Player:
+    """Return a player whose shards have one endpoint here and one elsewhere."""
+    player = Player(replica_count=1, shard_count=4)
+    for number in range(4):
+        player.add_endpoint(f's{number}', 1, domain='elsewhere')
+    for number in range(30):
+        player.at(number * 20.0, player.query)
+    player.run(1_000.0)
+    player.sent.clear()
+    return player
+
+
+def pausing(period_ms: float, pause_ms: float, offset_ms: float) -> Behaviour:
+    """Answer in 10 ms, but stand still for a moment in each period."""
+
+    def behave(now_ms: float, _attempt: object) -> tuple[float, AttemptEnd]:
+        into_ms = (now_ms + offset_ms) % period_ms
+        wait_ms = max(0.0, pause_ms - into_ms)
+        return wait_ms + USUAL_MS, AttemptEnd(Ended.ANSWERED, reply='part')
+
+    return behave
+
+
+def share_to(player: Player, suffix: str) -> float:
+    sent = [attempt.load.record.endpoint for attempt in player.sent]
+    return sum(name.endswith(suffix) for name in sent) / len(sent)
+
+
+def choice(player: Player, service: str = 's0') -> EndpointLoad | None:
+    return choose_endpoint(player.state, player.now_ms, player.gather_route, service)
+
+
+def test_the_near_endpoint_is_used_while_it_is_as_fast() -> None:
+    """Guard against bytes between failure domains that buy nothing."""
+    player = player_with_remote()
+    for number in range(100):
+        player.at(player.now_ms + number * 20.0, player.query)
+    player.run(player.now_ms + 3_000.0)
+    assert share_to(player, '-0') > 0.98
+
+
+def test_a_pause_does_not_move_the_load_for_long() -> None:
+    """Guard against endpoints that are avoided for seconds after each short pause."""
+    player = player_with_remote()
+    for number in range(4):
+        player.behaviours[f's{number}-0'] = pausing(3_000.0, 120.0, number * 700.0)
+    for number in range(600):
+        player.at(player.now_ms + number * 50.0, player.query)
+    player.run(player.now_ms + 32_000.0)
+    answered_late = [
+        played
+        for played in player.played
+        if played.answer is None or played.answer.at_ms - played.arrived_ms > 95.0
+    ]
+    assert answered_late == []
+    # The pauses alone are 4% of the time.
+    assert share_to(player, '-0') > 0.75
+
+
+def test_a_slow_endpoint_is_asked_ever_less_often() -> None:
+    """Guard against queries that each find out anew that an endpoint is slow."""
+    player = player_with_remote()
+    player.behaviours['s0-0'] = answered(120.0)
+    for number in range(400):
+        player.at(player.now_ms + number * 25.0, player.query)
+    player.run(player.now_ms + 11_000.0)
+    assert player.sent_to('s0-0') < 20
+
+
+def test_an_endpoint_with_a_late_attempt_gets_no_other() -> None:
+    """Guard against more requests into a pause that is going on."""
+    player = player_with_remote()
+    player.behaviours['s0-0'] = silent
+    player.query()
+    player.run(player.now_ms + 40.0)
+    chosen = choice(player)
+    assert chosen is not None
+    assert chosen.record.endpoint == 's0-1'
+
+
+def test_reported_queue_counts() -> None:
+    """Guard against work for an endpoint whose slots others have filled."""
+    player = player_with_remote()
+    load = player.state.table.endpoints['s0-0']
+    load.note_report(player.now_ms, LoadReport(2, 6, 2))
+    chosen = choice(player)
+    assert chosen is not None
+    assert chosen.record.endpoint == 's0-1'
+
+
+def test_an_endpoint_that_refuses_is_used_less() -> None:
+    """Guard against retries that a better first choice would save."""
+    player = player_with_remote()
+    load = player.state.table.endpoints['s0-0']
+    for _ in range(5):
+        load.note_shed(player.now_ms)
+    chosen = choice(player)
+    assert chosen is not None
+    assert chosen.record.endpoint == 's0-1'
+
+
+def test_a_lost_endpoint_is_probed_once_at_a_time() -> None:
+    """Guard against a burst of requests to an endpoint that may still be down."""
+    player = Player(replica_count=1)
+    player.behaviours['s0-0'] = lambda _now, _attempt: (
+        1.0,
+        AttemptEnd(Ended.NOT_SENT, 'refused', absent=True),
+    )
+    player.query()
+    player.run(5.0)
+    assert choice(player) is None
+    player.run(600.0)
+    player.behaviours['s0-0'] = silent
+    player.query()
+    player.query()
+    player.run(601.0)
+    assert player.sent_to('s0-0') == 2
