Remember the announced endpoints across restarts of the control instances

Change: a control instance writes its endpoints to its disk when they change and takes them at a start as if heard then; they lapse with the usual lease. The voter's files moved to a folder of their own.

--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -23,7 +23,7 @@
 from .directory import chosen_entries
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from ..messages.fleet import AnnouncedEndpoint
 
@@ -91,6 +91,18 @@
     return state.unsettled_since_ms is None
 
 
+def restore(state: FleetState, now_ms: float, records: Iterable[AnnouncedEndpoint]) -> None:
+    """Take the endpoints that an earlier run knew, as if they were heard now."""
+    # Those that are gone lapse with the lease that begins here.
+    for record in records:
+        merge(state.announced, record, now_ms)
+
+
+def known_records(state: FleetState) -> tuple[AnnouncedEndpoint, ...]:
+    """Return what is known of all endpoints."""
+    return tuple(entry.record for entry in state.announced.endpoints.values())
+
+
 def on_announcement(state: FleetState, now_ms: float, record: AnnouncedEndpoint) -> Merged:
     """Take an announcement that came here."""
     merged = merge(state.announced, record, now_ms)
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -19,6 +19,7 @@
 from pistachioloft_core.version.accepted import accepted_routes
 
 from .control_face import ControlFace
+from .endpoint_memory import EndpointMemory
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
@@ -47,6 +48,7 @@
 # for good while new ones work.
 RECONNECT_MS = 1_000.0
 STOP_WAIT_S = 0.3
+VOTER_FOLDER = 'voter'
 # A disk that hangs must not hold up the end of the process.
 CLOSE_TIMEOUT_S = 2.0
 # Callers keep an answer for this long; they leave a stopping or lost instance that much later.
@@ -88,8 +90,9 @@
             lambda reason: logger.error('%s not a voter any more: %s', PREFIX, reason),
             self._on_routes,
         )
+        self.memory = EndpointMemory(settings.data_folder)
         self.keeper = VoterKeeper(
-            settings.data_folder, settings.instance, founders, hooks, self._on_voter
+            settings.data_folder / VOTER_FOLDER, settings.instance, founders, hooks, self._on_voter
         )
         self.reconnected: dict[str, float] = {}
         self.push_due = False
@@ -106,6 +109,7 @@
 
     async def start(self) -> None:
         """Listen, open the data folder and start the timers."""
+        fleet.restore(self.fleet, monotonic_ms(), self.memory.load())
         self.peers.start()
         await self.keeper.start(self.timers)
         for server in self.servers:
@@ -215,6 +219,8 @@
         self.next_share_ms = now_ms + fleet.SHARE_INTERVAL_MS
         if fleet.tick(self.fleet, now_ms, self.confirmed()):
             self.push()
+        revision = self.fleet.announced.revision
+        self.memory.save_if_due(now_ms, revision, fleet.known_records(self.fleet))
         share = fleet.take_news(self.fleet, now_ms)
         for peer in self._connect_peers(now_ms):
             self.peers.send(peer, share)
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_memory.py
@@ -0,0 +1,76 @@
+"""Remember the announced endpoints on disk, so that a restart of all need not wait for them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from pistachioloft_core.codec import decode_packed
+from pistachioloft_core.errors import CodedError
+from pistachioloft_core.messages.fleet import AnnouncedEndpoint
+
+from .storage import FileOperations, StorageError
+from .storage.layout import write_file
+from .storage.records import frame, scan
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[storage]'
+FILE_NAME = 'endpoints.snap'
+# Endpoints change by seconds; a write takes two syncs.
+SAVE_INTERVAL_MS = 1_000.0
+
+
+class EndpointMemory:
+    """Hold the file of endpoints and what was last written to it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.files = FileOperations()
+        self.saved_revision = -1
+        self.next_save_ms = 0.0
+        self.task: asyncio.Task[None] | None = None
+
+    def load(self) -> tuple[AnnouncedEndpoint, ...]:
+        """Read the endpoints of an earlier run; a file that cannot be read holds none."""
+        path = str(self.folder / FILE_NAME)
+        try:
+            (payload,) = scan(path, self.files.read(path), last_may_be_torn=False).payloads
+            content = decode_packed(payload, bytes)
+            return decode_packed(content, tuple[AnnouncedEndpoint, ...])
+        except FileNotFoundError:
+            return ()
+        except (OSError, StorageError, CodedError, ValueError) as error:
+            # They announce themselves again within a heartbeat.
+            logger.warning('%s endpoints not read from %s: %s', PREFIX, path, error)
+            return ()
+
+    def save_if_due(
+        self, now_ms: float, revision: int, records: tuple[AnnouncedEndpoint, ...]
+    ) -> None:
+        """Write the endpoints if they changed, at most once an interval."""
+        busy = self.task is not None and not self.task.done()
+        if busy or revision == self.saved_revision or now_ms < self.next_save_ms:
+            return
+        self.saved_revision = revision
+        self.next_save_ms = now_ms + SAVE_INTERVAL_MS
+        self.task = asyncio.get_running_loop().create_task(self._save(records))
+
+    async def _save(self, records: tuple[AnnouncedEndpoint, ...]) -> None:
+        content = msgspec.msgpack.encode(records)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(None, self._write, content)
+        except OSError as error:
+            # The next change is tried again; a start without the file only takes longer.
+            logger.warning('%s endpoints not saved: %s', PREFIX, error)
+
+    def _write(self, content: bytes) -> None:
+        self.files.make_folder(str(self.folder))
+        write_file(self.files, str(self.folder), FILE_NAME, (frame(content),))
--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -4,6 +4,7 @@
 
 import itertools
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -115,9 +116,7 @@
 
     def wipe(self, machine: Machine) -> None:
         """Remove the disk of a machine whose process has ended."""
-        data = self.folder / machine.name / 'data'
-        for path in sorted(data.glob('*')):
-            path.unlink()
+        shutil.rmtree(self.folder / machine.name / 'data')
 
     def log_path(self, machine: Machine) -> Path:
         """Return where the process of a machine writes its log."""
