Ask far shards as one group through an entry near them, which merges the replies

Cause: a third of the shards has no endpoint in an entry's failure domain.

Change: the first attempts of a query on endpoints of one other failure domain go to an entry there as one request; it sends them, merges the records of what came and returns the receipts. Merged records are used for all their shards or none. Large groups nearby are shared the same way. An entry without a confirmed control instance asks the next after 100 ms instead of staying for a second; a member whose instance answers under another name counts as gone in an election.

--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -54,6 +54,11 @@
         'ReadRequest',
         'ReadReply',
     ),
+    'relay': (
+        'RelayRequest',
+        'RelayResults',
+        'RelayCancel',
+    ),
     'agreement': (
         'VoteRequest',
         'VoteReply',
--- a/packages/core/src/pistachioloft_core/messages/agreement.py
+++ b/packages/core/src/pistachioloft_core/messages/agreement.py
@@ -59,6 +59,8 @@
     membership_index: int = 0
     # Every voter said that it neither leads nor heard a leader since it started.
     unanimous: bool = False
+    # Echoed in the reply, which then was given after the request.
+    round_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +73,7 @@
     pre_vote: bool
     # Refused only because this voter started too recently to know of no leader.
     restarted: bool = False
+    round_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -67,8 +67,8 @@
 Renewal = tuple[str, int, int, float]
 
 
-class ControlPlace(Struct, frozen=True, array_like=True):
-    """Name a control instance and where it is."""
+class Place(Struct, frozen=True, array_like=True):
+    """Name an instance and the failure domain that it is in."""
 
     instance: str
     failure_domain: str
@@ -135,9 +135,9 @@
     endpoints: tuple[HeardEndpoint, ...]
     route_version: int
     document: bytes
-    controls: tuple[ControlPlace, ...]
+    controls: tuple[Place, ...]
     # The entry instances that callers are sent to.
-    chosen: tuple[str, ...]
+    chosen: tuple[Place, ...]
     crashes: tuple[RequestCrash, ...] = ()
 
 
--- a/packages/core/src/pistachioloft_core/process/agreement/election.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/election.py
@@ -6,6 +6,7 @@
 
 from ...messages.agreement import ENTRY_NOOP, LogEntry, VoteReply, VoteRequest
 from .lease import hears_leader
+from .membership import instance_of
 from .replication import append_as_leader, broadcast, new_progress
 from .state import (
     ROLE_CANDIDATE,
@@ -33,6 +34,7 @@
     state.role = ROLE_PRE_CANDIDATE
     state.votes = {state.member_id}
     state.restarted_voters = set()
+    state.replaced_members = set()
     if len(state.votes) >= majority(state):
         start_election(state, effects, now_ms, transfer=False)
         return
@@ -71,6 +73,7 @@
     unanimous: bool = False,
 ) -> None:
     """Send a vote request to every other voter."""
+    state.round_id += 1
     request = VoteRequest(
         term=term,
         candidate=state.member_id,
@@ -80,6 +83,7 @@
         transfer=transfer,
         membership_index=state.membership_index,
         unanimous=unanimous,
+        round_id=state.round_id,
     )
     asked = _possible_leaders(state) if pre_vote or unanimous else state.membership.voters
     for voter in asked:
@@ -161,18 +165,21 @@
 ) -> None:
     """Send a vote reply; a granted pre-vote names the term that was asked for."""
     term = request.term if granted else state.term
-    reply = VoteReply(term, state.member_id, granted, request.pre_vote, restarted)
+    reply = VoteReply(term, state.member_id, granted, request.pre_vote, restarted, request.round_id)
     effects.send(request.candidate, reply)
 
 
 def on_vote_reply(state: AgreementState, effects: Effects, now_ms: float, reply: VoteReply) -> None:
     """Count a vote."""
+    _note_replaced(state, reply)
     if not reply.granted:
         if reply.term > state.term:
             become_follower(state, effects, now_ms, reply.term, None)
         elif reply.restarted and reply.pre_vote and state.role == ROLE_PRE_CANDIDATE:
             state.restarted_voters.add(reply.voter)
             _elect_if_all_restarted(state, effects, now_ms)
+        elif reply.pre_vote and state.role == ROLE_PRE_CANDIDATE:
+            _elect_if_all_restarted(state, effects, now_ms)
         return
     asked_term = state.term + 1 if reply.pre_vote else state.term
     asking_role = ROLE_PRE_CANDIDATE if reply.pre_vote else ROLE_CANDIDATE
@@ -187,7 +194,7 @@
         return
     if reply.pre_vote:
         start_election(state, effects, now_ms, transfer=False)
-    elif not state.needs_all_votes or state.votes.issuperset(_possible_leaders(state)):
+    elif not state.needs_all_votes or _all_have(state, state.votes):
         become_leader(state, effects, now_ms)
 
 
@@ -196,11 +203,32 @@
     # A lease belongs to a leader, and a leader does not vote for another. So with the votes of
     # all that could lead, no lease can still be running; a majority alone would not show that,
     # as a voter that has just started does not know what it confirmed before.
-    willing = state.votes | state.restarted_voters
-    if willing.issuperset(_possible_leaders(state)):
+    if _all_have(state, state.votes | state.restarted_voters):
         start_election(state, effects, now_ms, transfer=False, unanimous=True)
 
 
+def _all_have(state: AgreementState, voters: set[str]) -> bool:
+    """Tell whether all that could lead are among the voters; who is gone cannot."""
+    majority_answered = len(voters.intersection(state.membership.voters)) >= majority(state)
+    return majority_answered and (voters | state.replaced_members).issuperset(
+        _possible_leaders(state)
+    )
+
+
+def _note_replaced(state: AgreementState, reply: VoteReply) -> None:
+    """Note the members at whose instance another member has answered this round."""
+    # One instance runs one process, so a member is gone once another one answers in its place;
+    # an answer to this round was given after it began, so it is not a late one.
+    if reply.round_id != state.round_id or reply.round_id == 0:
+        return
+    instance = instance_of(reply.voter)
+    state.replaced_members |= {
+        member
+        for member in _possible_leaders(state)
+        if instance_of(member) == instance and member != reply.voter
+    }
+
+
 def on_timeout_now(
     state: AgreementState, effects: Effects, now_ms: float, message: TimeoutNow
 ) -> None:
--- a/packages/core/src/pistachioloft_core/process/agreement/state.py
+++ b/packages/core/src/pistachioloft_core/process/agreement/state.py
@@ -112,6 +112,9 @@
         # Voters that would vote but for their recent start.
         self.restarted_voters: set[str] = set()
         self.needs_all_votes = False
+        self.round_id = 0
+        # Members that are gone: another member answered at their instance in this round.
+        self.replaced_members: set[str] = set()
         # Fields of a leader.
         self.term_start_index = 0
         self.term_start_ms = NEVER_MS
--- a/packages/core/src/pistachioloft_core/process/feed.py
+++ b/packages/core/src/pistachioloft_core/process/feed.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..messages.fleet import ControlPlace, EntryStatus, FeedPoll, FeedReply, RequestCrash
+from ..messages.fleet import EntryStatus, FeedPoll, FeedReply, Place, RequestCrash
 
 if TYPE_CHECKING:
     import random
@@ -19,9 +19,6 @@
 # Polls older than this are not counted; at most 100 are sent in this time.
 POLL_LIFE_MS = 10_000.0
 POLL_LIMIT_COUNT = 128
-# A control instance that has no quorum or does not know all endpoints yet is left for
-# another, but not more often than this: where none is better, it still has news.
-LEAVE_INTERVAL_MS = 1_000.0
 # An instance that was given up is asked again after this time, if it is the nearest.
 AVOID_MS = 5_000.0
 
@@ -42,7 +39,7 @@
     ) -> None:
         self.seeds = seeds
         self.failure_domain = failure_domain
-        self.controls: tuple[ControlPlace, ...] = ()
+        self.controls: tuple[Place, ...] = ()
         self.target: str | None = None
         self.missed_count = 0
         self.due_ms = float('-inf')
@@ -52,7 +49,6 @@
         self.sent: dict[int, tuple[str, float]] = {}
         self.cursors: dict[str, tuple[int, int]] = {}
         self.confirmed_ms: float | None = None
-        self.left_ms = float('-inf')
         self.crashes: list[RequestCrash] = []
         # When each control instance was given up as silent or without a quorum.
         self.silent: dict[str, float] = {}
@@ -172,9 +168,7 @@
         return
     state.missed_count = 0
     if not reply.confirmed:
-        state.due_ms = min(state.due_ms, now_ms + SEARCH_INTERVAL_MS)
-    if not reply.settled and now_ms - state.left_ms >= LEAVE_INTERVAL_MS:
-        state.left_ms = now_ms
+        # Another one may have a quorum; while none has, each is asked in turn.
         state.silent[sender] = now_ms
         state.target = None
-        state.due_ms = now_ms
+        state.due_ms = min(state.due_ms, now_ms + SEARCH_INTERVAL_MS)
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -10,13 +10,13 @@
 from ..messages.fleet import (
     STANDING_DRAINING,
     STANDING_LEFT,
-    ControlPlace,
     ControlShare,
     ControlStatus,
     EntryStatus,
     FeedPoll,
     FeedReply,
     HeardEndpoint,
+    Place,
     RequestCrash,
 )
 from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge, renew
@@ -253,7 +253,7 @@
         document=document,
         controls=_live_places(state, now_ms),
         chosen=tuple(
-            entry.instance
+            Place(entry.instance, entry.failure_domain)
             for entry in chosen_entries(live_entries(state, now_ms), state.entry_limit)
         ),
         crashes=_newest_crashes(state, now_ms),
@@ -345,10 +345,10 @@
     return now_ms - heard.heard_ms < CONTROL_LIVE_MS
 
 
-def _live_places(state: FleetState, now_ms: float) -> tuple[ControlPlace, ...]:
+def _live_places(state: FleetState, now_ms: float) -> tuple[Place, ...]:
     others = (each.status for each in state.controls.values() if _is_live(each, now_ms))
     return tuple(
-        ControlPlace(status.instance, status.failure_domain)
+        Place(status.instance, status.failure_domain)
         for status in (state.own, *others)
         if not status.stopping
     )
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -44,6 +44,12 @@
     report: LoadReport | None = None
     # The endpoint's address was refused or belongs to another endpoint now.
     absent: bool = False
+    # The endpoint's latency where another instance measured it.
+    latency_ms: float | None = None
+    # The records of the reply may stand in another reply that came with it.
+    merged: bool = False
+    # The instance that relayed the attempt is to blame, not the endpoint.
+    blameless: bool = False
 
 
 class Attempt:
@@ -158,10 +164,10 @@
     return Attempt(attempt_id, route, service, load, now_ms, late_ms, hedge)
 
 
-def note_sent(attempt: Attempt, now_ms: float) -> None:
-    """Take note that an attempt was written to a connection."""
+def note_sent(attempt: Attempt, now_ms: float, overhead_ms: float = 0.0) -> None:
+    """Take note that an attempt was written to a connection, or handed to a helper."""
     attempt.sent_ms = now_ms
-    attempt.check_at_ms = now_ms + attempt.late_after_ms
+    attempt.check_at_ms = now_ms + attempt.late_after_ms + overhead_ms
 
 
 def check_later(attempt: Attempt, now_ms: float) -> None:
@@ -181,10 +187,12 @@
 def end_attempt(state: RoutedState, now_ms: float, attempt: Attempt, end: AttemptEnd) -> None:
     """Take what the end of an attempt tells about its endpoint and its route."""
     load = attempt.load
-    _release(attempt)
+    release_attempt(attempt)
+    if end.blameless:
+        return
     if end.report is not None:
         load.note_report(now_ms, end.report)
-    latency_ms = attempt.latency_ms(now_ms)
+    latency_ms = attempt.latency_ms(now_ms) if end.latency_ms is None else end.latency_ms
     if end.ended in (Ended.ANSWERED, Ended.FAILED):
         usual_ms = usual_latency_ms(state, attempt.route)
         if end.ended is Ended.ANSWERED:
@@ -200,13 +208,14 @@
 
 def withdraw_attempt(state: RoutedState, now_ms: float, attempt: Attempt) -> None:
     """Count an attempt that was given up without a reply."""
-    _release(attempt)
+    release_attempt(attempt)
     usual_ms = usual_latency_ms(state, attempt.route)
     attempt.load.note_late(now_ms, attempt.latency_ms(now_ms), usual_ms)
     attempt.load.note_lost(now_ms, False)
 
 
-def _release(attempt: Attempt) -> None:
+def release_attempt(attempt: Attempt) -> None:
+    """Forget an attempt whose end says nothing about its endpoint."""
     attempt.load.in_flight_count -= 1
     if attempt.overdue:
         attempt.overdue = False
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -26,6 +26,8 @@
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..connection.endpoint_load import EndpointLoad
     from ..messages.routes import Gather, Route
     from .routed_state import RoutedState
@@ -140,28 +142,54 @@
     state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, end: AttemptEnd
 ) -> list[RoutedAction]:
     """Take a shard's reply, or try another endpoint after a failure."""
+    return on_attempts_end(state, now_ms, query, [(attempt, end)])
+
+
+def on_attempts_end(
+    state: RoutedState,
+    now_ms: float,
+    query: GatherState,
+    ends: Iterable[tuple[Attempt, AttemptEnd]],
+) -> list[RoutedAction]:
+    """Take ends that belong together; merged replies are used for all their shards or none."""
+    actions: list[RoutedAction] = []
+    for attempt, end in ends:
+        actions += _take_end(state, now_ms, query, attempt, end)
+    return actions if query.done else actions + _conclude(now_ms, query)
+
+
+def _take_end(
+    state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, end: AttemptEnd
+) -> list[RoutedAction]:
     shard = query.shard_of.pop(attempt.attempt_id)
     shard.open.remove(attempt)
-    if query.done or shard.replied:
+    if query.done:
         return []
-    actions: list[RoutedAction] = []
     if end.ended is Ended.ANSWERED:
-        shard.replied, shard.reply = True, end.reply
-        query.replied_count += 1
-        actions += [AbandonAttempt(other, LINGER_MS) for other in shard.open]
-    else:
-        endpoint = attempt.load.record.endpoint
-        actions.append(
-            Note('retry', f'{shard.service}: {endpoint} {end.ended.value}, {end.detail}')
-        )
-        if end.ended in (Ended.NOT_SENT, Ended.NOT_RUN):
-            shard.run_count -= 1
-        if end.ended is Ended.NOT_RUN and not end.absent:
-            shard.tried.discard(endpoint)
-            shard.refuser = endpoint
-            shard.retry_at_ms = now_ms + usual_latency_ms(state, query.route) * REFUSED_PART
-        actions += _retry(state, now_ms, query, shard, free=end.ended is Ended.NOT_SENT)
-    return actions + _conclude(now_ms, query)
+        # A shard's reply may stand in merged records already; then it replaces an earlier one,
+        # which all endpoints of the shard give alike.
+        if not shard.replied:
+            shard.replied = True
+            query.replied_count += 1
+            if shard.exhausted:
+                shard.exhausted = False
+                query.exhausted_count -= 1
+        elif not end.merged:
+            return []
+        shard.reply = end.reply
+        return [AbandonAttempt(other, LINGER_MS) for other in shard.open]
+    if shard.replied:
+        return []
+    endpoint = attempt.load.record.endpoint
+    note = Note('retry', f'{shard.service}: {endpoint} {end.ended.value}, {end.detail}')
+    if end.ended in (Ended.NOT_SENT, Ended.NOT_RUN):
+        shard.run_count -= 1
+    if end.ended is Ended.NOT_RUN and not end.absent:
+        shard.tried.discard(endpoint)
+        shard.refuser = endpoint
+        shard.retry_at_ms = now_ms + usual_latency_ms(state, query.route) * REFUSED_PART
+    free = end.ended is Ended.NOT_SENT
+    return [note, *_retry(state, now_ms, query, shard, free=free)]
 
 
 def on_gather_timer(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -47,6 +47,12 @@
     return best
 
 
+def has_room(state: RoutedState, load: EndpointLoad) -> bool:
+    """Tell whether an endpoint may be given one more attempt."""
+    usable = state.table.usable(load.record.service)
+    return load in usable and load.in_flight_count < connection_share(state, load.record.service)
+
+
 def has_usable(state: RoutedState, now_ms: float, service: str) -> bool:
     """Tell whether a service has an endpoint that can be tried now or when it has room."""
     return any(not load.breaker.is_open(now_ms) for load in state.table.usable(service))
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -0,0 +1,135 @@
+"""Which attempts of a query are sent through another entry instance."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from ..messages.fleet import Place
+    from .attempts import SendAttempt
+
+# A relayed group is one request and mostly one reply between failure domains, in place of as
+# many as it has attempts; below this count the extra hop is not worth it.
+SMALLEST_GROUP_COUNT = 3
+# An instance sends at most this many attempts of one query itself where others of its failure
+# domain can share them: sending and reading a hundred takes longer than a quick answer may.
+OWN_GROUP_COUNT = 32
+# A helper that gave no sign for a whole group is left alone for this time, then tried again.
+SUSPEND_MS = 2_000.0
+# What a relay takes beyond the endpoint's own latency, until it is learned.
+FIRST_OVERHEAD_MS = 5.0
+OVERHEAD_WEIGHT = 0.2
+
+
+class Helper:
+    """Hold what is known of one entry instance that can relay."""
+
+    __slots__ = ('failure_domain', 'instance', 'open_count', 'overhead_ms', 'suspended_until_ms')
+
+    def __init__(self, instance: str, failure_domain: str) -> None:
+        self.instance = instance
+        self.failure_domain = failure_domain
+        self.suspended_until_ms = float('-inf')
+        self.open_count = 0
+        self.overhead_ms = FIRST_OVERHEAD_MS
+
+
+class HelperTable:
+    """Hold the other entry instances that callers are sent to."""
+
+    __slots__ = ('helpers',)
+
+    def __init__(self) -> None:
+        self.helpers: dict[str, Helper] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPlan:
+    """Send attempts through one helper."""
+
+    helper: Helper
+    sends: tuple[SendAttempt, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SendPlan:
+    """Divide attempts into those sent from here and those sent through helpers."""
+
+    direct: tuple[SendAttempt, ...]
+    relays: tuple[RelayPlan, ...]
+
+
+def set_helpers(table: HelperTable, places: Iterable[Place], own_instance: str) -> None:
+    """Replace the helpers; those that stay keep what was learned of them."""
+    named = {place.instance: place.failure_domain for place in places}
+    named.pop(own_instance, None)
+    table.helpers = {
+        name: table.helpers.get(name) or Helper(name, domain) for name, domain in named.items()
+    }
+
+
+def plan_sends(
+    table: HelperTable,
+    now_ms: float,
+    own_domain: str,
+    sends: Iterable[SendAttempt],
+    random_source: random.Random,
+) -> SendPlan:
+    """Choose a helper for each group of attempts that is far away or large."""
+    groups: defaultdict[str, list[SendAttempt]] = defaultdict(list)
+    for send in sends:
+        groups[send.attempt.load.record.failure_domain].append(send)
+    direct: list[SendAttempt] = []
+    relays: list[RelayPlan] = []
+    for domain, group in sorted(groups.items()):
+        near = domain == own_domain
+        helpers = _available(table, now_ms, domain)
+        if near:
+            parts = _split(group, len(helpers))
+            direct += parts.pop(0)
+        else:
+            parts = [group] if helpers and len(group) >= SMALLEST_GROUP_COUNT else []
+            direct += [] if parts else group
+        random_source.shuffle(helpers)
+        helpers.sort(key=lambda helper: helper.open_count)
+        for helper, part in zip(helpers, parts, strict=False):
+            relays.append(RelayPlan(helper, tuple(part)))
+    return SendPlan(tuple(direct), tuple(relays))
+
+
+def note_sent(helper: Helper) -> None:
+    """Count a group that was sent to a helper."""
+    helper.open_count += 1
+
+
+def note_answered(helper: Helper, overhead_ms: float | None) -> None:
+    """Take the last results of a group; the overhead is unknown if not all ended."""
+    helper.open_count = max(0, helper.open_count - 1)
+    if overhead_ms is not None:
+        helper.overhead_ms += OVERHEAD_WEIGHT * (overhead_ms - helper.overhead_ms)
+
+
+def note_silent(helper: Helper, now_ms: float) -> None:
+    """Leave a helper alone that gave no sign of a group."""
+    helper.open_count = max(0, helper.open_count - 1)
+    helper.suspended_until_ms = now_ms + SUSPEND_MS
+
+
+def _available(table: HelperTable, now_ms: float, domain: str) -> list[Helper]:
+    return [
+        helper
+        for helper in table.helpers.values()
+        if helper.failure_domain == domain and now_ms >= helper.suspended_until_ms
+    ]
+
+
+def _split(group: list[SendAttempt], helper_count: int) -> list[list[SendAttempt]]:
+    """Cut a group into equal parts, the first for this instance."""
+    wanted_count = -(-len(group) // OWN_GROUP_COUNT)
+    count = max(1, min(wanted_count, helper_count + 1))
+    return [group[start::count] for start in range(count)]
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -9,7 +9,9 @@
 
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
+from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults
 from pistachioloft_core.process import endpoint_table, feed
+from pistachioloft_core.request.relay import set_helpers
 from pistachioloft_core.request.routed_state import (
     RoutedState,
     SharedLimits,
@@ -23,12 +25,13 @@
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
 from .peers import Peers
-from .routed_requests import RoutedRequests
+from .routed_requests import PeerHooks, RoutedRequests
 from .routes_document import unpack_document
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pistachioloft_core.messages.fleet import Place
     from pistachioloft_core.messages.routes import RouteSet
 
     from .fleet_settings import FleetSettings
@@ -70,11 +73,18 @@
         source = random.Random(f'{settings.instance}-{self.incarnation}')
         limits = SharedLimits(settings.bounds.extra_share, settings.bounds.extra_allowance_count)
         self.state = RoutedState(settings.instance, settings.failure_domain, limits, source)
-        self.requests = RoutedRequests(self.state, self.timers, wire, self.metrics)
-        self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
+        self.requests = RoutedRequests(
+            self.state,
+            self.timers,
+            wire,
+            self.metrics,
+            PeerHooks(self._send_to_entry, self.peers.reconnect),
+        )
+        self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.stopping = False
         self.chosen = False
+        self.chosen_places: tuple[Place, ...] = ()
         self.callers = HttpServer(settings.caller_address, self.requests.handle, ServerLimits())
         self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
 
@@ -174,8 +184,24 @@
         self._update_connections([change.endpoint for change in changes])
 
     def _on_message(self, sender: str, message: Any) -> None:
-        if isinstance(message, FeedReply):
-            self._on_feed(sender, message)
+        match message:
+            case FeedReply():
+                self._on_feed(sender, message)
+            case RelayRequest():
+                self._connect_entry(sender)
+                self.requests.relays.on_request(sender, message)
+            case RelayResults():
+                self.requests.relays.on_results(message)
+            case RelayCancel():
+                self.requests.relays.on_cancel(sender, message)
+
+    def _send_to_entry(self, instance: str, message: object) -> bool:
+        self._connect_entry(instance)
+        return self.peers.send(instance, message)
+
+    def _connect_entry(self, instance: str) -> None:
+        port = self.settings.peer_address.rsplit(':', 1)[1]
+        self.peers.connect(instance, f'{instance}:{port}')
 
     def _on_feed(self, sender: str, reply: FeedReply) -> None:
         now_ms = monotonic_ms()
@@ -191,10 +217,15 @@
         self._note_changes(changes)
         self._note_chosen(reply.chosen)
 
-    def _note_chosen(self, chosen: tuple[str, ...]) -> None:
+    def _note_chosen(self, chosen: tuple[Place, ...]) -> None:
         """Divide connections and budgets among the instances that get callers."""
         was_chosen = self.chosen
-        self.chosen = self.settings.instance in chosen
+        self.chosen = any(place.instance == self.settings.instance for place in chosen)
+        if chosen != self.chosen_places:
+            self.chosen_places = chosen
+            set_helpers(self.requests.helpers, chosen, self.settings.instance)
+            for place in chosen if self.chosen else ():
+                self._connect_entry(place.instance)
         # An instance without callers still answers who comes, with one share more.
         set_entry_count(self.state, len(chosen) + (0 if self.chosen else 1))
         if self.chosen != was_chosen:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -22,25 +22,29 @@
 from pistachioloft_core.request.gather import GatherState
 from pistachioloft_core.request.patience import answer_time_ms
 from pistachioloft_core.request.records import greatest_records
+from pistachioloft_core.request.relay import HelperTable, plan_sends
 from pistachioloft_core.request.routed_state import connection_share
 from pistachioloft_core.request.split import SplitState, choose_service
 
 from .endpoint_pool import EndpointPool, PoolHooks
+from .http1.messages import Request
 from .loop_timers import monotonic_ms
-from .routed_messages import EndpointReply, MergedReply, Unreadable
+from .relays import RelayHooks, Relays
+from .routed_messages import EndpointReply, MergedReply, RoutedRequest, Unreadable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pistachioloft_core.messages.relay import RelayRequest
     from pistachioloft_core.messages.routes import Route
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
     from pistachioloft_core.request.routed_state import RoutedState
 
-    from .http1.messages import Request, Response
+    from .http1.messages import Response
     from .http1.server import Cancel, Respond
     from .loop_timers import LoopTimers
     from .metrics import Metrics
-    from .routed_messages import RoutedRequest
+    from .relays import Ends
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +71,14 @@
     encode_refusal: Callable[[Refuse], Response]
 
 
+@dataclass(frozen=True, slots=True)
+class PeerHooks:
+    """Name the functions that reach other entry instances."""
+
+    send: Callable[[str, object], bool]
+    reconnect: Callable[[str], None]
+
+
 class InFlight:
     """Hold one request from its arrival until its last attempt has ended."""
 
@@ -93,7 +105,12 @@
     """Hold the requests in flight and carry out what is decided on them."""
 
     def __init__(
-        self, state: RoutedState, timers: LoopTimers, wire: WireFormat, metrics: Metrics
+        self,
+        state: RoutedState,
+        timers: LoopTimers,
+        wire: WireFormat,
+        metrics: Metrics,
+        peers: PeerHooks,
     ) -> None:
         self.state = state
         self.timers = timers
@@ -104,6 +121,11 @@
                 self._decode, self._on_end, lambda record: connection_share(state, record.service)
             )
         )
+        self.helpers = HelperTable()
+        hooks = RelayHooks(
+            peers.send, self._on_ends, wire.encode_attempt, _relayed_request, peers.reconnect
+        )
+        self.relays = Relays(state, timers, self.pool, hooks)
         self.splits = SplitState()
         self.requests: dict[int, InFlight] = {}
         self.owner_of: dict[str, InFlight] = {}
@@ -179,7 +201,7 @@
         in_flight = InFlight(self.number, routed, state, respond, now_ms)
         self.requests[self.number] = in_flight
         if isinstance(state, GatherState):
-            actions = gather.start_gather(self.state, now_ms, state)
+            actions = self._relay(in_flight, gather.start_gather(self.state, now_ms, state))
         else:
             actions = forward.start_forward(self.state, now_ms, state)
         self._carry_out(now_ms, in_flight, actions)
@@ -187,15 +209,25 @@
         return in_flight
 
     def _on_end(self, attempt: Attempt, end: AttemptEnd) -> None:
+        if self.relays.on_end(attempt, end):
+            end_attempt(self.state, monotonic_ms(), attempt, end)
+        else:
+            self._on_ends([(attempt, end)])
+
+    def _on_ends(self, ends: Ends) -> None:
+        """Take the ends of attempts of one request."""
         now_ms = monotonic_ms()
-        end_attempt(self.state, now_ms, attempt, end)
-        in_flight = self.owner_of.pop(attempt.attempt_id, None)
+        in_flight = None
+        for attempt, end in ends:
+            end_attempt(self.state, now_ms, attempt, end)
+            in_flight = self.owner_of.pop(attempt.attempt_id, None)
         if in_flight is None:
             return
         state = in_flight.state
         if isinstance(state, GatherState):
-            actions = gather.on_attempt_end(self.state, now_ms, state, attempt, end)
+            actions = gather.on_attempts_end(self.state, now_ms, state, ends)
         else:
+            ((attempt, end),) = ends
             actions = forward.on_attempt_end(self.state, now_ms, state, attempt, end)
         self._carry_out(now_ms, in_flight, actions)
         if any(isinstance(action, SendAttempt) for action in actions):
@@ -260,6 +292,23 @@
                 case _:
                     self._answer(now_ms, in_flight, action)
 
+    def _relay(self, in_flight: InFlight, actions: list[RoutedAction]) -> list[RoutedAction]:
+        """Hand the first attempts of a query to helpers where that is better; return the rest."""
+        sends = [action for action in actions if isinstance(action, SendAttempt)]
+        others = [action for action in actions if not isinstance(action, SendAttempt)]
+        plan = plan_sends(
+            self.helpers, monotonic_ms(), self.state.failure_domain, sends, self.state.random
+        )
+        gathered = in_flight.state.route.gather
+        direct = list(plan.direct)
+        for group in plan.relays:
+            assert gathered is not None
+            for send in group.sends:
+                self.owner_of[send.attempt.attempt_id] = in_flight
+            if not self.relays.give(group, in_flight.routed, gathered.top_count):
+                direct += group.sends
+        return [*direct, *others]
+
     def _send(self, in_flight: InFlight, action: SendAttempt) -> None:
         attempt = action.attempt
         self.owner_of[attempt.attempt_id] = in_flight
@@ -273,7 +322,14 @@
             self.timers.at(now_ms + action.after_ms, lambda ms: self._abandon(ms, later))
             return
         attempt = action.attempt
-        if self.pool.abandon(attempt):
+        if self.relays.holds(attempt):
+            owner = self.owner_of.get(attempt.attempt_id)
+            # Merged records hold the shards of a whole group, so none of them is withdrawn
+            # while the query may still use the others.
+            if owner is None or owner.state.done:
+                self.owner_of.pop(attempt.attempt_id, None)
+                self.relays.abandon(attempt)
+        elif self.pool.abandon(attempt):
             self.owner_of.pop(attempt.attempt_id, None)
             withdraw_attempt(self.state, now_ms, attempt)
 
@@ -327,6 +383,15 @@
 
     def _decode(self, attempt: Attempt, response: Response) -> AttemptEnd | None:
         in_flight = self.owner_of.get(attempt.attempt_id)
-        if in_flight is None:
-            return None
-        return self.wire.decode_reply(in_flight.routed.request_id, response)
+        request_id = in_flight.routed.request_id if in_flight is not None else None
+        if request_id is None:
+            request_id = self.relays.request_id_of(attempt.attempt_id)
+        return None if request_id is None else self.wire.decode_reply(request_id, response)
+
+
+def _relayed_request(request: RelayRequest) -> RoutedRequest:
+    """Build what the encoder of attempts needs of another instance's request."""
+    unknown = Request(b'', b'', ())
+    return RoutedRequest(
+        request.request_id, '', '', request.time_left_ms, request.head, request.body, unknown
+    )
--- a/tests/test_agreement/test_agreement_liveness.py
+++ b/tests/test_agreement/test_agreement_liveness.py
@@ -214,3 +214,20 @@
     cluster.run(700.0)
     assert cluster.leader() in others
     cluster.settle()
+
+
+def test_restart_of_all_with_a_lost_disk_elects_without_waiting() -> None:
+    """Guard against an outage of a lease while an empty voter stands where another was."""
+    cluster = Cluster(9, 3)
+    cluster.commit('before')
+    lost, *kept = cluster.members
+    for name in list(cluster.members):
+        cluster.crash(name)
+    cluster.run(1_000.0)
+    cluster.wipe(lost)
+    for name in kept:
+        cluster.restart(name)
+    cluster.run(500.0)
+    holders = [n for n in cluster.running() if ag.has_lease(cluster.state(n), cluster.now_ms)]
+    assert len(holders) == 1
+    assert holders[0] in kept
--- /dev/null
+++ b/tests/test_relay/test_plan.py
@@ -0,0 +1,101 @@
+"""Guard against relays that cost more than they save, or go to instances that are gone."""
+
+from __future__ import annotations
+
+import random
+
+from pistachioloft_core.connection.endpoint_load import EndpointLoad
+from pistachioloft_core.messages.fleet import STANDING_READY, AnnouncedEndpoint, Place
+from pistachioloft_core.messages.routes import Gather, Route
+from pistachioloft_core.request import relay
+from pistachioloft_core.request.attempts import Attempt, SendAttempt
+
+ROUTE = Route('all', 'h', '/', True, 1_000.0, 100.0, 1, 2, (), Gather(('s',), 5, 0.8))
+
+
+def send(number: int, domain: str) -> SendAttempt:
+    record = AnnouncedEndpoint(
+        f'i-{number}', 's', f'10.0.0.{number}:80', domain, 2, STANDING_READY, 1, 1
+    )
+    attempt = Attempt(str(number), ROUTE, 's', EndpointLoad(record, 0.0), 0.0, 20.0, False)
+    return SendAttempt(attempt, 500.0)
+
+
+def sends(**counts: int) -> list[SendAttempt]:
+    numbers = iter(range(1, 1_000))
+    return [send(next(numbers), domain) for domain, count in counts.items() for _ in range(count)]
+
+
+def table(*places: tuple[str, str]) -> relay.HelperTable:
+    made = relay.HelperTable()
+    relay.set_helpers(made, [Place(*place) for place in places], 'own')
+    return made
+
+
+def plan(made: relay.HelperTable, group: list[SendAttempt], now_ms: float = 0.0) -> relay.SendPlan:
+    return relay.plan_sends(made, now_ms, 'a', group, random.Random(1))
+
+
+HELPERS = table(('own', 'a'), ('b1', 'b'), ('b2', 'b'), ('a1', 'a'), ('a2', 'a'))
+
+
+def test_a_far_group_goes_through_one_helper_near_it() -> None:
+    """Guard against a message between failure domains for each shard."""
+    planned = plan(HELPERS, sends(a=13, b=7))
+    assert len(planned.direct) == 13
+    (group,) = planned.relays
+    assert group.helper.failure_domain == 'b'
+    assert len(group.sends) == 7
+
+
+def test_a_small_far_group_is_sent_directly() -> None:
+    """Guard against an extra hop that saves nothing."""
+    planned = plan(HELPERS, sends(a=13, b=2))
+    assert len(planned.direct) == 15
+    assert planned.relays == ()
+
+
+def test_a_large_near_group_is_shared() -> None:
+    """Guard against one instance that sends and reads a hundred replies itself."""
+    planned = plan(HELPERS, sends(a=90))
+    assert len(planned.direct) == 30
+    assert [len(group.sends) for group in planned.relays] == [30, 30]
+    assert len({group.helper.instance for group in planned.relays}) == 2
+
+
+def test_every_attempt_is_sent_once() -> None:
+    """Guard against an attempt that is lost or doubled by the division."""
+    for counts in ({'a': 90, 'b': 40, 'c': 9}, {'c': 50}, {'a': 33}, {'b': 3}, {}):
+        group = sends(**counts)
+        planned = plan(HELPERS, group)
+        out = [*planned.direct, *(each for part in planned.relays for each in part.sends)]
+        assert sorted(s.attempt.attempt_id for s in out) == sorted(
+            s.attempt.attempt_id for s in group
+        )
+
+
+def test_without_a_helper_there_attempts_are_direct() -> None:
+    """Guard against shards that are not asked because no instance is near them."""
+    assert len(plan(HELPERS, sends(c=9)).direct) == 9
+    assert len(plan(table(), sends(a=90, b=9)).direct) == 99
+
+
+def test_a_silent_helper_is_left_alone_for_a_while() -> None:
+    """Guard against query after query that waits for an instance that is gone."""
+    made = table(('b1', 'b'))
+    helper = made.helpers['b1']
+    relay.note_sent(helper)
+    relay.note_silent(helper, 100.0)
+    assert len(plan(made, sends(b=5), 200.0).direct) == 5
+    assert len(plan(made, sends(b=5), 100.0 + relay.SUSPEND_MS).direct) == 0
+
+
+def test_a_helper_that_stays_keeps_what_was_learned() -> None:
+    """Guard against estimates that are lost whenever another instance comes or goes."""
+    made = table(('b1', 'b'))
+    relay.note_sent(made.helpers['b1'])
+    relay.note_answered(made.helpers['b1'], 55.0)
+    learned_ms = made.helpers['b1'].overhead_ms
+    relay.set_helpers(made, [Place('b1', 'b'), Place('b2', 'b')], 'own')
+    assert made.helpers['b1'].overhead_ms == learned_ms > relay.FIRST_OVERHEAD_MS
+    assert made.helpers['b2'].overhead_ms == relay.FIRST_OVERHEAD_MS
