--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -47,6 +47,8 @@
     relay_id: str
     ends: tuple[RelayedEnd, ...]
     records: bytes
+    # How long the helper had the group when it sent this.
+    held_ms: float
 
 
 class RelayCancel(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -21,22 +21,38 @@
 OWN_GROUP_COUNT = 32
 # A helper that gave no sign for a whole group is left alone for this time, then tried again.
 SUSPEND_MS = 2_000.0
-# What a relay takes beyond the endpoint's own latency, until it is learned.
-FIRST_OVERHEAD_MS = 5.0
-OVERHEAD_WEIGHT = 0.2
+# The way to a helper and back with its waiting at both ends, and how much that varies, until
+# both are learned. What takes longer than the mean and four deviations is late.
+FIRST_TRIP_MS = 4.0
+FIRST_DEVIATION_MS = 1.0
+TRIP_WEIGHT = 0.125
+DEVIATION_WEIGHT = 0.25
+DEVIATION_COUNT = 4.0
 
 
 class Helper:
     """Hold what is known of one entry instance that can relay."""
 
-    __slots__ = ('failure_domain', 'instance', 'open_count', 'overhead_ms', 'suspended_until_ms')
+    __slots__ = (
+        'deviation_ms',
+        'failure_domain',
+        'instance',
+        'open_count',
+        'suspended_until_ms',
+        'trip_ms',
+    )
 
     def __init__(self, instance: str, failure_domain: str) -> None:
         self.instance = instance
         self.failure_domain = failure_domain
         self.suspended_until_ms = float('-inf')
         self.open_count = 0
-        self.overhead_ms = FIRST_OVERHEAD_MS
+        self.trip_ms = FIRST_TRIP_MS
+        self.deviation_ms = FIRST_DEVIATION_MS
+
+    def overhead_ms(self) -> float:
+        """Return what a relay may take beyond the time in which the helper holds it."""
+        return self.trip_ms + DEVIATION_COUNT * self.deviation_ms
 
 
 class HelperTable:
@@ -107,11 +123,16 @@
     helper.open_count += 1
 
 
-def note_answered(helper: Helper, overhead_ms: float | None) -> None:
-    """Take the last results of a group; the overhead is unknown if not all ended."""
+def note_trip(helper: Helper, trip_ms: float) -> None:
+    """Take how long the way to a helper and back took for one group."""
+    error_ms = trip_ms - helper.trip_ms
+    helper.trip_ms += TRIP_WEIGHT * error_ms
+    helper.deviation_ms += DEVIATION_WEIGHT * (abs(error_ms) - helper.deviation_ms)
+
+
+def note_ended(helper: Helper) -> None:
+    """Take note that a helper has a group no longer."""
     helper.open_count = max(0, helper.open_count - 1)
-    if overhead_ms is not None:
-        helper.overhead_ms += OVERHEAD_WEIGHT * (overhead_ms - helper.overhead_ms)
 
 
 def note_silent(helper: Helper, now_ms: float) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -75,8 +75,7 @@
         self.helper = helper
         self.attempts = attempts
         self.sent_ms = sent_ms
-        self.slowest_ms = 0.0
-        self.whole = True
+        self.heard = False
         self.silent_at_ms = sent_ms + SILENT_MS
 
 
@@ -91,6 +90,7 @@
         self.ends: list[RelayedEnd] = []
         self.bodies: list[bytes] = []
         self.flushed = False
+        self.received_ms = monotonic_ms()
 
 
 class Relays:
@@ -142,7 +142,9 @@
         relay.note_sent(plan.helper)
         for attempt in attempts.values():
             self.given_of[attempt.attempt_id] = relay_id
-            note_sent(attempt, now_ms, plan.helper.overhead_ms)
+            # Until the helper sends what it has, nothing is known of any of them.
+            waits_ms = gather_ms - attempt.late_after_ms + plan.helper.overhead_ms()
+            note_sent(attempt, now_ms, waits_ms)
         return True
 
     def on_results(self, results: RelayResults) -> None:
@@ -151,8 +153,10 @@
         if open_relay is None:
             return
         now_ms = monotonic_ms()
-        # Each result is a sign of life.
         open_relay.silent_at_ms = float('inf')
+        if not open_relay.heard:
+            open_relay.heard = True
+            relay.note_trip(open_relay.helper, now_ms - open_relay.sent_ms - results.held_ms)
         records = results.records
         ended: Ends = []
         for end in results.ends:
@@ -161,15 +165,12 @@
             if attempt is None:
                 # Attempts are withdrawn only once their query has its answer.
                 continue
-            open_relay.slowest_ms = max(open_relay.slowest_ms, end.latency_ms)
             ended.append((attempt, _decode_end(end, records)))
             if end.ended == Ended.ANSWERED.value:
                 records = b''
         if not open_relay.attempts:
             del self.given[results.relay_id]
-            overhead_ms = now_ms - open_relay.sent_ms - open_relay.slowest_ms
-            relay.note_answered(open_relay.helper, overhead_ms if open_relay.whole else None)
-        open_relay.whole = False
+            relay.note_ended(open_relay.helper)
         self.hooks.ended(ended)
 
     def holds(self, attempt: Attempt) -> bool:
@@ -183,11 +184,10 @@
             return False
         open_relay = self.given[relay_id]
         del open_relay.attempts[attempt.attempt_id]
-        open_relay.whole = False
         self.hooks.send(open_relay.helper.instance, RelayCancel((attempt.attempt_id,)))
         if not open_relay.attempts:
             del self.given[relay_id]
-            relay.note_answered(open_relay.helper, None)
+            relay.note_ended(open_relay.helper)
         release_attempt(attempt)
         return True
 
@@ -283,7 +283,8 @@
             ends, group.ends = tuple(group.ends), []
             records = greatest_records(group.bodies, group.request.top_count)
             group.bodies = []
-            results = RelayResults(group.request.relay_id, ends, records)
+            held_ms = monotonic_ms() - group.received_ms
+            results = RelayResults(group.request.relay_id, ends, records, held_ms)
             self.hooks.send(group.sender, results)
         self._forget_if_done(group)
 
--- a/tests/test_relay/test_plan.py
+++ b/tests/test_relay/test_plan.py
@@ -93,9 +93,16 @@
 def test_a_helper_that_stays_keeps_what_was_learned() -> None:
     """Guard against estimates that are lost whenever another instance comes or goes."""
     made = table(('b1', 'b'))
-    relay.note_sent(made.helpers['b1'])
-    relay.note_answered(made.helpers['b1'], 55.0)
-    learned_ms = made.helpers['b1'].overhead_ms
+    relay.note_trip(made.helpers['b1'], 55.0)
+    learned_ms = made.helpers['b1'].overhead_ms()
     relay.set_helpers(made, [Place('b1', 'b'), Place('b2', 'b')], 'own')
-    assert made.helpers['b1'].overhead_ms == learned_ms > relay.FIRST_OVERHEAD_MS
-    assert made.helpers['b2'].overhead_ms == relay.FIRST_OVERHEAD_MS
+    assert made.helpers['b1'].overhead_ms() == learned_ms
+    assert learned_ms > made.helpers['b2'].overhead_ms()
+
+
+def test_what_a_relay_may_take_follows_its_trips() -> None:
+    """Guard against groups that all count as late, or whose losses are noticed late."""
+    helper = relay.Helper('b1', 'b')
+    for number in range(200):
+        relay.note_trip(helper, 2.0 + number % 3)
+    assert 4.0 < helper.overhead_ms() < 8.0
