Stop requests that crash each endpoint that runs them

Cause: a request or query that crashes its searchers was retried on the other replica and again each time its caller came back. The instances reported no crashes, though the messages for it were there. Changes: an entry instance remembers what was lost with a connection, opens a connection to that endpoint and takes a refused connection or a newer start as proof of a crash. Crashes travel with the polls. Content that was in flight at two crashes of different endpoints, with no success since, is refused as not run. Content seen at one crash runs on one endpoint only. A query that lost two endpoints before any shard answered leaves the other replicas alone until one does. The process tests now run the sources; they had run an older build.

--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -81,6 +81,7 @@
     endpoint: str
     born_ms: int
     age_ms: float
+    failure_domain: str = ''
 
 
 class ControlShare(Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/process/crash_watch.py
@@ -0,0 +1,98 @@
+"""Requests that were lost when endpoints crashed, as one entry instance sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..messages.fleet import RequestCrash
+from ..messages.peer import CrashReport, SuccessReport
+from .suspects import Standing, SuspectState, on_crash, on_success, standing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..messages.fleet import AnnouncedEndpoint
+
+# A crashed endpoint refuses connections at once and is back after some seconds; one that is
+# found down later than this crashed for another reason.
+PROOF_MS = 2_000.0
+# Lost requests remembered for each endpoint, about the slots of a large one.
+LOST_LIMIT_COUNT = 64
+
+
+@dataclass(frozen=True, slots=True)
+class LostRequest:
+    """Name a request whose connection to an endpoint broke while it ran there."""
+
+    digest: str
+    record: AnnouncedEndpoint
+    lost_ms: float
+
+
+class CrashWatch:
+    """Hold the lost requests by endpoint and the suspects that came of them."""
+
+    __slots__ = ('lost', 'suspects')
+
+    def __init__(self) -> None:
+        self.lost: dict[str, list[LostRequest]] = {}
+        self.suspects = SuspectState()
+
+
+def on_lost(watch: CrashWatch, now_ms: float, record: AnnouncedEndpoint, digest: str) -> None:
+    """Remember a request in case its endpoint turns out to have crashed."""
+    lost = watch.lost.setdefault(record.endpoint, [])
+    lost.append(LostRequest(digest, record, now_ms))
+    del lost[:-LOST_LIMIT_COUNT]
+
+
+def on_answered(watch: CrashWatch, now_ms: float, digest: str) -> None:
+    """Clear a request that an endpoint has run and survived."""
+    on_success(watch.suspects, now_ms, SuccessReport('', digest, 0.0))
+
+
+def on_endpoint_down(watch: CrashWatch, now_ms: float, endpoint: str) -> tuple[RequestCrash, ...]:
+    """Take a refused connection or a new start as proof of a crash; return what to report."""
+    crashes = tuple(
+        RequestCrash(
+            lost.digest,
+            endpoint,
+            lost.record.born_ms,
+            now_ms - lost.lost_ms,
+            lost.record.failure_domain,
+        )
+        for lost in watch.lost.pop(endpoint, [])
+        if now_ms - lost.lost_ms < PROOF_MS
+    )
+    on_reports(watch, now_ms, crashes)
+    return crashes
+
+
+def on_reports(watch: CrashWatch, now_ms: float, crashes: Iterable[RequestCrash]) -> None:
+    """Take crashes that were proved here or elsewhere."""
+    for crash in crashes:
+        report = CrashReport(
+            '',
+            crash.digest,
+            crash.endpoint,
+            crash.born_ms,
+            crash.age_ms,
+            crash.failure_domain,
+        )
+        on_crash(watch.suspects, now_ms, report)
+
+
+def judge(watch: CrashWatch, now_ms: float, digest: str) -> Standing:
+    """Tell how a request is treated."""
+    return standing(watch.suspects, now_ms, '', digest)
+
+
+def forget_lost(watch: CrashWatch, now_ms: float) -> None:
+    """Forget lost requests whose endpoints were not found down in time."""
+    for endpoint, lost in list(watch.lost.items()):
+        kept = [each for each in lost if now_ms - each.lost_ms < PROOF_MS]
+        if kept:
+            watch.lost[endpoint] = kept
+        else:
+            del watch.lost[endpoint]
--- a/packages/core/src/pistachioloft_core/process/feed.py
+++ b/packages/core/src/pistachioloft_core/process/feed.py
@@ -19,6 +19,8 @@
 # Polls older than this are not counted; at most 100 are sent in this time.
 POLL_LIFE_MS = 10_000.0
 POLL_LIMIT_COUNT = 128
+# Crash reports that wait for the next poll, a few queries' worth.
+CRASH_LIMIT_COUNT = 64
 # An instance that was given up is asked again after this time, if it is the nearest.
 AVOID_MS = 5_000.0
 
@@ -129,8 +131,9 @@
 
 
 def report_crashes(state: FeedState, crashes: Iterable[RequestCrash]) -> None:
-    """Send crash reports with the next poll."""
+    """Send crash reports with the next poll, the newest if there are many."""
     state.crashes.extend(crashes)
+    del state.crashes[:-CRASH_LIMIT_COUNT]
 
 
 def stale_ms(state: FeedState, now_ms: float) -> float:
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -49,11 +49,19 @@
         'route',
         'run_count',
         'service',
+        'suspected',
         'tried',
         'try_count',
     )
 
-    def __init__(self, request_id: str, route: Route, service: str, limit_ms: float) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        route: Route,
+        service: str,
+        limit_ms: float,
+        suspected: bool = False,
+    ) -> None:
         self.request_id = request_id
         self.route = route
         self.service = service
@@ -67,6 +75,8 @@
         self.hedged = False
         # The last failure that an endpoint answered with; delivered if nothing better comes.
         self.failure: Any = None
+        # It was in flight at a crash before; it runs on one endpoint only.
+        self.suspected = suspected
         self.done = False
 
 
@@ -148,7 +158,8 @@
 def _pick(state: RoutedState, now_ms: float, request: ForwardState) -> EndpointLoad | None:
     if request.try_count >= TRIES_PER_REQUEST:
         return None
-    if request.run_count >= (request.route.attempt_limit if request.route.idempotent else 1):
+    once = request.suspected or not request.route.idempotent
+    if request.run_count >= (1 if once else request.route.attempt_limit):
         return None
     excluded = request.tried | {request.refuser} if request.refuser else request.tried
     load = choose_endpoint(state, now_ms, request.route, request.service, excluded)
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -45,6 +45,9 @@
 WAITING_CHECK_MS = 5.0
 # Refused tries of one shard are repeated this often at most within one query.
 TRIES_PER_SHARD = 6
+# After so many endpoints were lost with a query before any answered it, the query may be what
+# crashes them; the other replicas are left alone until one answers.
+LOST_BEFORE_REPLY_COUNT = 2
 
 
 class ShardState:
@@ -89,15 +92,24 @@
         'exhausted_count',
         'floor_count',
         'limit_ms',
+        'lost_count',
         'replied_count',
         'request_id',
         'route',
         'sent_count',
         'shard_of',
         'shards',
+        'suspected',
     )
 
-    def __init__(self, request_id: str, route: Route, answer_at_ms: float, limit_ms: float) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        route: Route,
+        answer_at_ms: float,
+        limit_ms: float,
+        suspected: bool = False,
+    ) -> None:
         gather = _gather(route)
         self.request_id = request_id
         self.route = route
@@ -111,6 +123,9 @@
         self.sent_count = 0
         self.replied_count = 0
         self.exhausted_count = 0
+        self.lost_count = 0
+        # It was in flight at a crash before; each shard is asked once.
+        self.suspected = suspected
         self.done = False
 
     @property
@@ -184,6 +199,8 @@
     note = Note('retry', f'{shard.service}: {endpoint} {end.ended.value}, {end.detail}')
     if end.ended in (Ended.NOT_SENT, Ended.NOT_RUN):
         shard.run_count -= 1
+    if end.ended is Ended.LOST and not end.blameless:
+        query.lost_count += 1
     if end.ended is Ended.NOT_RUN and not end.absent:
         shard.tried.discard(endpoint)
         shard.refuser = endpoint
@@ -239,7 +256,12 @@
 
 
 def _may_try(query: GatherState, shard: ShardState) -> bool:
-    return shard.run_count < query.route.attempt_limit and shard.try_count < TRIES_PER_SHARD
+    limit = 1 if query.suspected else query.route.attempt_limit
+    return shard.run_count < limit and shard.try_count < TRIES_PER_SHARD
+
+
+def _may_crash(query: GatherState) -> bool:
+    return query.replied_count == 0 and query.lost_count >= LOST_BEFORE_REPLY_COUNT
 
 
 def _pick(
@@ -279,7 +301,7 @@
 def _retry(
     state: RoutedState, now_ms: float, query: GatherState, shard: ShardState, free: bool
 ) -> list[RoutedAction]:
-    if shard.open:
+    if shard.open or _may_crash(query):
         return []
     load = _pick(state, now_ms, query, shard)
     if load is None or not (free or take_retry(budget_of(state, shard.service), now_ms)):
@@ -297,7 +319,7 @@
         shard.hedged = True
         return []
     load = _pick(state, now_ms, query, shard)
-    if load is None or not take_hedge(budget_of(state, shard.service), now_ms):
+    if load is None or _may_crash(query) or not take_hedge(budget_of(state, shard.service), now_ms):
         return []
     shard.hedged = True
     late = shard.open[-1]
@@ -329,6 +351,8 @@
             return _answer(query)
     elif query.reachable_count < query.floor_count:
         return _give_up(query, 'too few shards can still answer')
+    elif _may_crash(query) and not any(shard.open for shard in query.shards):
+        return _give_up(query, 'each endpoint that ran it was lost')
     elif now_ms >= query.limit_ms:
         return _give_up(query, 'the time limit is reached')
     return []
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -41,11 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolHooks:
-    """Name the callbacks of the pool; `limit` bounds the connections to one endpoint."""
+    """
+    Name the callbacks of the pool; `limit` bounds the connections to one endpoint.
+
+    `refused` is told of endpoints whose address refuses connections.
+    """
 
     decode: DecodeReply
     ended: OnEnd
     limit: Callable[[AnnouncedEndpoint], int]
+    refused: Callable[[str], None]
 
 
 class PooledConnection:
@@ -257,6 +262,8 @@
                 await loop.create_connection(lambda: connection.wire, host, int(port))
         except (OSError, TimeoutError) as error:
             target.opening_count -= 1
+            if isinstance(error, ConnectionRefusedError):
+                self.hooks.refused(target.record.endpoint)
             self._fail_waiting(target, f'cannot connect to {target.record.address}: {error!r}')
             return
         target.opening_count -= 1
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -11,6 +11,7 @@
 from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
 from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults
 from pistachioloft_core.process import endpoint_table, feed
+from pistachioloft_core.process.crash_watch import on_reports
 from pistachioloft_core.request.relay import set_helpers
 from pistachioloft_core.request.routed_state import (
     RoutedState,
@@ -31,7 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pistachioloft_core.messages.fleet import Place
+    from pistachioloft_core.messages.fleet import Place, RequestCrash
     from pistachioloft_core.messages.routes import RouteSet
 
     from .fleet_settings import FleetSettings
@@ -82,6 +83,7 @@
             PeerHooks(self._send_to_entry, self.peers.reconnect),
         )
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
+        self.requests.report_crashes = self._report_crashes
         self.stopping = False
         self.chosen = False
         self.chosen_places: tuple[Place, ...] = ()
@@ -176,6 +178,7 @@
 
     def _check_endpoints(self, now_ms: float) -> None:
         self.requests.pool.close_aged()
+        self.requests.forget_crashes(now_ms)
         self._note_changes(endpoint_table.withdraw_silent(self.state.table, now_ms))
 
     def _note_changes(self, changes: list[endpoint_table.EndpointChange]) -> None:
@@ -195,6 +198,10 @@
             case RelayCancel():
                 self.requests.relays.on_cancel(sender, message)
 
+    def _report_crashes(self, crashes: tuple[RequestCrash, ...]) -> None:
+        feed.report_crashes(self.feed, crashes)
+        feed.poll_soon(self.feed, monotonic_ms())
+
     def _send_to_entry(self, instance: str, message: object) -> bool:
         self._connect_entry(instance)
         return self.peers.send(instance, message)
@@ -206,11 +213,16 @@
     def _on_feed(self, sender: str, reply: FeedReply) -> None:
         now_ms = monotonic_ms()
         apply = feed.on_feed(self.feed, now_ms, sender, reply)
+        on_reports(self.requests.crashes, now_ms, reply.crashes)
         if reply.document:
             self._adopt(reply.route_version, reply.document)
         if not apply:
             return
         table = self.state.table
+        for heard in reply.endpoints:
+            known = table.endpoints.get(heard.record.endpoint)
+            if known is not None and heard.record.born_ms > known.record.born_ms:
+                self.requests.on_endpoint_down(heard.record.endpoint)
         changes = endpoint_table.apply_update(table, now_ms, reply.endpoints, reply.settled)
         if reply.whole and reply.settled:
             changes += endpoint_table.keep_only(table, reply.endpoints)
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.connection.endpoint_load import LoadReport
-from pistachioloft_core.errors import RESULTS
+from pistachioloft_core.errors import RESULTS, ResultCode
 from pistachioloft_core.request.attempts import AttemptEnd, Ended, Refuse
 
 from ..http1.messages import Response, end_to_end_headers, find_header
-from ..routed_messages import EndpointReply, MergedReply, RoutedRequest, Unreadable
+from ..routed_messages import EndpointReply, MergedReply, RoutedRequest, Unreadable, request_digest
 from .names import (
     EXPECTED_ENDPOINT,
     MISSING_COUNT,
@@ -26,6 +26,8 @@
 # What the platform takes as a promise that a request has not run and never will.
 _PROMISES = frozenset((408, 421, 429, 503))
 _MISDIRECTED = 421
+# A condemned request is valid and has not run, which only these statuses say.
+_NOT_RUN_STATUS = {ResultCode.CONDEMNED: 503}
 # The gateway's own failure, which promises nothing.
 _BAD_GATEWAY = 502
 _REPLACED = (TIME_LEFT.lower(), EXPECTED_ENDPOINT.lower())
@@ -59,6 +61,7 @@
         b''.join(parts),
         request.body,
         request,
+        request_digest(request, host),
     )
 
 
@@ -113,7 +116,7 @@
 def encode_refusal(refusal: Refuse) -> Response:
     """Write why a request got no reply; only what has not run gets a promise."""
     info = RESULTS[refusal.code]
-    status = info.http_status
+    status = _NOT_RUN_STATUS.get(refusal.code, info.http_status)
     promised = info.run_status.value == 'not_run'
     if status in _PROMISES and not promised:
         status = _BAD_GATEWAY
--- a/packages/daemon/src/pistachioloft_daemon/routed_messages.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,9 @@
     from .http1.messages import Request, Response
 
 
+_DIGEST_SIZE_BYTES = 8
+
+
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
     """Hold one request of a caller; `head` is its encoded start without the own headers."""
@@ -20,6 +24,8 @@
     head: bytes
     body: bytes
     request: Request
+    # Names the content: requests with the same digest ask for the same work.
+    digest: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,3 +50,9 @@
     """Tell why a request cannot be routed."""
 
     detail: str
+
+
+def request_digest(request: Request, host: bytes) -> str:
+    """Name the content of a request, whoever sends it and under whichever id."""
+    parts = (request.method, host, request.target, request.body)
+    return hashlib.blake2b(b'\0'.join(parts), digest_size=_DIGEST_SIZE_BYTES).hexdigest()
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -7,11 +7,21 @@
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.process.crash_watch import (
+    CrashWatch,
+    forget_lost,
+    judge,
+    on_answered,
+    on_endpoint_down,
+    on_lost,
+)
+from pistachioloft_core.process.suspects import FORGET_AFTER_MS, Standing, expire_suspects
 from pistachioloft_core.request import forward, gather
 from pistachioloft_core.request.attempts import (
     AbandonAttempt,
     Deliver,
     DeliverMerged,
+    Ended,
     Note,
     Refuse,
     SendAttempt,
@@ -35,6 +45,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pistachioloft_core.messages.fleet import RequestCrash
     from pistachioloft_core.messages.relay import RelayRequest
     from pistachioloft_core.messages.routes import Route
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
@@ -118,7 +129,10 @@
         self.metrics = metrics
         self.pool = EndpointPool(
             PoolHooks(
-                self._decode, self._on_end, lambda record: connection_share(state, record.service)
+                self._decode,
+                self._on_end,
+                lambda record: connection_share(state, record.service),
+                self.on_endpoint_down,
             )
         )
         self.helpers = HelperTable()
@@ -127,12 +141,14 @@
         )
         self.relays = Relays(state, timers, self.pool, hooks)
         self.splits = SplitState()
+        self.crashes = CrashWatch()
         self.requests: dict[int, InFlight] = {}
         self.owner_of: dict[str, InFlight] = {}
         self.number = 0
         # Set while no quorum has confirmed the routes for too long, and while stopping.
         self.fenced = True
         self.refusing = False
+        self.report_crashes: Callable[[tuple[RequestCrash, ...]], None] = lambda _: None
 
     def handle(self, request: Request, respond: Respond) -> Cancel | None:
         """Answer a caller's request now or later."""
@@ -149,6 +165,11 @@
         in_flight = self._start(now_ms, routed, refusal_or_route, respond)
         return lambda: self._cancel(in_flight)
 
+    def forget_crashes(self, now_ms: float) -> None:
+        """Forget lost requests and suspects whose time is over."""
+        forget_lost(self.crashes, now_ms)
+        expire_suspects(self.crashes.suspects, now_ms)
+
     def in_flight_count(self) -> int:
         """Count the requests without an answer."""
         return sum(each.respond is not None for each in self.requests.values())
@@ -166,6 +187,9 @@
         route = routes.find(routed.host, routed.path)
         if route is None:
             return Refuse(ResultCode.UNKNOWN_PATH, f'version {routes.version} has no such route')
+        if judge(self.crashes, monotonic_ms(), routed.digest) is Standing.CONDEMNED:
+            detail = f'content {routed.digest} was in flight when endpoints crashed'
+            return Refuse(ResultCode.CONDEMNED, detail, FORGET_AFTER_MS)
         return route
 
     def _refuse_at_once(
@@ -190,14 +214,15 @@
         if routed.time_left_ms is not None:
             time_left_ms = min(time_left_ms, routed.time_left_ms)
         limit_ms = now_ms + max(0.0, time_left_ms - LIMIT_MARGIN_MS)
+        suspected = judge(self.crashes, now_ms, routed.digest) is not Standing.CLEAR
         state: GatherState | ForwardState
         if route.gather is not None:
             request = routed.request
             answer_at_ms = answer_time_ms(route, now_ms, request.spent_ms, request.return_ms)
-            state = GatherState(str(self.number), route, answer_at_ms, limit_ms)
+            state = GatherState(str(self.number), route, answer_at_ms, limit_ms, suspected)
         else:
             service = choose_service(self.splits, route)
-            state = ForwardState(str(self.number), route, service, limit_ms)
+            state = ForwardState(str(self.number), route, service, limit_ms, suspected)
         in_flight = InFlight(self.number, routed, state, respond, now_ms)
         self.requests[self.number] = in_flight
         if isinstance(state, GatherState):
@@ -223,6 +248,7 @@
             in_flight = self.owner_of.pop(attempt.attempt_id, None)
         if in_flight is None:
             return
+        self._watch_crashes(now_ms, in_flight, ends)
         state = in_flight.state
         if isinstance(state, GatherState):
             actions = gather.on_attempts_end(self.state, now_ms, state, ends)
@@ -233,6 +259,33 @@
         if any(isinstance(action, SendAttempt) for action in actions):
             self._arm(now_ms, in_flight)
 
+    def _watch_crashes(self, now_ms: float, in_flight: InFlight, ends: Ends) -> None:
+        """Remember what was lost in case its endpoint crashed, and what an endpoint survived."""
+        digest = in_flight.routed.digest
+        if any(end.ended is Ended.ANSWERED for _, end in ends):
+            on_answered(self.crashes, now_ms, digest)
+            return
+        for attempt, end in ends:
+            if end.ended is Ended.LOST and not end.blameless:
+                on_lost(self.crashes, now_ms, attempt.load.record, digest)
+                # A crashed endpoint refuses the connection; a live one has it ready again.
+                self.pool.warm(attempt.load.record)
+
+    def on_endpoint_down(self, endpoint: str) -> None:
+        """Suspect what was lost on an endpoint that turns out to have crashed."""
+        crashes = on_endpoint_down(self.crashes, monotonic_ms(), endpoint)
+        for crash in crashes:
+            logger.info(
+                '%s request suspected: digest=%s endpoint=%s born=%d crashed=%.0fms ago',
+                PREFIX,
+                crash.digest,
+                endpoint,
+                crash.born_ms,
+                crash.age_ms,
+            )
+        if crashes:
+            self.report_crashes(crashes)
+
     def _on_timer(self, in_flight: InFlight, now_ms: float) -> None:
         in_flight.timer = 0
         in_flight.check_at_ms = float('inf')
@@ -393,5 +446,5 @@
     """Build what the encoder of attempts needs of another instance's request."""
     unknown = Request(b'', b'', ())
     return RoutedRequest(
-        request.request_id, '', '', request.time_left_ms, request.head, request.body, unknown
+        request.request_id, '', '', request.time_left_ms, request.head, request.body, unknown, ''
     )
--- a/tests/test_fleet_processes/test_whole_path.py
+++ b/tests/test_fleet_processes/test_whole_path.py
@@ -211,3 +211,47 @@
         assert await site.submit() == version + 1
 
     run(tmp_path, play)
+
+
+def test_request_that_crashes_its_searchers_is_stopped(tmp_path: Path) -> None:
+    """Guard against a resent request that takes down one searcher after the other."""
+
+    async def play(site: Site) -> None:
+        for searcher in site.searchers:
+            searcher.crashing_target = '/one/crash'
+        statuses = []
+        for _ in range(12):
+            for machine in site.fleet.entries:
+                answer = await site.call('/one/crash', site.fleet.caller_address(machine))
+                statuses.append(answer.status)
+            await asyncio.sleep(0.4)
+        crashed = sum(len(searcher.crashed_at_s) for searcher in site.of_service('single'))
+        assert crashed <= 3
+        assert statuses[-2:] == [503, 503]
+        harmless = await site.call('/one/lot')
+        assert harmless.status == 200
+
+    run(tmp_path, play)
+
+
+def test_query_that_crashes_its_searchers_leaves_a_replica_of_each_shard(tmp_path: Path) -> None:
+    """Guard against a query whose retries take every replica of every shard."""
+
+    async def play(site: Site) -> None:
+        for searcher in site.searchers:
+            searcher.crashing_target = '/all/crash'
+        answer = await site.call('/all/crash')
+        assert answer.status in (502, 504)
+        assert sum(len(searcher.crashed_at_s) for searcher in site.searchers) <= SHARD_COUNT + 1
+        statuses = []
+        for _ in range(10):
+            for machine in site.fleet.entries:
+                answer = await site.call('/all/crash', site.fleet.caller_address(machine))
+                statuses.append(answer.status)
+            await asyncio.sleep(0.4)
+        for service in ('s0', 's1', 's2', 's3'):
+            assert sum(len(each.crashed_at_s) for each in site.of_service(service)) <= 3
+        assert statuses[-2:] == [503, 503]
+        await site.serving()
+
+    run(tmp_path, play)
--- a/tests/test_gather/routed_player.py
+++ b/tests/test_gather/routed_player.py
@@ -169,12 +169,15 @@
         self._arm(played)
         return played
 
-    def request(self, idempotent: bool = True, limit_ms: float = 4_000.0) -> Played:
+    def request(
+        self, idempotent: bool = True, limit_ms: float = 4_000.0, suspected: bool = False
+    ) -> Played:
         """Start a request of one endpoint."""
         route = self.single_route
         if not idempotent:
             route = Route('unsafe', 'h', '/unsafe/', False, 4_000.0, 400.0, 2, 2, route.services)
-        state = ForwardState(f'r{next(self._numbers)}', route, 's0', self.now_ms + limit_ms)
+        name = f'r{next(self._numbers)}'
+        state = ForwardState(name, route, 's0', self.now_ms + limit_ms, suspected)
         played = Played(state, self.now_ms)
         self.played.append(played)
         self._carry_out(played, forward.start_forward(self.state, self.now_ms, state))
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -32,7 +32,10 @@
     def __init__(self, serve: Serve) -> None:
         self.serve = serve
         self.ends: asyncio.Queue[tuple[str, AttemptEnd]] = asyncio.Queue()
-        self.pool = EndpointPool(PoolHooks(self.decode, self.ended, lambda _record: 2))
+        self.refused: list[str] = []
+        self.pool = EndpointPool(
+            PoolHooks(self.decode, self.ended, lambda _record: 2, self.refused.append)
+        )
         self.connection_count = 0
         self.load: EndpointLoad | None = None
         self.number = 0
@@ -218,6 +221,7 @@
         await bench.server.wait_closed()
         end = await bench.call()
         assert (end.ended, end.absent) == (Ended.NOT_SENT, True)
+        assert bench.refused == ['e']
 
     run(serve, play)
 
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -33,7 +33,7 @@
 
 
 def routed(request_id: str) -> RoutedRequest:
-    return RoutedRequest(request_id, '', '', None, b'head', b'body', Request(b'', b'', ()))
+    return RoutedRequest(request_id, '', '', None, b'head', b'body', Request(b'', b'', ()), 'd')
 
 
 class FakePool:
--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 
 REPOSITORY = Path(__file__).resolve().parents[2]
+SOURCES = [REPOSITORY / 'packages' / package / 'src' for package in ('core', 'daemon')]
+START = 'from pistachioloft_daemon.platform.program import main; main()'
 DOMAINS = ('north', 'east', 'west')
 STOP_TIMEOUT_S = 12.0
 
@@ -87,10 +89,15 @@
         settings.write_text(self._settings(machine))
         with self.log_path(machine).open('ab') as log:
             self.processes[machine.name] = subprocess.Popen(
-                [sys.executable, str(REPOSITORY / 'deploy' / 'instance.py')],
+                # The sources, whatever was built of them before.
+                [sys.executable, '-c', START],
                 stdout=log,
                 stderr=log,
-                env={**os.environ, 'PISTACHIOLOFT_BOOT': str(settings)},
+                env={
+                    **os.environ,
+                    'PISTACHIOLOFT_BOOT': str(settings),
+                    'PYTHONPATH': os.pathsep.join(str(each) for each in SOURCES),
+                },
             )
 
     def signal(self, machine: Machine, number: int) -> None:
--- a/tools/fleet/searcher.py
+++ b/tools/fleet/searcher.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+RESTART_AFTER_S = 1.5
 # Ends a request without a reply.
 DROP = 0
 
@@ -64,11 +65,15 @@
         self.state = 'ready'
         self.asked: list[Asked] = []
         self.behaviour: Behaviour = lambda _request_id: Plan()
+        # A target that crashes the searcher as it begins to run it, and when that happened.
+        self.crashing_target = ''
+        self.crashed_at_s: list[float] = []
         self.running_count = 0
         self.cancelled_count = 0
         self._numbers = itertools.count(1)
         self._slots = asyncio.Semaphore(slot_count)
         self._runner: web.ServerRunner | None = None
+        self._restart: asyncio.Task[None] | None = None
 
     async def start(self, port: int = 0) -> None:
         """Listen, on a port of the kernel's choice unless one is given."""
@@ -108,6 +113,9 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers.get('X-Request-Id', '')
         expected = request.headers.get('X-Target-Instance', self.endpoint)
+        if self.crashing_target and request.path == self.crashing_target:
+            self._crash(request)
+            return web.Response()
         plan = self.behaviour(request_id)
         body = await request.read()
         refused = expected != self.endpoint or plan.not_run
@@ -128,6 +136,20 @@
             return web.Response(status=503, headers=self._headers(request_id, not_run=True))
         return await self._run(request, request_id, plan)
 
+    def _crash(self, request: web.BaseRequest) -> None:
+        self.crashed_at_s.append(time.monotonic())
+        assert request.transport is not None
+        request.transport.abort()
+        self._restart = asyncio.get_running_loop().create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        port = int(self.address.rsplit(':', 1)[1])
+        await self.stop()
+        await asyncio.sleep(RESTART_AFTER_S)
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        await self.start(port)
+
     async def _run(self, request: web.BaseRequest, request_id: str, plan: Plan) -> web.Response:
         try:
             async with self._slots:
