Test how the platform's names and documents are decoded

Changes: tests for requests and replies, result codes and their statuses, configurations, announcements, calls and the settings templates. An unused encoder is removed.

--- a/packages/daemon/src/pistachioloft_daemon/http1/messages.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/messages.py
@@ -63,16 +63,6 @@
     return tuple((key, value) for key, value in headers if key.lower() not in hops)
 
 
-def encode_request(request: Request) -> bytes:
-    """Encode a request; a body, or a method that usually has one, gets its length."""
-    parts = [request.method, b' ', request.target, b' HTTP/1.1\r\n']
-    _add_headers(parts, request.headers)
-    if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
-        parts += (b'Content-Length: ', str(len(request.body)).encode(), b'\r\n')
-    parts += (b'\r\n', request.body)
-    return b''.join(parts)
-
-
 def encode_response(response: Response, close: bool) -> bytes:
     """Encode a response with its length."""
     reason = _REASONS.get(response.status, b'Unknown')
--- /dev/null
+++ b/tests/test_platform/test_calls.py
@@ -0,0 +1,77 @@
+"""Guard against calls of the platform that are misread or get no clear answer."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_daemon.control_calls import (
+    Addresses,
+    Announce,
+    Announced,
+    CheckReadiness,
+    Depart,
+    Done,
+    ListAddresses,
+    ReadRoutes,
+    SubmitRoutes,
+    UnknownCall,
+)
+from pistachioloft_daemon.http1.messages import Request, find_header
+from pistachioloft_daemon.platform.calls import decode_call, encode_outcome
+from tests.test_platform.test_documents import ANNOUNCEMENT, CONFIG, encoded
+
+
+def test_each_call_is_known() -> None:
+    """Guard against a call that is taken for another."""
+    assert decode_call(Request(b'GET', b'/-/readiness', ())) == CheckReadiness()
+    query = b'/-/resolve?name=h%2Ex&region=r&zone=north'
+    assert decode_call(Request(b'GET', query, ())) == ListAddresses('h.x', 'r', 'north')
+    assert decode_call(Request(b'GET', b'/-/config', ())) == ReadRoutes()
+    document = encoded(CONFIG)
+    submitted = decode_call(Request(b'PUT', b'/-/config', (), document))
+    assert isinstance(submitted, SubmitRoutes)
+    assert submitted.document == document
+    target = b'/-/instances/i%2D1'
+    announced = decode_call(Request(b'PUT', target, (), encoded(ANNOUNCEMENT)))
+    assert isinstance(announced, Announce)
+    assert announced.record.endpoint == 'i-1'
+    assert decode_call(Request(b'DELETE', target, (), b'{"born":3}')) == Depart('i-1', 3)
+
+
+@pytest.mark.parametrize(
+    ('request_', 'code'),
+    [
+        (Request(b'POST', b'/-/config', ()), ResultCode.UNKNOWN_PATH),
+        (Request(b'GET', b'/', ()), ResultCode.UNKNOWN_PATH),
+        (Request(b'PUT', b'/-/config', (), b'{'), ResultCode.MALFORMED),
+        (Request(b'PUT', b'/-/config', (), b'{}'), ResultCode.WRONG_TYPE),
+        (Request(b'PUT', b'/-/instances/', (), encoded(ANNOUNCEMENT)), ResultCode.WRONG_TYPE),
+        (Request(b'DELETE', b'/-/instances/i', (), b'['), ResultCode.WRONG_TYPE),
+    ],
+)
+def test_call_that_cannot_be_read_is_told_why(request_: Request, code: ResultCode) -> None:
+    """Guard against a bad call that ends an instance or changes what it knows."""
+    call = decode_call(request_)
+    assert isinstance(call, UnknownCall)
+    assert call.code is code
+    response = encode_outcome(Done(call.code, call.detail))
+    assert 400 <= response.status < 500
+    assert json.loads(response.body)['error']
+
+
+def test_outcomes() -> None:
+    """Guard against an outcome that callers read in another way."""
+    addresses = encode_outcome(Addresses(('10.0.0.1:80',), 2_500.0))
+    assert json.loads(addresses.body) == {'addrs': ['10.0.0.1:80'], 'ttl_s': 2.5}
+    assert json.loads(encode_outcome(Announced('')).body) == {}
+    next_address = json.loads(encode_outcome(Announced('10.0.0.2:81')).body)
+    assert next_address == {'heartbeatAddress': '10.0.0.2:81'}
+    document = b'{"version": 7}'
+    assert encode_outcome(Done(document=document)).body == document
+    assert encode_outcome(Done()).status == 200
+    fenced = encode_outcome(Done(ResultCode.FENCED, 'no quorum', retry_after_ms=250.0))
+    assert fenced.status == 503
+    assert find_header(fenced.headers, b'retry-after') == b'0.250'
--- /dev/null
+++ b/tests/test_platform/test_documents.py
@@ -0,0 +1,183 @@
+"""Guard against documents that are misread, and unreadable ones that do harm."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pistachioloft_core.errors import CodedError, ResultCode
+from pistachioloft_core.messages.routes import Gather, WeightedService
+from pistachioloft_core.version.route_table import check_routes
+from pistachioloft_daemon.platform.documents import (
+    decode_announcement,
+    decode_departure,
+    decode_routes,
+)
+
+CONFIG: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-all',
+            'host': 'h',
+            'pathPrefix': '/all/',
+            'routeKind': 'idempotent',
+            'timeoutMs': 500,
+            'targetLatencyMs': 56,
+            'priority': 1,
+            'gather': ['s0', 's1'],
+            'attempts': 2,
+            'topK': 5,
+            'minCoverage': 0.5,
+        },
+        {
+            'name': 'r-one',
+            'host': 'h',
+            'pathPrefix': '/one/',
+            'routeKind': 'non_idempotent',
+            'timeoutMs': 4000,
+            'split': [{'service': 's0', 'weight': 3}, {'service': 's1', 'weight': 1}],
+        },
+        {
+            'name': 'r-two',
+            'host': 'h',
+            'pathPrefix': '/two/',
+            'routeKind': 'idempotent',
+            'timeoutMs': 4000,
+            'service': 's1',
+        },
+    ],
+    'services': [
+        {'name': 's0', 'healthPath': '/health', 'maxConns': 26, 'protocol': 'h1', 'tls': False},
+        {'name': 's1', 'healthPath': '/health', 'maxConns': 24, 'later': [1]},
+    ],
+    'limits': {'maxHeaderBytes': 100, 'maxBodyBytes': 200, 'headerTimeoutMs': 3, 'later': 1},
+    'later': {'x': 1},
+}
+ANNOUNCEMENT: dict[str, Any] = {
+    'service': 's0',
+    'address': '10.0.0.4:8080',
+    'zone': 'north',
+    'version': 'v3',
+    'slots': 8,
+    'state': 'ready',
+    'coldLeftMs': 300,
+    'seq': 4,
+    'born': 1_700_000_000_000,
+}
+
+
+def encoded(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_routes_of_each_kind() -> None:
+    """Guard against a field of a route that ends up in another."""
+    routes = decode_routes(encoded(CONFIG))
+    whole, split, single = routes.routes
+    assert routes.version == 7
+    assert whole.gather == Gather(('s0', 's1'), 5, 0.5)
+    assert (whole.time_limit_ms, whole.latency_target_ms, whole.priority) == (500.0, 56.0, 1)
+    assert (whole.idempotent, whole.attempt_limit, whole.services) == (True, 2, ())
+    assert split.services == (WeightedService('s0', 3.0), WeightedService('s1', 1.0))
+    assert (split.idempotent, split.attempt_limit) == (False, 1)
+    assert split.latency_target_ms == 4000.0
+    assert single.services == (WeightedService('s1'),)
+    assert [rule.connection_limit for rule in routes.services] == [26, 24]
+    assert routes.limits.header_limit_bytes == 100
+    assert routes.limits.header_timeout_ms == 3.0
+    assert check_routes(routes) == ()
+
+
+@pytest.mark.parametrize(
+    ('path', 'value'),
+    [
+        (('version',), '7'),
+        (('routes', 0, 'timeoutMs'), None),
+        (('routes', 0, 'gather'), 's0'),
+        (('routes', 0, 'gather'), [1]),
+        (('routes', 1, 'split'), [{'weight': 1}]),
+        (('routes', 2, 'pathPrefix'), 3),
+        (('services', 0, 'maxConns'), 'many'),
+        (('routes',), {}),
+        (('services',), None),
+    ],
+)
+def test_wrong_types_are_refused(path: tuple[Any, ...], value: Any) -> None:
+    """Guard against a document that is accepted with a part that means nothing."""
+    document = copy.deepcopy(CONFIG)
+    place: Any = document
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    with pytest.raises(CodedError) as found:
+        decode_routes(encoded(document))
+    assert found.value.code is ResultCode.WRONG_TYPE
+
+
+@pytest.mark.parametrize('cut', [0, 1, 100, -1])
+def test_document_that_is_cut_short_is_refused(cut: int) -> None:
+    """Guard against the half of a document."""
+    with pytest.raises(CodedError) as found:
+        decode_routes(encoded(CONFIG)[:cut])
+    assert found.value.code is ResultCode.MALFORMED
+
+
+@pytest.mark.parametrize('depth', [10_000, 1_000_000])
+def test_deep_nesting_is_refused(depth: int) -> None:
+    """Guard against a document that ends the process."""
+    with pytest.raises(CodedError):
+        decode_routes(b'{"version":1,"routes":[],"services":[],"later":' + b'[' * depth)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_decoded_or_refused(data: bytes) -> None:
+    """Guard against an error that nobody expects."""
+    for decode in (decode_routes, lambda body: decode_announcement('i', body), decode_departure):
+        try:
+            decode(data)
+        except CodedError:
+            continue
+
+
+def test_announcement() -> None:
+    """Guard against a field of an announcement that ends up in another."""
+    record = decode_announcement('i-1', encoded(ANNOUNCEMENT))
+    assert (record.endpoint, record.service, record.address) == ('i-1', 's0', '10.0.0.4:8080')
+    assert (record.failure_domain, record.slot_count, record.standing) == ('north', 8, 'ready')
+    assert (record.sequence, record.born_ms) == (4, 1_700_000_000_000)
+    assert (record.cold_left_ms, record.software_version) == (300.0, 'v3')
+    draining = decode_announcement('i-1', encoded({**ANNOUNCEMENT, 'state': 'draining'}))
+    assert draining.standing == 'draining'
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'leaving'},
+        {'address': 'here'},
+        {'address': '10.0.0.4'},
+        {'service': ''},
+        {'slots': -1},
+        {'slots': '8'},
+        {'seq': -1},
+        {'born': -1},
+        {'zone': None},
+    ],
+)
+def test_announcement_that_cannot_be_used_is_refused(change: dict[str, Any]) -> None:
+    """Guard against an endpoint that gets work at an address that is none."""
+    with pytest.raises(CodedError):
+        decode_announcement('i-1', encoded({**ANNOUNCEMENT, **change}))
+
+
+def test_departure_names_a_start_or_none() -> None:
+    """Guard against a late departure that removes a later start."""
+    assert decode_departure(b'{"born": 12}') == 12
+    assert decode_departure(b' ') == 0
+    assert decode_departure(b'{}') == 0
--- /dev/null
+++ b/tests/test_platform/test_templates.py
@@ -0,0 +1,134 @@
+"""Guard against settings templates that give an instance wrong or unreadable settings."""
+
+from __future__ import annotations
+
+import copy
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pistachioloft_daemon.fleet_settings import FleetSettings, load_fleet_settings
+
+DEPLOY = Path(__file__).resolve().parents[2] / 'deploy'
+# The fields that a machine of the platform fills in.
+FIELDS: dict[str, Any] = {
+    'nodeName': 'core-north-1',
+    'ip': '10.1.0.12',
+    'zone': 'north',
+    'region': 'coast',
+    'internalPorts': [7380, 7395],
+    'seeds': ['10.1.0.12:8106', '10.2.0.23:8106'],
+    'bootstrap': True,
+    'dataDir': '/data/my-core',
+    'heartbeatMs': 900,
+    'listen': {
+        'front': '10.1.0.12:8104',
+        'ready': '10.1.0.12:8105',
+        'control': '10.1.0.12:8106',
+        'directory': '10.1.0.12:8100',
+    },
+    'faultTolerance': {'machines': 2, 'zones': 0, 'regions': 0},
+    'bounds': {
+        'drainMs': 2500,
+        'graceS': 7,
+        'configApplyMs': 2000,
+        'maxStretchMs': 9000,
+        'retryBudgetRatio': 0.15,
+        'retryBudgetSlack': 0,
+        'ttl_max_s': 4,
+    },
+}
+_SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
+_VALUE = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
+
+
+def find(fields: Any, name: str) -> Any:
+    for key in name.split('.'):
+        if isinstance(fields, list):
+            fields = fields[int(key)]
+        else:
+            fields = fields.get(key) if isinstance(fields, dict) else None
+    return fields
+
+
+def render(template: str, fields: dict[str, Any]) -> str:
+    """Fill in a template as the platform does: sections of present values, values, JSON."""
+
+    def section(match: re.Match[str]) -> str:
+        value = find(fields, match[1])
+        return '' if value is None or value is False else match[2].replace('{{.}}', str(value))
+
+    def value(match: re.Match[str]) -> str:
+        found = find(fields, match[1])
+        if match[2]:
+            return json.dumps(found)
+        return '' if found is None else str(found)
+
+    return _VALUE.sub(value, _SECTION.sub(section, template))
+
+
+def settings(folder: Path, name: str, fields: dict[str, Any]) -> FleetSettings:
+    file = folder / 'settings.toml'
+    file.write_text(render((DEPLOY / name).read_text(), fields))
+    return load_fleet_settings(file)
+
+
+def test_control_settings(tmp_path: Path) -> None:
+    """Guard against a value of the platform that ends up in another setting."""
+    found = settings(tmp_path, 'control.toml', FIELDS)
+    assert (found.instance, found.label, found.role) == ('10.1.0.12', 'core-north-1', 'control')
+    assert (found.failure_domain, found.region) == ('north', 'coast')
+    assert (found.control_address, found.directory_address) == ('10.1.0.12:8106', '10.1.0.12:8100')
+    assert (found.peer_address, found.control_peer_port) == ('10.1.0.12:7380', 7380)
+    assert found.seeds == ('10.1.0.12', '10.2.0.23')
+    assert (found.found, found.lost_voter_count, found.heartbeat_ms) == (True, 2, 900.0)
+    assert found.data_folder == Path('/data/my-core')
+    bounds = found.bounds
+    assert (bounds.apply_ms, bounds.stretch_ms, bounds.drain_ms) == (2000.0, 9000.0, 2500.0)
+    assert (bounds.grace_ms, bounds.keep_ms) == (7000.0, 4000.0)
+    assert (bounds.extra_share, bounds.extra_allowance_count) == (0.15, 0.0)
+
+
+def test_entry_settings(tmp_path: Path) -> None:
+    """Guard against an entry instance that listens elsewhere than the platform says."""
+    found = settings(tmp_path, 'entry.toml', FIELDS)
+    assert found.role == 'entry'
+    assert (found.caller_address, found.readiness_address) == ('10.1.0.12:8104', '10.1.0.12:8105')
+    assert (found.peer_address, found.control_peer_port) == ('10.1.0.12:7395', 7380)
+    assert found.data_folder is None
+
+
+@pytest.mark.parametrize('name', ['control.toml', 'entry.toml'])
+def test_bounds_may_be_missing(tmp_path: Path, name: str) -> None:
+    """Guard against a deployment without a contract, whose bounds are left out."""
+    fields = copy.deepcopy(FIELDS)
+    fields['bounds'] = {}
+    fields['faultTolerance'] = {}
+    del fields['heartbeatMs']
+    found = settings(tmp_path, name, fields)
+    assert found.bounds.apply_ms > 0
+    assert found.lost_voter_count == 1
+
+
+@pytest.mark.parametrize(
+    ('name', 'field', 'value'),
+    [
+        ('control.toml', 'ip', None),
+        ('control.toml', 'zone', ''),
+        ('control.toml', 'seeds', None),
+        ('control.toml', 'seeds', ['nowhere']),
+        ('control.toml', 'bootstrap', 'yes'),
+        ('entry.toml', 'listen', {}),
+        ('entry.toml', 'internalPorts', [0, 70_000]),
+    ],
+)
+def test_missing_or_wrong_field_is_a_setting_error(
+    tmp_path: Path, name: str, field: str, value: Any
+) -> None:
+    """Guard against an instance that starts with half of its settings."""
+    with pytest.raises(ExceptionGroup) as found:
+        settings(tmp_path, name, {**FIELDS, field: value})
+    assert found.value.exceptions
--- /dev/null
+++ b/tests/test_platform/test_traffic.py
@@ -0,0 +1,232 @@
+"""Guard against changed requests, untrue promises and replies of other requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from pistachioloft_core.errors import RESULTS, ResultCode, RunStatus
+from pistachioloft_core.request.attempts import Ended, Refuse
+from pistachioloft_daemon.http1.messages import Request, Response, find_header
+from pistachioloft_daemon.platform.traffic import (
+    decode_reply,
+    decode_request,
+    encode_attempt,
+    encode_merged,
+    encode_refusal,
+    encode_reply,
+)
+from pistachioloft_daemon.routed_messages import (
+    EndpointReply,
+    MergedReply,
+    RoutedRequest,
+    Unreadable,
+)
+
+HEADERS = (
+    (b'Host', b'shop.example'),
+    (b'x-request-id', b'q1'),
+    (b'X-Deadline-Ms', b'1000'),
+    (b'X-Other', b'a, b'),
+    (b'Connection', b'keep-alive, X-Hop'),
+    (b'X-Hop', b'1'),
+    (b'Accept-Encoding', b'identity'),
+)
+PROMISES = {408, 421, 429, 503}
+
+
+def decoded(request: Request) -> RoutedRequest:
+    routed = decode_request(request)
+    assert isinstance(routed, RoutedRequest)
+    return routed
+
+
+def reply(status: int, *headers: tuple[bytes, bytes], body: bytes = b'') -> Response:
+    return Response(status, ((b'X-Request-Id', b'q1'), *headers), body)
+
+
+def test_request_goes_out_as_it_came() -> None:
+    """Guard against a path, body or header that an endpoint gets in another form."""
+    routed = decoded(Request(b'POST', b'/a%2fb/./c?x=%20&y', HEADERS, b'\x00\xff\r\n'))
+    assert (routed.request_id, routed.host, routed.path) == ('q1', 'shop.example', '/a%2fb/./c')
+    assert routed.time_left_ms == 1000.0
+    assert encode_attempt(routed, 'i-7', 400.9) == (
+        b'POST /a%2fb/./c?x=%20&y HTTP/1.1\r\n'
+        b'Host: shop.example\r\n'
+        b'x-request-id: q1\r\n'
+        b'X-Other: a, b\r\n'
+        b'Accept-Encoding: identity\r\n'
+        b'Content-Length: 4\r\n'
+        b'X-Deadline-Ms: 400\r\n'
+        b'X-Target-Instance: i-7\r\n'
+        b'\r\n'
+        b'\x00\xff\r\n'
+    )
+
+
+def test_expected_endpoint_and_time_are_not_taken_from_the_caller() -> None:
+    """Guard against a caller that names the endpoint, or leaves it more time than there is."""
+    headers = (*HEADERS, (b'x-target-instance', b'i-other'))
+    data = encode_attempt(decoded(Request(b'GET', b'/', headers)), 'i-7', -3.0)
+    assert data.lower().count(b'x-target-instance') == 1
+    assert b'X-Target-Instance: i-7\r\n' in data
+    assert data.lower().count(b'x-deadline-ms') == 1
+    assert b'X-Deadline-Ms: 0\r\n' in data
+    assert b'Content-Length' not in data
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        ((b'Host', b'h'),),
+        ((b'X-Request-Id', b'q1'),),
+        ((b'Host', b'h'), (b'X-Request-Id', b'q1'), (b'X-Deadline-Ms', b'soon')),
+    ],
+)
+def test_request_without_what_routing_needs_is_unreadable(
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> None:
+    """Guard against an unreadable request that stops an instance."""
+    assert isinstance(decode_request(Request(b'GET', b'/', headers)), Unreadable)
+
+
+def test_same_content_has_one_digest_whoever_asks() -> None:
+    """Guard against a crashing request that escapes by a new id."""
+    again = (*HEADERS[:1], (b'X-Request-Id', b'q2'), (b'X-Deadline-Ms', b'9'))
+    first = decoded(Request(b'GET', b'/a', HEADERS, b'x')).digest
+    assert decoded(Request(b'GET', b'/a', again, b'x')).digest == first
+    assert decoded(Request(b'GET', b'/a', HEADERS, b'y')).digest != first
+    assert decoded(Request(b'POST', b'/a', HEADERS, b'x')).digest != first
+
+
+@pytest.mark.parametrize(
+    ('response', 'ended', 'absent'),
+    [
+        (reply(200, (b'X-Response-Stamp', b's')), Ended.ANSWERED, False),
+        (reply(204, (b'x-response-stamp', b's')), Ended.ANSWERED, False),
+        (reply(200), Ended.FAILED, False),
+        (reply(302, (b'X-Response-Stamp', b's')), Ended.FAILED, False),
+        (reply(500, (b'X-Response-Stamp', b's')), Ended.FAILED, False),
+        (reply(503), Ended.FAILED, False),
+        (reply(503, (b'X-Not-Executed', b'1')), Ended.NOT_RUN, False),
+        (reply(400, (b'X-Not-Executed', b'1')), Ended.NOT_RUN, False),
+        (reply(421, (b'X-Instance-Id', b'i-8')), Ended.NOT_RUN, True),
+    ],
+)
+def test_reply_tells_whether_the_request_ran(
+    response: Response, ended: Ended, absent: bool
+) -> None:
+    """Guard against a failure that is taken for a proof that nothing ran."""
+    end = decode_reply('q1', response)
+    assert end is not None
+    assert (end.ended, end.absent) == (ended, absent)
+
+
+def test_reply_to_another_request_is_none() -> None:
+    """Guard against an answer that belongs to another caller."""
+    assert decode_reply('q2', reply(200, (b'X-Response-Stamp', b's'))) is None
+    unnamed = decode_reply('q2', Response(200, ((b'X-Response-Stamp', b's'),)))
+    assert unnamed is not None
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected'),
+    [
+        (b'3,1,8', (3, 1, 8, 1.0)),
+        (b'3,1,8,250', (3, 1, 8, 2.5)),
+        (b'3,1,0,0', (3, 1, 1, 1.0)),
+        (b'3,1', None),
+        (b'many', None),
+        (b'', None),
+    ],
+)
+def test_load_report_is_read_or_left_out(
+    value: bytes, expected: tuple[int, int, int, float] | None
+) -> None:
+    """Guard against a report that cannot be read and takes the reply with it."""
+    end = decode_reply('q1', reply(200, (b'X-Response-Stamp', b's'), (b'X-Server-Load', value)))
+    assert end is not None
+    assert end.ended is Ended.ANSWERED
+    report = end.report
+    found = None
+    if report is not None:
+        found = (
+            report.running_count,
+            report.waiting_count,
+            report.slot_count,
+            report.slowness,
+        )
+    assert found == expected
+
+
+@pytest.mark.parametrize('status', sorted(PROMISES))
+def test_failure_of_an_endpoint_is_never_passed_on_as_a_promise(status: int) -> None:
+    """Guard against a request called not run though an endpoint may have run it."""
+    end = decode_reply('q1', reply(status, (b'X-Response-Stamp', b's')))
+    assert end is not None
+    assert end.reply is None
+
+
+def test_reply_is_passed_on_with_its_receipt_and_without_hop_headers() -> None:
+    """Guard against a reply whose status, body or receipt the caller gets changed."""
+    response = reply(
+        500,
+        (b'X-Response-Stamp', b's.1'),
+        (b'Keep-Alive', b'timeout=5'),
+        (b'Transfer-Encoding', b'chunked'),
+        body=b'why',
+    )
+    end = decode_reply('q1', response)
+    assert end is not None
+    passed = encode_reply(end.reply)
+    assert (passed.status, passed.body) == (500, b'why')
+    assert passed.headers == ((b'X-Request-Id', b'q1'), (b'X-Response-Stamp', b's.1'))
+
+
+def test_merged_reply_names_its_receipts_and_what_is_missing() -> None:
+    """Guard against an answer that hides a missing shard."""
+    whole = encode_merged(MergedReply((b'a', b'b'), 0, b'records'))
+    assert whole.headers == ((b'X-Part-Stamps', b'a, b'),)
+    part = encode_merged(MergedReply((b'a',), 2, b''))
+    assert find_header(part.headers, b'x-missing-parts') == b'2'
+
+
+@pytest.mark.parametrize('code', list(ResultCode))
+def test_only_what_has_not_run_is_refused_with_a_promise(code: ResultCode) -> None:
+    """Guard against a status that promises what the result code does not."""
+    response = encode_refusal(Refuse(code, 'why', 250.0))
+    not_run = RESULTS[code].run_status is RunStatus.NOT_RUN
+    if not not_run:
+        assert response.status not in PROMISES
+        assert find_header(response.headers, b'retry-after') is None
+    elif find_header(response.headers, b'retry-after') is not None:
+        assert find_header(response.headers, b'retry-after') == b'0.250'
+    assert find_header(response.headers, b'x-response-stamp') is None
+
+
+@pytest.mark.parametrize(
+    ('code', 'status'),
+    [
+        (ResultCode.NO_ENDPOINT, 503),
+        (ResultCode.OVERLOADED, 503),
+        (ResultCode.NOT_STARTED, 503),
+        (ResultCode.FENCED, 503),
+        (ResultCode.STOPPING, 503),
+        (ResultCode.CONDEMNED, 503),
+        (ResultCode.UNKNOWN_PATH, 404),
+        (ResultCode.MALFORMED, 400),
+        (ResultCode.NO_ANSWER, 504),
+        (ResultCode.OUTCOME_UNKNOWN, 504),
+    ],
+)
+def test_status_of_each_refusal(code: ResultCode, status: int) -> None:
+    """Guard against a refusal that callers would not come back after, or would wrongly repeat."""
+    assert encode_refusal(Refuse(code, '')).status == status
+
+
+def test_unknown_receipts_stay_bytes() -> None:
+    """Guard against receipts that are decoded and written in another form."""
+    raw = b'3e1b.07,5a2;\xe9'
+    end = decode_reply('q1', reply(200, (b'X-Response-Stamp', raw)))
+    assert end is not None
+    assert isinstance(end.reply, EndpointReply)
+    assert end.reply.receipt == raw
