Log where each request is placed and what an answer lacks

Cause: of a request that ended at its time limit, the log had one line that named no endpoint; a lost reply of a bill said that no other endpoint could be tried, though one could and must not be. Changes: a line when a request is placed (route, version, time left, age of the last confirmation, endpoints); answers and refusals name the missing shards with the endpoints asked; reasons say whether the budget was spent, the request must not run twice, or nothing was left to ask. These lines are a module of their own.

--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -187,10 +187,20 @@
         return []
     load = _pick(state, now_ms, request)
     if load is None or not (free or take_retry(budget_of(state, request.service), now_ms)):
-        return _give_up(request, 'no other endpoint can be tried')
+        return _give_up(request, _why_no_retry(request, load))
     return [_send(state, now_ms, request, load, hedge=False)]
 
 
+def _why_no_retry(request: ForwardState, load: EndpointLoad | None) -> str:
+    if load is not None:
+        return 'the budget of extra tries is spent'
+    if request.run_count and not request.route.idempotent:
+        return 'it may have run and must not run twice'
+    if request.run_count and request.suspected:
+        return 'its content was in flight when an endpoint crashed'
+    return 'no other endpoint can be tried'
+
+
 def _deliver(request: ForwardState, reply: Any) -> list[RoutedAction]:
     request.done = True
     return [Deliver(reply), *(AbandonAttempt(other, LINGER_MS) for other in request.open)]
@@ -200,7 +210,8 @@
     if request.failure is not None:
         return _deliver(request, request.failure)
     request.done = True
+    detail = f'{reason}; asked {", ".join(sorted(request.tried)) or "none"}'
     if request.run_count == 0 and not request.open:
-        return [Refuse(ResultCode.NOT_STARTED, reason, REFUSED_RETRY_MS)]
+        return [Refuse(ResultCode.NOT_STARTED, detail, REFUSED_RETRY_MS)]
     code = ResultCode.NO_ANSWER if request.route.idempotent else ResultCode.OUTCOME_UNKNOWN
-    return [Refuse(code, reason), *(AbandonAttempt(other, 0.0) for other in request.open)]
+    return [Refuse(code, detail), *(AbandonAttempt(other, 0.0) for other in request.open)]
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -228,6 +228,14 @@
     return actions + _conclude(now_ms, query)
 
 
+def describe_missing(query: GatherState, limit_count: int) -> str:
+    """Name the shards without a reply, each with the endpoints that were asked."""
+    missing = [shard for shard in query.shards if not shard.replied]
+    names = [f'{shard.service}({"+".join(sorted(shard.tried))})' for shard in missing]
+    more = [f'{len(names) - limit_count} more'] if len(names) > limit_count else []
+    return ','.join(names[:limit_count] + more) or 'none'
+
+
 def cancel_gather(query: GatherState) -> list[RoutedAction]:
     """Withdraw everything at once because the caller left."""
     query.done = True
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -85,6 +85,7 @@
         )
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.requests.report_crashes = self._report_crashes
+        self.requests.feed_age_ms = self._stale_ms
         self.stopping = False
         self.chosen = False
         self.chosen_places: tuple[Place, ...] = ()
--- a/packages/daemon/src/pistachioloft_daemon/in_flight.py
+++ b/packages/daemon/src/pistachioloft_daemon/in_flight.py
@@ -20,6 +20,7 @@
         'check_at_ms',
         'number',
         'respond',
+        'route_version',
         'routed',
         'state',
         'timer',
@@ -33,6 +34,7 @@
         state: GatherState | ForwardState,
         respond: Respond,
         arrived_ms: float,
+        route_version: int,
         way_ms: float,
     ) -> None:
         self.number = number
@@ -40,6 +42,7 @@
         self.state = state
         self.respond: Respond | None = respond
         self.arrived_ms = arrived_ms
+        self.route_version = route_version
         # The caller's time that this instance did not have and does not have.
         self.way_ms = way_ms
         self.timer = 0
--- /dev/null
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -0,0 +1,105 @@
+"""Log lines on the requests of callers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from pistachioloft_core.request.attempts import Refuse, SendAttempt
+from pistachioloft_core.request.gather import GatherState, describe_missing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pistachioloft_core.errors import ResultCode
+    from pistachioloft_core.messages.fleet import RequestCrash
+    from pistachioloft_core.request.attempts import Note, RoutedAction
+
+    from .in_flight import InFlight
+
+logger = logging.getLogger(__name__)
+
+PREFIX = '[routing]'
+# Missing shards that a line names.
+LOGGED_SHARD_COUNT = 8
+
+
+def log_refused(request_id: str, path: str, refusal: Refuse) -> None:
+    """Log a request that was refused before it was placed."""
+    logger.info(
+        '%s request refused: request=%s path=%s code=%s reason="%s"',
+        PREFIX,
+        request_id,
+        path,
+        refusal.code.name.lower(),
+        refusal.detail,
+    )
+
+
+def log_placed(
+    now_ms: float,
+    in_flight: InFlight,
+    due_ms: float,
+    feed_age_ms: float,
+    actions: Iterable[RoutedAction],
+) -> None:
+    """Log the endpoints that a request is sent to first, and what the choice was based on."""
+    sends = (action.attempt for action in actions if isinstance(action, SendAttempt))
+    logger.info(
+        '%s request placed: request=%s route=%s version=%d due_ms=%.0f limit_ms=%.0f'
+        ' feed_age_ms=%.0f endpoints=%s',
+        PREFIX,
+        in_flight.routed.request_id,
+        in_flight.state.route.name,
+        in_flight.route_version,
+        due_ms - now_ms,
+        in_flight.state.limit_ms - now_ms,
+        feed_age_ms,
+        ','.join(attempt.load.record.endpoint for attempt in sends) or 'none',
+    )
+
+
+def log_note(in_flight: InFlight, note: Note) -> None:
+    """Log a hedge or a retry."""
+    request_id = in_flight.routed.request_id
+    logger.info('%s %s: request=%s %s', PREFIX, note.kind, request_id, note.detail)
+
+
+def log_left(in_flight: InFlight) -> None:
+    """Log that a caller left."""
+    logger.info('%s caller left: request=%s', PREFIX, in_flight.routed.request_id)
+
+
+def log_answered(
+    in_flight: InFlight, status: int, code: ResultCode, elapsed_ms: float, refusal: Refuse | None
+) -> None:
+    """Log an answer with what it lacks and why."""
+    summary = f' reason="{refusal.detail}"' if refusal is not None else ''
+    if isinstance(in_flight.state, GatherState):
+        missing = describe_missing(in_flight.state, LOGGED_SHARD_COUNT)
+        summary = f'{summary} missing={missing}'
+    logger.info(
+        '%s request answered: request=%s route=%s version=%d status=%d code=%s ms=%.1f'
+        ' way_ms=%.1f%s',
+        PREFIX,
+        in_flight.routed.request_id,
+        in_flight.state.route.name,
+        in_flight.route_version,
+        status,
+        code.name.lower(),
+        elapsed_ms,
+        in_flight.way_ms,
+        summary,
+    )
+
+
+def log_suspected(endpoint: str, crash: RequestCrash) -> None:
+    """Log a request that was in flight on an endpoint when it crashed."""
+    logger.info(
+        '%s request suspected: digest=%s endpoint=%s born=%d crashed=%.0fms ago',
+        PREFIX,
+        crash.digest,
+        endpoint,
+        crash.born_ms,
+        crash.age_ms,
+    )
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -42,6 +41,14 @@
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
 from .relays import RelayHooks, Relays
+from .request_log import (
+    log_answered,
+    log_left,
+    log_note,
+    log_placed,
+    log_refused,
+    log_suspected,
+)
 from .routed_messages import MergedReply, RoutedRequest, Unreadable
 
 if TYPE_CHECKING:
@@ -60,17 +67,12 @@
     from .relays import Ends
     from .wire import WireFormat
 
-logger = logging.getLogger(__name__)
-
-PREFIX = '[routing]'
 # An answer at the time limit must still be written.
 LIMIT_MARGIN_MS = 5.0
 # About the time from a start to the first confirmed configuration.
 NO_ROUTES_RETRY_MS = 500.0
 STOPPING_RETRY_MS = 10.0
 IN_FLIGHT_LIMIT_COUNT = 1_000
-# Missing shards that a log line names.
-LOGGED_SHARD_COUNT = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,8 @@
         # Set while no quorum has confirmed the routes for too long, and while stopping.
         self.fenced = True
         self.refusing = False
+        # How old the confirmation is on which placements are based.
+        self.feed_age_ms: Callable[[], float] = lambda: 0.0
         self.report_crashes: Callable[[tuple[RequestCrash, ...]], None] = lambda _: None
 
     def handle(self, request: Request, respond: Respond) -> Cancel | None:
@@ -164,14 +168,7 @@
     def _refuse_at_once(
         self, request_id: str, path: str, refusal: Refuse, respond: Respond
     ) -> None:
-        logger.info(
-            '%s request refused: request=%s path=%s code=%s reason="%s"',
-            PREFIX,
-            request_id,
-            path,
-            refusal.code.name.lower(),
-            refusal.detail,
-        )
+        log_refused(request_id, path, refusal)
         self.metrics.count_request(refusal.code, 0.0)
         respond(self.wire.encode_refusal(refusal))
 
@@ -186,18 +183,22 @@
         suspected = judge(self.crashes, now_ms, routed.digest) is not Standing.CLEAR
         state: GatherState | ForwardState
         way = self._way_of(routed, route)
+        version = self.state.routes.version if self.state.routes is not None else 0
         if route.gather is not None:
             answer_at_ms = answer_time_ms(route, now_ms, way, usual_latency_ms(self.state, route))
             state = GatherState(str(self.number), route, answer_at_ms, limit_ms, suspected)
         else:
             service = choose_service(self.splits, route)
             state = ForwardState(str(self.number), route, service, limit_ms, suspected)
-        in_flight = InFlight(self.number, routed, state, respond, now_ms, way.total_ms)
+        in_flight = InFlight(self.number, routed, state, respond, now_ms, version, way.total_ms)
         self.requests[self.number] = in_flight
         if isinstance(state, GatherState):
-            actions = self._relay(in_flight, gather.start_gather(self.state, now_ms, state))
+            actions = gather.start_gather(self.state, now_ms, state)
+            log_placed(now_ms, in_flight, state.answer_at_ms, self.feed_age_ms(), actions)
+            actions = self._relay(in_flight, actions)
         else:
             actions = forward.start_forward(self.state, now_ms, state)
+            log_placed(now_ms, in_flight, limit_ms, self.feed_age_ms(), actions)
         self._carry_out(now_ms, in_flight, actions)
         self._arm(now_ms, in_flight)
         return in_flight
@@ -253,14 +254,7 @@
         """Suspect what was lost on an endpoint that turns out to have crashed."""
         crashes = on_endpoint_down(self.crashes, monotonic_ms(), endpoint)
         for crash in crashes:
-            logger.info(
-                '%s request suspected: digest=%s endpoint=%s born=%d crashed=%.0fms ago',
-                PREFIX,
-                crash.digest,
-                endpoint,
-                crash.born_ms,
-                crash.age_ms,
-            )
+            log_suspected(endpoint, crash)
         if crashes:
             self.report_crashes(crashes)
 
@@ -297,7 +291,7 @@
             return
         in_flight.respond = None
         state = in_flight.state
-        logger.info('%s caller left: request=%s', PREFIX, in_flight.routed.request_id)
+        log_left(in_flight)
         if isinstance(state, GatherState):
             actions = gather.cancel_gather(state)
         else:
@@ -313,13 +307,7 @@
                 case AbandonAttempt():
                     self._abandon(now_ms, action)
                 case Note():
-                    logger.info(
-                        '%s %s: request=%s %s',
-                        PREFIX,
-                        action.kind,
-                        in_flight.routed.request_id,
-                        action.detail,
-                    )
+                    log_note(in_flight, action)
                 case _:
                     self._answer(now_ms, in_flight, action)
 
@@ -367,36 +355,23 @@
     def _answer(
         self, now_ms: float, in_flight: InFlight, action: Deliver | DeliverMerged | Refuse
     ) -> None:
-        code, summary = ResultCode.COMPLETE, ''
+        code = ResultCode.COMPLETE
         match action:
             case Deliver():
                 response = self.wire.encode_reply(action.reply)
             case DeliverMerged():
                 response = self.wire.encode_merged(self._merge(in_flight, action))
-                summary = f' missing={",".join(action.missing[:LOGGED_SHARD_COUNT]) or "none"}'
                 if action.missing:
                     code = ResultCode.PARTIAL
             case Refuse():
                 response = self.wire.encode_refusal(action)
-                code, summary = action.code, f' reason="{action.detail}"'
+                code = action.code
         respond, in_flight.respond = in_flight.respond, None
         if respond is not None:
             respond(response)
         elapsed_ms = now_ms - in_flight.arrived_ms
-        routes = self.state.routes
-        logger.info(
-            '%s request answered: request=%s route=%s version=%d status=%d code=%s ms=%.1f'
-            ' way_ms=%.1f%s',
-            PREFIX,
-            in_flight.routed.request_id,
-            in_flight.state.route.name,
-            routes.version if routes is not None else 0,
-            response.status,
-            code.name.lower(),
-            elapsed_ms,
-            in_flight.way_ms,
-            summary,
-        )
+        refusal = action if isinstance(action, Refuse) else None
+        log_answered(in_flight, response.status, code, elapsed_ms, refusal)
         self.metrics.count_request(code, elapsed_ms)
         self._finish(in_flight)
 
