Divide the file descriptors, and drop groups that arrive with their cancellation

Tests: shares for 300, 600 and 4,100 descriptors; a group that arrives with its cancellation, which failed before.

--- a/packages/core/src/pistachioloft_core/process/endpoint_table.py
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -35,12 +35,13 @@
 class EndpointTable:
     """Hold the known endpoints with their load, and which of each service are usable."""
 
-    __slots__ = ('endpoints', 'services')
+    __slots__ = ('endpoints', 'services', 'usable_count')
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointLoad] = {}
         # Usable endpoints only; those that drain, left or lapsed get no new work.
         self.services: dict[str, list[EndpointLoad]] = {}
+        self.usable_count = 0
 
     def usable(self, service: str) -> list[EndpointLoad]:
         """Return the endpoints of a service that may be given new work."""
@@ -121,6 +122,7 @@
         members = table.services.setdefault(record.service, [])
         if load not in members:
             members.append(load)
+            table.usable_count += 1
     elif record.standing != STANDING_LAPSED or not answering:
         _withdraw(table, load)
     if before is not None and before.standing == record.standing and _same_start(before, record):
@@ -142,6 +144,7 @@
     if load not in members:
         return False
     members.remove(load)
+    table.usable_count -= 1
     if not members:
         del table.services[load.record.service]
     return True
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -29,6 +29,8 @@
 
     extra_share: float
     extra_allowance_count: float
+    # What the process may hold open to all endpoints together.
+    connection_count: int = 1_000_000
 
 
 class RoutedState:
@@ -113,7 +115,9 @@
     rule = state.routes.rules.get(service) if state.routes is not None else None
     if rule is None:
         return 1
-    return max(1, round(rule.connection_limit * CONNECTION_PART / state.entry_count))
+    share = round(rule.connection_limit * CONNECTION_PART / state.entry_count)
+    room = state.limits.connection_count // max(1, state.table.usable_count)
+    return max(1, min(share, room))
 
 
 def _budget_limits(state: RoutedState) -> BudgetLimits:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -22,6 +22,7 @@
 from pistachioloft_core.version.route_table import RouteTable, used_services
 
 from .control_calls import CheckReadiness, Done
+from .descriptors import descriptor_shares
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
@@ -73,7 +74,12 @@
         self.timers = LoopTimers(loop)
         self.metrics = Metrics()
         source = random.Random(f'{settings.instance}-{self.incarnation}')
-        limits = SharedLimits(settings.bounds.extra_share, settings.bounds.extra_allowance_count)
+        shares = descriptor_shares()
+        limits = SharedLimits(
+            settings.bounds.extra_share,
+            settings.bounds.extra_allowance_count,
+            shares.endpoint_count,
+        )
         self.state = RoutedState(settings.instance, settings.failure_domain, limits, source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
         self.requests = RoutedRequests(
@@ -89,7 +95,11 @@
         self.stopping = False
         self.chosen = False
         self.chosen_places: tuple[Place, ...] = ()
-        self.callers = HttpServer(settings.caller_address, self.requests.handle, ServerLimits())
+        self.callers = HttpServer(
+            settings.caller_address,
+            self.requests.handle,
+            ServerLimits(connection_limit_count=shares.caller_count),
+        )
         self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
         self.watch = WatchFace(settings.metrics_address, self.metrics, self._gauges, self._report)
         self.was_serving = False
@@ -315,6 +325,7 @@
             limits.body_limit_bytes,
             limits.header_timeout_ms / 1000.0,
             limits.idle_timeout_ms / 1000.0,
+            self.callers.limits.connection_limit_count,
         )
         logger.info('[lease] routes in force: version=%d routes=%d', version, len(decoded.routes))
         self._update_connections(list(self.state.table.endpoints))
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from pistachioloft_core.connection.endpoint_load import LoadReport
 from pistachioloft_core.messages.relay import (
     RelayCancel,
@@ -105,6 +108,8 @@
         self.hooks = hooks
         self.given: dict[str, _OpenRelay] = {}
         self.given_of: dict[str, str] = {}
+        # By sender and relay: what arrived in this turn of the loop.
+        self.arrived: dict[tuple[str, str], RelayRequest] = {}
         self.groups: dict[str, _Group] = {}
         self.group_of: dict[str, str] = {}
         self.number = 0
@@ -209,7 +214,17 @@
     # Groups sent for others.
 
     def on_request(self, sender: str, request: RelayRequest) -> None:
-        """Send the attempts of another instance."""
+        """Send the attempts of another instance, unless they are withdrawn in the same turn."""
+        # After a stall of the connection, a group and its cancellation arrive together.
+        key = (sender, request.relay_id)
+        self.arrived[key] = request
+        asyncio.get_running_loop().call_soon(self._start, key)
+
+    def _start(self, key: tuple[str, str]) -> None:
+        request = self.arrived.pop(key, None)
+        if request is None:
+            return
+        sender = key[0]
         group = _Group(sender, request, self.hooks.routed(request))
         route = self._route(request.route)
         now_ms = monotonic_ms()
@@ -233,6 +248,7 @@
     def on_cancel(self, sender: str, cancel: RelayCancel) -> None:
         """Withdraw attempts of another instance."""
         now_ms = monotonic_ms()
+        self._withdraw_arrived(sender, set(cancel.attempt_ids))
         for attempt_id in cancel.attempt_ids:
             name = f'{sender}/{attempt_id}'
             group = self.groups.get(self.group_of.pop(name, ''))
@@ -243,6 +259,17 @@
                 withdraw_attempt(self.state, now_ms, attempt)
             self._forget_if_done(group)
 
+    def _withdraw_arrived(self, sender: str, attempt_ids: set[str]) -> None:
+        """Drop attempts that arrived in this turn and were not sent yet."""
+        for key, request in list(self.arrived.items()):
+            kept = tuple(each for each in request.attempts if each.attempt_id not in attempt_ids)
+            if key[0] != sender or len(kept) == len(request.attempts):
+                continue
+            if kept:
+                self.arrived[key] = replace(request, attempts=kept)
+            else:
+                del self.arrived[key]
+
     def request_id_of(self, attempt_id: str) -> str | None:
         """Return the request of an attempt that is sent for another instance."""
         group = self.groups.get(self.group_of.get(attempt_id, ''))
--- /dev/null
+++ b/tests/test_http1/test_descriptors.py
@@ -0,0 +1,76 @@
+"""Guard against a process that runs out of file descriptors."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from pistachioloft_core.messages.fleet import STANDING_READY, AnnouncedEndpoint, HeardEndpoint
+from pistachioloft_core.messages.routes import RouteSet, ServiceRule
+from pistachioloft_core.process.endpoint_table import apply_update, keep_only
+from pistachioloft_core.request.routed_state import (
+    RoutedState,
+    SharedLimits,
+    connection_share,
+    set_routes,
+)
+from pistachioloft_core.version.route_table import RouteTable
+from pistachioloft_daemon.descriptors import divide_descriptors
+
+CONNECTION_LIMIT = 26
+# A small entry instance that alone serves 20 shards of two replicas, before and after a change
+# of all shards, and a large one.
+SHARD_COUNT = 20
+
+
+def state_with(descriptor_count: int, shard_count: int) -> RoutedState:
+    shares = divide_descriptors(descriptor_count)
+    limits = SharedLimits(0.2, 50.0, shares.endpoint_count)
+    state = RoutedState('entry', 'a', limits, random.Random(1))
+    names = [f's{number}' for number in range(shard_count)]
+    rules = tuple(ServiceRule(name, '/health', CONNECTION_LIMIT) for name in names)
+    set_routes(state, RouteTable(RouteSet(1, (), rules)))
+    heard = tuple(
+        HeardEndpoint(
+            AnnouncedEndpoint(
+                f'{name}-{replica}', name, f'10.0.{replica}.1:80', 'a', 2, STANDING_READY, 1, 1
+            ),
+            0.0,
+        )
+        for name in names
+        for replica in range(2)
+    )
+    apply_update(state.table, 0.0, heard, True)
+    return state
+
+
+@pytest.mark.parametrize('descriptor_count', [300, 600, 4_100])
+@pytest.mark.parametrize('shard_count', [SHARD_COUNT, 50, 130])
+def test_connections_fit_the_descriptors(descriptor_count: int, shard_count: int) -> None:
+    """Guard against connections that leave no descriptor for callers and other instances."""
+    state = state_with(descriptor_count, shard_count)
+    shares = divide_descriptors(descriptor_count)
+    to_endpoints = sum(2 * connection_share(state, name) for name in state.table.services)
+    # An endpoint gets one connection at least; below that, descriptors cannot be divided.
+    assert to_endpoints <= max(shares.endpoint_count, 2 * shard_count)
+    assert shares.endpoint_count + shares.caller_count <= 0.8 * descriptor_count
+
+
+def test_ample_descriptors_do_not_bound_the_connections() -> None:
+    """Guard against a limit that costs capacity where nothing is short."""
+    assert connection_share(state_with(4_100, SHARD_COUNT), 's0') == round(CONNECTION_LIMIT * 0.55)
+
+
+def test_endpoints_that_are_gone_give_their_share_back() -> None:
+    """Guard against a share that shrinks with each change of the shards."""
+    state = state_with(600, SHARD_COUNT)
+    before = connection_share(state, 's0')
+    kept = [
+        HeardEndpoint(load.record, 0.0)
+        for load in state.table.endpoints.values()
+        if load.record.service in ('s0', 's1')
+    ]
+    keep_only(state.table, kept)
+    assert state.table.usable_count == 4
+    assert connection_share(state, 's0') > before
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -245,6 +245,24 @@
     run(play)
 
 
+def test_group_that_arrives_with_its_cancellation_is_not_sent() -> None:
+    """Guard against work for a caller that left while the way to the helper was stalled."""
+
+    async def play(pair: Pair) -> None:
+        pair.give()
+        first, *others = pair.attempts
+        for attempt in others:
+            assert pair.asking.relays.abandon(attempt)
+        await turn()
+        assert set(pair.helping.pool.sent) == {first.load.record.endpoint}
+        assert pair.asking.relays.abandon(first)
+        await turn()
+        assert pair.helping.relays.groups == {}
+        assert pair.helping.relays.arrived == {}
+
+    run(play)
+
+
 def test_results_of_a_group_that_was_given_up_change_nothing() -> None:
     """Guard against replies that are taken after they were counted as lost."""
 
