Leave room for descriptors that the system takes for a connection

Cause: with 45% and 35% of the descriptors, the same variant still ran out of them: accepting failed with 128 connections to endpoints and 54 from callers open, 400 being the limit. Changes: 25% for connections to endpoints, 20% for callers; the line of a start says how many these are.

--- a/packages/daemon/src/pistachioloft_daemon/descriptors.py
+++ b/packages/daemon/src/pistachioloft_daemon/descriptors.py
@@ -5,10 +5,11 @@
 import resource
 from dataclasses import dataclass
 
-# Parts of the descriptors. Without one, a listening socket accepts nothing for a second, so a
-# fifth is kept for other instances, the log, files and the sockets that listen.
-ENDPOINT_PART = 0.45
-CALLER_PART = 0.35
+# Parts of the descriptors. Without one, a listening socket accepts nothing for a second. On the
+# users' platform accepting failed with 180 connections open and a limit of 400, so a connection
+# is taken to need two descriptors; a tenth is kept for other instances, the log and files.
+ENDPOINT_PART = 0.25
+CALLER_PART = 0.2
 # Where the system sets no limit.
 UNLIMITED_COUNT = 1_048_576
 # Each of these connections holds some tens of kilobytes.
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -114,11 +114,13 @@
         self.timers.every(POOL_CHECK_MS, self._check_endpoints)
         self._tick(monotonic_ms())
         logger.info(
-            '%s entry instance started: instance=%s label=%s callers=%s',
+            '%s entry instance started: instance=%s label=%s callers=%s connections=%d+%d',
             PREFIX,
             self.settings.instance,
             self.settings.label,
             self.settings.caller_address,
+            self.state.limits.connection_count,
+            self.callers.limits.connection_limit_count,
         )
 
     async def finish(self) -> None:
--- a/tests/test_http1/test_descriptors.py
+++ b/tests/test_http1/test_descriptors.py
@@ -54,7 +54,8 @@
     to_endpoints = sum(2 * connection_share(state, name) for name in state.table.services)
     # An endpoint gets one connection at least; below that, descriptors cannot be divided.
     assert to_endpoints <= max(shares.endpoint_count, 2 * shard_count)
-    assert shares.endpoint_count + shares.caller_count <= 0.8 * descriptor_count
+    # A connection may take two descriptors, and a tenth is for everything else.
+    assert 2 * (shares.endpoint_count + shares.caller_count) <= 0.9 * descriptor_count
 
 
 def test_ample_descriptors_do_not_bound_the_connections() -> None:
