--- a/packages/cli/src/pistachioloft_cli/fleet_commands.py
+++ b/packages/cli/src/pistachioloft_cli/fleet_commands.py
@@ -12,7 +12,7 @@
 from .exits import CommandFailure, ExitCode, Try
 from .options import Json, check_addresses
 from .output import Output, table
-from .transport import Call, exchange
+from .transport import Call, exchange_each
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -76,22 +76,12 @@
 
 def _read_reports(at: Iterable[str]) -> FleetView:
     call = Call('GET', '/report', FleetReport, answer_ms=REPORT_ANSWER_MS, round_count=1)
-    reports, unreachable = [], []
-    for address in at:
-        try:
-            reply = exchange(call, (address,), lambda line: None).reply
-        except CommandFailure:
-            unreachable.append(address)
-            continue
-        if isinstance(reply, FleetReport):
-            reports.append(reply)
-        else:
-            unreachable.append(address)
+    reports, unreachable = exchange_each(call, at)
     if not reports:
         tries = tuple(Try(address, False, 'gave no report') for address in unreachable)
         detail = f'No report from {", ".join(unreachable)}.'
         raise CommandFailure(ExitCode.NOT_REACHABLE, detail, tries)
-    return FleetView(tuple(reports), tuple(unreachable))
+    return FleetView(tuple(reports.values()), unreachable)
 
 
 def describe_instance(report: FleetReport) -> str:
--- a/packages/cli/src/pistachioloft_cli/operators.py
+++ b/packages/cli/src/pistachioloft_cli/operators.py
@@ -20,7 +20,7 @@
 
 from .callers import refusal
 from .exits import CommandFailure, ExitCode, Try, exit_code_of
-from .transport import CHANGE_ANSWER_MS, Answer, Call, exchange
+from .transport import CHANGE_ANSWER_MS, Answer, Call, exchange, exchange_each
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -112,18 +112,9 @@
     """Ask every given address for the status, once each."""
     path = '/v1/status?endpoints=true' if with_endpoints else '/v1/status'
     call = Call('GET', path, StatusReply, answer_ms=STATUS_ANSWER_MS, round_count=1)
-    replies, unreachable = [], []
-    for address in at:
-        try:
-            answer = exchange(call, (address,), lambda line: None)
-        except CommandFailure:
-            unreachable.append(address)
-            continue
-        if isinstance(answer.reply, StatusReply):
-            replies.append(StatusAt(answer.address, answer.reply))
-        else:
-            unreachable.append(address)
-    return StatusView(tuple(replies), tuple(unreachable))
+    replies, unreachable = exchange_each(call, at)
+    views = tuple(StatusAt(address, reply) for address, reply in replies.items())
+    return StatusView(views, unreachable)
 
 
 def require_status(at: Iterable[str], with_endpoints: bool = False) -> StatusView:
--- a/packages/cli/src/pistachioloft_cli/transport.py
+++ b/packages/cli/src/pistachioloft_cli/transport.py
@@ -18,7 +18,7 @@
 from .exits import CommandFailure, ExitCode, Try
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
 T = TypeVar('T')
 
@@ -133,6 +133,23 @@
     return _settle(call, pending, tuple(tries))
 
 
+def exchange_each(call: Call[T], addresses: Iterable[str]) -> tuple[dict[str, T], tuple[str, ...]]:
+    """Ask every address once; give the replies and the addresses without one."""
+    replies: dict[str, T] = {}
+    silent: list[str] = []
+    for address in addresses:
+        try:
+            reply = exchange(call, (address,), lambda line: None).reply
+        except CommandFailure:
+            silent.append(address)
+            continue
+        if isinstance(reply, ErrorReply):
+            silent.append(address)
+        else:
+            replies[address] = reply
+    return replies, tuple(silent)
+
+
 @contextlib.contextmanager
 def _waiting(call: Call[T], address: str, progress: Callable[[str], None]) -> Iterator[None]:
     """Say that an answer is awaited if it takes long."""
--- a/packages/core/src/pistachioloft_core/request/patience.py
+++ b/packages/core/src/pistachioloft_core/request/patience.py
@@ -20,15 +20,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerWay:
-    """
-    Tell how long a request was on its way to this instance and an answer will be on its way back.
-
-    `connecting_ms` passed from the caller's first packet to the arrival of the request,
-    `spent_ms` before the request was sent, by what its deadline tells.
-    """
+    """Tell how much of a caller's time passes outside this instance."""
 
+    # From the caller's first packet to the arrival of the request.
     connecting_ms: float
+    # From sending an answer to its arrival.
     return_ms: float
+    # Before the request was sent, by what its deadline tells.
     spent_ms: float = 0.0
 
     @property
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from pathlib import Path
 
     from pistachioloft_core.messages.report import FleetReport
     from pistachioloft_core.messages.routes import RouteSet
@@ -84,18 +85,8 @@
         self.reads = Reads(settings.instance, self.leader, self.peers.send)
         self.routes = AcceptedRoutes()
         assert settings.data_folder is not None
-        founders = settings.seeds if settings.found else ()
-        hooks = VoterHooks(
-            self.peers.send,
-            lambda _configuration: None,
-            lambda _leads: None,
-            lambda reason: logger.error('%s not a voter any more: %s', PREFIX, reason),
-            self._on_routes,
-        )
         self.memory = EndpointMemory(settings.data_folder)
-        self.keeper = VoterKeeper(
-            settings.data_folder / VOTER_FOLDER, settings.instance, founders, hooks, self._on_voter
-        )
+        self.keeper = self._make_keeper(settings.data_folder / VOTER_FOLDER)
         self.reconnected: dict[str, float] = {}
         self.push_due = False
         self.pushed_revision = 0
@@ -112,6 +103,17 @@
             HttpServer(settings.directory_address, self.face.handle, limits),
         )
 
+    def _make_keeper(self, folder: Path) -> VoterKeeper:
+        founders = self.settings.seeds if self.settings.found else ()
+        hooks = VoterHooks(
+            self.peers.send,
+            lambda _configuration: None,
+            lambda _leads: None,
+            lambda reason: logger.error('%s not a voter any more: %s', PREFIX, reason),
+            self._on_routes,
+        )
+        return VoterKeeper(folder, self.settings.instance, founders, hooks, self._on_voter)
+
     async def start(self) -> None:
         """Listen, open the data folder and start the timers."""
         fleet.restore(self.fleet, monotonic_ms(), self.memory.load())
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -41,15 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolHooks:
-    """
-    Name the callbacks of the pool; `limit` bounds the connections to one endpoint.
-
-    `refused` is told of endpoints whose address refuses connections.
-    """
+    """Name the callbacks of the pool."""
 
     decode: DecodeReply
     ended: OnEnd
+    # Bounds the connections to one endpoint.
     limit: Callable[[AnnouncedEndpoint], int]
+    # Is told of endpoints whose address refuses connections.
     refused: Callable[[str], None]
 
 
--- a/tests/test_gather/test_patience.py
+++ b/tests/test_gather/test_patience.py
@@ -71,12 +71,9 @@
 
 
 def test_callers_that_look_up_addresses_get_their_answers_in_time() -> None:
-    """
-    Guard against late answers for callers that spent time before they sent the request.
-
-    The load: 40% of the callers spent 14 to 29 ms, and one endpoint in ten is slow in one of
-    three requests, so that most queries lack a shard until after the target.
-    """
+    """Guard against late answers for callers that spent time before they sent the request."""
+    # The load: 40% of the callers spent 14 to 29 ms, and one attempt in 30 is slow, so that about
+    # half of the queries lack a shard until after the target.
     player = Player(shard_count=20, replica_count=1, floor=0.75)
     source = random.Random(3)
 
