--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/tools/soak/site.py
@@ -0,0 +1,64 @@
+"""A site whose searchers are reached through faulty proxies, and what is known of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from pistachioloft_core.codec import decode_json
+from pistachioloft_core.messages.report import FleetReport
+from tools.fleet.site import Site
+
+from .proxy import FaultyProxy
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class SoakSite(Site):
+    """Hold a site with proxies, locks against too many losses at once, and findings."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder, control_count=3, entry_count=3, replica_count=2)
+        self.proxies: list[FaultyProxy] = []
+        self.findings: list[str] = []
+        # What was struck and answered, for a reader who wonders whether a run did anything.
+        self.struck: Counter[str] = Counter()
+        self.statuses: Counter[int] = Counter()
+        self.acknowledged = 0
+        # One loss of a kind at a time is what the system promises to bear.
+        self.one_control = asyncio.Lock()
+        self.one_entry = asyncio.Lock()
+        self.one_change = asyncio.Lock()
+
+    async def __aenter__(self) -> SoakSite:
+        await super().__aenter__()
+        for searcher in self.searchers:
+            proxy = FaultyProxy(searcher.ip, searcher.address)
+            await proxy.start()
+            self.proxies.append(proxy)
+            # Announced from now on, as a newer start at another address.
+            searcher.address = proxy.address
+            searcher.born_ms += 1
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        for proxy in self.proxies:
+            await proxy.stop()
+        await super().__aexit__(*details)
+
+    async def group_is_whole(self) -> bool:
+        """Tell whether a leader counts three voters and can lose one of them."""
+        for machine in self.fleet.controls:
+            url = f'http://{self.fleet.metrics_address(machine)}/report'
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with self.session.get(url) as reply:
+                    report = decode_json(await reply.read(), FleetReport)
+                voters = report.voters
+                if voters is not None and len(voters.voters) == 3 and voters.can_lose_count == 1:
+                    return True
+        return False
