--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,13 +8,11 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-from tools.fleet.searcher import DROP, Plan
-
+from ..fleet.searcher import DROP, Plan
 from .proxy import HEALTHY, Fault
 
 if TYPE_CHECKING:
-    from tools.fleet.processes import Machine
-
+    from ..fleet.processes import Machine
     from .site import SoakSite
 
 FaultCall = Callable[['SoakSite', random.Random], Awaitable[None]]
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -12,8 +12,7 @@
 
 import aiohttp
 
-from tools.fleet.site import SHARD_COUNT, Answer
-
+from ..fleet.site import SHARD_COUNT, Answer
 from .faults import FAULTS
 from .site import SoakSite
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -11,8 +11,8 @@
 
 from pistachioloft_core.codec import decode_json
 from pistachioloft_core.messages.report import FleetReport
-from tools.fleet.site import Site
 
+from ..fleet.site import Site
 from .proxy import FaultyProxy
 
 if TYPE_CHECKING:
