Close the connection after a refused body without a length

Cause: a caller's interface that refused a chunked body, or one without a length, left the connection open, so the server read the body as the next request and answered twice. Conclusion: what follows such a head is never taken for a request.

--- a/packages/daemon/src/pistachioloft_daemon/web.py
+++ b/packages/daemon/src/pistachioloft_daemon/web.py
@@ -281,6 +281,8 @@
 def _read_body() -> bytes:
     length = cherrypy.request.headers.get('Content-Length')
     if length is None or not length.isdigit():
+        # Where a body without a length ends is not known, so what follows is no next request.
+        _close_afterwards()
         raise CodedError(ResultCode.MALFORMED, 'the Content-Length header is missing')
     left_bytes = int(length)
     if left_bytes > BODY_LIMIT_BYTES:
--- a/tests/test_processes/test_bad_input.py
+++ b/tests/test_processes/test_bad_input.py
@@ -155,6 +155,20 @@
         check(read_reply(connection), code)
 
 
+@pytest.mark.parametrize('length', ['Transfer-Encoding: chunked', 'X-Length: 5'])
+def test_a_body_without_a_length_is_answered_once(cluster: Cluster, length: str) -> None:
+    """Guard against a refused body that is read as the next request of its connection."""
+    head_bytes = f'POST /v1/query HTTP/1.1\r\nHost: x\r\n{length}\r\n\r\n'.encode()
+    with served_caller(cluster), connect(cluster.plans['e1'].caller_address) as connection:
+        connection.sendall(head_bytes + b'2\r\n{}\r\n0\r\n\r\n')
+        data = b''
+        with contextlib.suppress(ConnectionError):
+            while part := connection.recv(65536):
+                data += part
+    assert data.count(b'HTTP/1.1 ') == 1, data
+    check(json.loads(data.partition(b'\r\n\r\n')[2]), 100)
+
+
 def test_truncated_bodies_get_their_code(cluster: Cluster) -> None:
     """Guard against a half request that is taken for a whole one."""
     whole = json.dumps(QUERY).encode()
