--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -1,19 +1,12 @@
-"""Messages by which one entry instance sends attempts through another."""
+"""Messages by which one entry instance asks for shards through another."""
 
 from __future__ import annotations
 
 from msgspec import Struct
 
 
-class RelayedAttempt(Struct, frozen=True, array_like=True):
-    """Name one attempt and the endpoint that it is for."""
-
-    attempt_id: str
-    endpoint: str
-
-
 class RelayRequest(Struct, frozen=True, array_like=True):
-    """Ask an instance near some endpoints to send them a request and to merge their replies."""
+    """Ask an instance to get the replies of some shards of a query and to merge them."""
 
     relay_id: str
     route: str
@@ -21,37 +14,38 @@
     # The encoded request without the headers that differ by endpoint.
     head: bytes
     body: bytes
+    # Names the content of the request.
+    digest: str
+    suspected: bool
     time_left_ms: float
     # After this time, what has come is sent without waiting for the rest.
-    gather_ms: float
+    flush_after_ms: float
     top_count: int
-    attempts: tuple[RelayedAttempt, ...]
+    services: tuple[str, ...]
 
 
-class RelayedEnd(Struct, frozen=True, array_like=True):
-    """Tell how one attempt ended; `ended` is the value of an `Ended`."""
+class RelayedReply(Struct, frozen=True, array_like=True):
+    """Name a shard's service that has answered, and the receipt of its reply."""
 
-    attempt_id: str
-    ended: str
-    detail: str
+    service: str
     receipt: bytes
-    latency_ms: float
-    absent: bool = False
-    # Running, waiting and slots, as the endpoint reported them.
-    load: tuple[int, int, int] | None = None
 
 
 class RelayResults(Struct, frozen=True, array_like=True):
-    """Give the ends of some attempts and the greatest records of those that were answered."""
+    """Give the shards that answered since the last results, and their greatest records."""
 
     relay_id: str
-    ends: tuple[RelayedEnd, ...]
+    replies: tuple[RelayedReply, ...]
     records: bytes
     # How long the helper had the group when it sent this.
     held_ms: float
+    # Nothing more follows: the shards that were not named get no reply.
+    done: bool = False
+    # The helper has sent nothing to any endpoint and never will.
+    refused: bool = False
 
 
 class RelayCancel(Struct, frozen=True, array_like=True):
-    """Withdraw attempts whose replies are no longer needed."""
+    """Withdraw a group whose replies are no longer needed."""
 
-    attempt_ids: tuple[str, ...]
+    relay_id: str
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -14,6 +14,7 @@
     from ..connection.endpoint_load import EndpointLoad, LoadReport
     from ..errors import ResultCode
     from ..messages.routes import Route
+    from .relay import Helper
     from .routed_state import RoutedState
 
 
@@ -44,12 +45,6 @@
     report: LoadReport | None = None
     # The endpoint's address was refused or belongs to another endpoint now.
     absent: bool = False
-    # The endpoint's latency where another instance measured it.
-    latency_ms: float | None = None
-    # The records of the reply may stand in another reply that came with it.
-    merged: bool = False
-    # The instance that relayed the attempt is to blame, not the endpoint.
-    blameless: bool = False
 
 
 class Attempt:
@@ -104,6 +99,15 @@
     time_left_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class GiveGroup:
+    """Let a helper ask for some shards of a query; replies later than `flush_at_ms` come singly."""
+
+    helper: Helper
+    services: tuple[str, ...]
+    flush_at_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class AbandonAttempt:
     """Withdraw an attempt whose reply is no longer needed, after some time to finish."""
@@ -144,7 +148,7 @@
     detail: str
 
 
-RoutedAction = SendAttempt | AbandonAttempt | Deliver | DeliverMerged | Refuse | Note
+RoutedAction = SendAttempt | GiveGroup | AbandonAttempt | Deliver | DeliverMerged | Refuse | Note
 
 
 def begin_attempt(
@@ -164,10 +168,10 @@
     return Attempt(attempt_id, route, service, load, now_ms, late_ms, hedge)
 
 
-def note_sent(attempt: Attempt, now_ms: float, overhead_ms: float = 0.0) -> None:
-    """Take note that an attempt was written to a connection, or handed to a helper."""
+def note_sent(attempt: Attempt, now_ms: float) -> None:
+    """Take note that an attempt was written to a connection."""
     attempt.sent_ms = now_ms
-    attempt.check_at_ms = now_ms + attempt.late_after_ms + overhead_ms
+    attempt.check_at_ms = now_ms + attempt.late_after_ms
 
 
 def check_later(attempt: Attempt, now_ms: float) -> None:
@@ -188,11 +192,9 @@
     """Take what the end of an attempt tells about its endpoint and its route."""
     load = attempt.load
     release_attempt(attempt)
-    if end.blameless:
-        return
     if end.report is not None:
         load.note_report(now_ms, end.report)
-    latency_ms = attempt.latency_ms(now_ms) if end.latency_ms is None else end.latency_ms
+    latency_ms = attempt.latency_ms(now_ms)
     if end.ended in (Ended.ANSWERED, Ended.FAILED):
         usual_ms = usual_latency_ms(state, attempt.route)
         if end.ended is Ended.ANSWERED:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -13,6 +13,7 @@
     AttemptEnd,
     DeliverMerged,
     Ended,
+    GiveGroup,
     Note,
     Refuse,
     RoutedAction,
@@ -23,6 +24,7 @@
 )
 from .hedge_delay import usual_latency_ms
 from .placement import choose_endpoint, has_usable
+from .relay import HelperTable, Pick, plan_query
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
@@ -55,6 +57,7 @@
 
     __slots__ = (
         'exhausted',
+        'given',
         'hedged',
         'open',
         'refuser',
@@ -78,6 +81,8 @@
         self.refuser = ''
         self.retry_at_ms = 0.0
         self.hedged = False
+        # A helper asks for this shard.
+        self.given = False
         self.exhausted = False
         self.replied = False
         self.reply: Any = None
@@ -88,9 +93,11 @@
 
     __slots__ = (
         'answer_at_ms',
+        'by_service',
         'done',
         'exhausted_count',
         'floor_count',
+        'given_count',
         'limit_ms',
         'lost_count',
         'replied_count',
@@ -109,18 +116,25 @@
         answer_at_ms: float,
         limit_ms: float,
         suspected: bool = False,
+        services: tuple[str, ...] | None = None,
     ) -> None:
+        """Take all shards of the route, or those of a group that is asked for another instance."""
         gather = _gather(route)
         self.request_id = request_id
         self.route = route
         # From here on a partial answer that reaches the floor is worth more than waiting.
         self.answer_at_ms = min(answer_at_ms, limit_ms)
         self.limit_ms = limit_ms
-        self.shards = [ShardState(name) for name in gather.shards]
+        names = gather.shards if services is None else services
+        self.shards = [ShardState(name) for name in names]
+        self.by_service = {shard.service: shard for shard in self.shards}
         self.shard_of: dict[str, ShardState] = {}
-        share = gather.coverage_floor * len(gather.shards)
+        # What a group must reach is decided where the whole query is.
+        share = gather.coverage_floor * len(names) if services is None else 0.0
         self.floor_count = max(1, math.ceil(share - 1e-9))
         self.sent_count = 0
+        # Shards that helpers asked for, or may have.
+        self.given_count = 0
         self.replied_count = 0
         self.exhausted_count = 0
         self.lost_count = 0
@@ -134,42 +148,89 @@
         return len(self.shards) - self.exhausted_count
 
 
-def start_gather(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
-    """Send the query to one endpoint of each shard, or refuse it if too few can answer."""
-    for shard in query.shards:
-        record_first_tries(budget_of(state, shard.service), now_ms, 1)
+def start_gather(
+    state: RoutedState, now_ms: float, query: GatherState, helpers: HelperTable | None = None
+) -> list[RoutedAction]:
+    """Ask for each shard, in groups through helpers if there are any, or refuse the query."""
     served = sum(has_usable(state, now_ms, shard.service) for shard in query.shards)
     if served < query.floor_count:
         query.done = True
         detail = f'{served} of {len(query.shards)} shards have an endpoint'
         return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
-    actions: list[RoutedAction] = []
+    picks: list[Pick] = []
     for shard in query.shards:
         load = _pick(state, now_ms, query, shard)
         if load is None:
             _note_exhausted(state, now_ms, query, shard)
         else:
-            actions.append(_send(state, now_ms, query, shard, load, hedge=False))
+            picks.append(Pick(shard.service, load))
+    plan = plan_query(helpers or HelperTable(), now_ms, state.failure_domain, picks, state.random)
+    actions: list[RoutedAction] = []
+    for group in plan.groups:
+        for service in group.services:
+            query.by_service[service].given = True
+        query.given_count += len(group.services)
+        flush_at_ms = max(now_ms, query.answer_at_ms - group.helper.overhead_ms())
+        actions.append(GiveGroup(group.helper, group.services, flush_at_ms))
+    for pick in plan.direct:
+        shard = query.by_service[pick.service]
+        actions.append(_send_first(state, now_ms, query, shard, pick.load))
     return actions + _conclude(now_ms, query)
 
 
-def on_attempt_end(
-    state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, end: AttemptEnd
+def take_back(
+    state: RoutedState, now_ms: float, query: GatherState, services: Iterable[str]
 ) -> list[RoutedAction]:
-    """Take a shard's reply, or try another endpoint after a failure."""
-    return on_attempts_end(state, now_ms, query, [(attempt, end)])
+    """Ask for shards from here whose helper has not asked for them and never will."""
+    if query.done:
+        return []
+    actions: list[RoutedAction] = []
+    for service in services:
+        shard = query.by_service[service]
+        shard.given = False
+        query.given_count -= 1
+        load = _pick(state, now_ms, query, shard)
+        if load is None:
+            _note_exhausted(state, now_ms, query, shard)
+        else:
+            actions.append(_send_first(state, now_ms, query, shard, load))
+    return actions + _conclude(now_ms, query)
 
 
-def on_attempts_end(
-    state: RoutedState,
-    now_ms: float,
-    query: GatherState,
-    ends: Iterable[tuple[Attempt, AttemptEnd]],
+def on_group_replies(
+    now_ms: float, query: GatherState, replies: Iterable[tuple[str, Any]]
 ) -> list[RoutedAction]:
-    """Take ends that belong together; merged replies are used for all their shards or none."""
-    actions: list[RoutedAction] = []
-    for attempt, end in ends:
-        actions += _take_end(state, now_ms, query, attempt, end)
+    """Take the replies of shards that came merged; all of them are used, or none."""
+    if query.done:
+        return []
+    for service, reply in replies:
+        shard = query.by_service[service]
+        shard.given = False
+        shard.replied = True
+        shard.reply = reply
+        query.replied_count += 1
+    return _conclude(now_ms, query)
+
+
+def on_group_lost(now_ms: float, query: GatherState, services: Iterable[str]) -> list[RoutedAction]:
+    """Count out shards whose helper is silent or got no reply for them."""
+    if query.done:
+        return []
+    for service in services:
+        shard = query.by_service[service]
+        shard.given = False
+        # The helper may have made every try that the route allows.
+        shard.run_count = query.route.attempt_limit
+        shard.exhausted = True
+        query.exhausted_count += 1
+    return _conclude(now_ms, query)
+
+
+def on_attempt_end(
+    state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, end: AttemptEnd
+) -> list[RoutedAction]:
+    """Take a shard's reply, or try another endpoint after a failure."""
+    actions = _take_end(state, now_ms, query, attempt, end)
     return actions if query.done else actions + _conclude(now_ms, query)
 
 
@@ -180,26 +241,21 @@
     shard.open.remove(attempt)
     if query.done:
         return []
+    if shard.replied:
+        return []
     if end.ended is Ended.ANSWERED:
-        # A shard's reply may stand in merged records already; then it replaces an earlier one,
-        # which all endpoints of the shard give alike.
-        if not shard.replied:
-            shard.replied = True
-            query.replied_count += 1
-            if shard.exhausted:
-                shard.exhausted = False
-                query.exhausted_count -= 1
-        elif not end.merged:
-            return []
+        shard.replied = True
         shard.reply = end.reply
+        query.replied_count += 1
+        if shard.exhausted:
+            shard.exhausted = False
+            query.exhausted_count -= 1
         return [AbandonAttempt(other, LINGER_MS) for other in shard.open]
-    if shard.replied:
-        return []
     endpoint = attempt.load.record.endpoint
     note = Note('retry', f'{shard.service}: {endpoint} {end.ended.value}, {end.detail}')
     if end.ended in (Ended.NOT_SENT, Ended.NOT_RUN):
         shard.run_count -= 1
-    if end.ended is Ended.LOST and not end.blameless:
+    if end.ended is Ended.LOST:
         query.lost_count += 1
     if end.ended is Ended.NOT_RUN and not end.absent:
         shard.tried.discard(endpoint)
@@ -215,7 +271,7 @@
         return []
     actions: list[RoutedAction] = []
     for shard in query.shards:
-        if shard.replied:
+        if shard.replied or shard.given:
             continue
         if not shard.open:
             actions += _retry(state, now_ms, query, shard, free=shard.try_count == 0)
@@ -248,7 +304,7 @@
     if now_ms < query.answer_at_ms:
         due_ms = min(due_ms, query.answer_at_ms)
     for shard in query.shards:
-        if shard.replied or shard.hedged or shard.exhausted:
+        if shard.replied or shard.given or shard.hedged or shard.exhausted:
             continue
         if shard.open:
             check_ms = shard.open[-1].check_at_ms
@@ -306,6 +362,13 @@
     return SendAttempt(attempt, query.limit_ms - now_ms)
 
 
+def _send_first(
+    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState, load: EndpointLoad
+) -> SendAttempt:
+    record_first_tries(budget_of(state, shard.service), now_ms, 1)
+    return _send(state, now_ms, query, shard, load, hedge=False)
+
+
 def _retry(
     state: RoutedState, now_ms: float, query: GatherState, shard: ShardState, free: bool
 ) -> list[RoutedAction]:
@@ -359,7 +422,7 @@
             return _answer(query)
     elif query.reachable_count < query.floor_count:
         return _give_up(query, 'too few shards can still answer')
-    elif _may_crash(query) and not any(shard.open for shard in query.shards):
+    elif _may_crash(query) and not any(shard.open or shard.given for shard in query.shards):
         return _give_up(query, 'each endpoint that ran it was lost')
     elif now_ms >= query.limit_ms:
         return _give_up(query, 'the time limit is reached')
@@ -376,7 +439,7 @@
 def _give_up(query: GatherState, reason: str) -> list[RoutedAction]:
     query.done = True
     detail = f'{reason}: {query.replied_count} of {len(query.shards)} answered'
-    if query.sent_count == 0:
+    if query.sent_count == 0 and query.given_count == 0:
         return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
     return [Refuse(ResultCode.NO_ANSWER, detail), *_abandon_open(query, 0.0)]
 
--- a/packages/core/src/pistachioloft_core/request/hedge_delay.py
+++ b/packages/core/src/pistachioloft_core/request/hedge_delay.py
@@ -17,11 +17,11 @@
 UNLEARNED_LATE_PART = 0.4
 # With an ample budget an attempt is late past the first share of all attempts, with a spent
 # one past the second; in between it follows the budget.
-AMPLE_SHARE = 0.90
+AMPLE_SHARE = 0.85
 SCARCE_SHARE = 0.97
 # Where a part of the endpoints is slow, these shares are theirs; an attempt that takes this
 # many times the median is late whatever the others do.
-LATE_MEDIAN_FACTOR = 2.5
+LATE_MEDIAN_FACTOR = 2.0
 # A shorter delay would measure the scheduling of this process.
 SHORTEST_DELAY_MS = 2.0
 
--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -1,4 +1,4 @@
-"""Which attempts of a query are sent through another entry instance."""
+"""Which shards of a query are asked through another entry instance."""
 
 from __future__ import annotations
 
@@ -10,15 +10,15 @@
     import random
     from collections.abc import Iterable
 
+    from ..connection.endpoint_load import EndpointLoad
     from ..messages.fleet import Place
-    from .attempts import SendAttempt
 
 # A relayed group is one request and mostly one reply between failure domains, in place of as
-# many as it has attempts; below this count the extra hop is not worth it.
+# many as it has shards; below this count the extra hop is not worth it.
 SMALLEST_GROUP_COUNT = 3
-# An instance sends at most this many attempts of one query itself where others of its failure
+# An instance asks at most this many shards of one query itself where others of its failure
 # domain can share them: sending and reading a hundred takes longer than a quick answer may.
-OWN_GROUP_COUNT = 32
+OWN_GROUP_COUNT = 20
 # A helper that gave no sign for a whole group is left alone for this time, then tried again.
 SUSPEND_MS = 2_000.0
 # The way to a helper and back with its waiting at both ends, and how much that varies, until
@@ -65,19 +65,27 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RelayPlan:
-    """Send attempts through one helper."""
+class Pick:
+    """Name a shard's service and the endpoint that is expected to answer first."""
+
+    service: str
+    load: EndpointLoad
+
+
+@dataclass(frozen=True, slots=True)
+class GroupPlan:
+    """Ask for some shards through one helper."""
 
     helper: Helper
-    sends: tuple[SendAttempt, ...]
+    services: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class SendPlan:
-    """Divide attempts into those sent from here and those sent through helpers."""
+class QueryPlan:
+    """Divide shards into those asked from here and those asked through helpers."""
 
-    direct: tuple[SendAttempt, ...]
-    relays: tuple[RelayPlan, ...]
+    direct: tuple[Pick, ...]
+    groups: tuple[GroupPlan, ...]
 
 
 def set_helpers(table: HelperTable, places: Iterable[Place], own_instance: str) -> None:
@@ -89,20 +97,20 @@
     }
 
 
-def plan_sends(
+def plan_query(
     table: HelperTable,
     now_ms: float,
     own_domain: str,
-    sends: Iterable[SendAttempt],
+    picks: Iterable[Pick],
     random_source: random.Random,
-) -> SendPlan:
-    """Choose a helper for each group of attempts that is far away or large."""
-    groups: defaultdict[str, list[SendAttempt]] = defaultdict(list)
-    for send in sends:
-        groups[send.attempt.load.record.failure_domain].append(send)
-    direct: list[SendAttempt] = []
-    relays: list[RelayPlan] = []
-    for domain, group in sorted(groups.items()):
+) -> QueryPlan:
+    """Choose a helper for each group of shards that is far away or large."""
+    domains: defaultdict[str, list[Pick]] = defaultdict(list)
+    for pick in picks:
+        domains[pick.load.record.failure_domain].append(pick)
+    direct: list[Pick] = []
+    groups: list[GroupPlan] = []
+    for domain, group in sorted(domains.items()):
         near = domain == own_domain
         helpers = _available(table, now_ms, domain)
         if near:
@@ -114,8 +122,8 @@
         random_source.shuffle(helpers)
         helpers.sort(key=lambda helper: helper.open_count)
         for helper, part in zip(helpers, parts, strict=False):
-            relays.append(RelayPlan(helper, tuple(part)))
-    return SendPlan(tuple(direct), tuple(relays))
+            groups.append(GroupPlan(helper, tuple(pick.service for pick in part)))
+    return QueryPlan(tuple(direct), tuple(groups))
 
 
 def note_sent(helper: Helper) -> None:
@@ -149,7 +157,7 @@
     ]
 
 
-def _split(group: list[SendAttempt], helper_count: int) -> list[list[SendAttempt]]:
+def _split(group: list[Pick], helper_count: int) -> list[list[Pick]]:
     """Cut a group into equal parts, the first for this instance."""
     wanted_count = -(-len(group) // OWN_GROUP_COUNT)
     count = max(1, min(wanted_count, helper_count + 1))
--- a/packages/core/src/pistachioloft_core/version/route_table.py
+++ b/packages/core/src/pistachioloft_core/version/route_table.py
@@ -11,11 +11,12 @@
 class RouteTable:
     """Index the routes of one version by host and path prefix."""
 
-    __slots__ = ('_hosts', 'routes', 'rules')
+    __slots__ = ('_hosts', '_names', 'routes', 'rules')
 
     def __init__(self, routes: RouteSet) -> None:
         self.routes = routes
         self.rules: dict[str, ServiceRule] = {rule.service: rule for rule in routes.services}
+        self._names: dict[str, Route] = {route.name: route for route in routes.routes}
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in routes.routes:
             self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
@@ -25,6 +26,10 @@
         """Return the version of the routes."""
         return self.routes.version
 
+    def named(self, name: str) -> Route | None:
+        """Return the route of a name, None if this version has none."""
+        return self._names.get(name)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, None if no prefix matches."""
         prefixes = self._hosts.get(host_name(host))
--- a/packages/daemon/src/pistachioloft_daemon/in_flight.py
+++ b/packages/daemon/src/pistachioloft_daemon/in_flight.py
@@ -9,6 +9,7 @@
     from pistachioloft_core.request.gather import GatherState
 
     from .http1.server import Respond
+    from .relays import RelayedGroup
     from .routed_messages import RoutedRequest
 
 
@@ -18,7 +19,9 @@
     __slots__ = (
         'arrived_ms',
         'check_at_ms',
+        'group',
         'number',
+        'relay_ids',
         'respond',
         'route_version',
         'routed',
@@ -32,7 +35,7 @@
         number: int,
         routed: RoutedRequest,
         state: GatherState | ForwardState,
-        respond: Respond,
+        respond: Respond | None,
         arrived_ms: float,
         route_version: int,
         way_ms: float,
@@ -40,7 +43,11 @@
         self.number = number
         self.routed = routed
         self.state = state
-        self.respond: Respond | None = respond
+        # None once the caller has its answer or left, and for a group of another instance.
+        self.respond = respond
+        self.group: RelayedGroup | None = None
+        # Groups that helpers were given for this request.
+        self.relay_ids: list[str] = []
         self.arrived_ms = arrived_ms
         self.route_version = route_version
         # The caller's time that this instance did not have and does not have.
--- a/packages/daemon/src/pistachioloft_daemon/request_log.py
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from pistachioloft_core.request.attempts import Refuse, SendAttempt
+from pistachioloft_core.request.attempts import GiveGroup, Refuse, SendAttempt
 from pistachioloft_core.request.gather import GatherState, describe_missing
 
 if TYPE_CHECKING:
@@ -41,13 +41,12 @@
     in_flight: InFlight,
     due_ms: float,
     feed_age_ms: float,
-    actions: Iterable[RoutedAction],
+    actions: list[RoutedAction],
 ) -> None:
     """Log the endpoints that a request is sent to first, and what the choice was based on."""
-    sends = (action.attempt for action in actions if isinstance(action, SendAttempt))
     logger.info(
         '%s request placed: request=%s route=%s version=%d due_ms=%.0f limit_ms=%.0f'
-        ' feed_age_ms=%.0f endpoints=%s',
+        ' feed_age_ms=%.0f endpoints=%s%s',
         PREFIX,
         in_flight.routed.request_id,
         in_flight.state.route.name,
@@ -55,7 +54,36 @@
         due_ms - now_ms,
         in_flight.state.limit_ms - now_ms,
         feed_age_ms,
-        ','.join(attempt.load.record.endpoint for attempt in sends) or 'none',
+        _endpoints(actions),
+        _helpers(actions),
+    )
+
+
+def log_group_placed(
+    in_flight: InFlight, sender: str, feed_age_ms: float, actions: Iterable[RoutedAction]
+) -> None:
+    """Log the endpoints that a group of another instance's query is sent to first."""
+    logger.info(
+        '%s group placed: request=%s from=%s route=%s version=%d feed_age_ms=%.0f endpoints=%s',
+        PREFIX,
+        in_flight.routed.request_id,
+        sender,
+        in_flight.state.route.name,
+        in_flight.route_version,
+        feed_age_ms,
+        _endpoints(actions),
+    )
+
+
+def log_group_ended(in_flight: InFlight, elapsed_ms: float) -> None:
+    """Log what a group of another instance's query lacks at its end."""
+    assert isinstance(in_flight.state, GatherState)
+    logger.info(
+        '%s group ended: request=%s ms=%.1f missing=%s',
+        PREFIX,
+        in_flight.routed.request_id,
+        elapsed_ms,
+        describe_missing(in_flight.state, LOGGED_SHARD_COUNT),
     )
 
 
@@ -103,3 +131,14 @@
         crash.born_ms,
         crash.age_ms,
     )
+
+
+def _endpoints(actions: Iterable[RoutedAction]) -> str:
+    sends = (action.attempt for action in actions if isinstance(action, SendAttempt))
+    return ','.join(attempt.load.record.endpoint for attempt in sends) or 'none'
+
+
+def _helpers(actions: Iterable[RoutedAction]) -> str:
+    groups = [action for action in actions if isinstance(action, GiveGroup)]
+    names = ','.join(f'{each.helper.instance}:{len(each.services)}' for each in groups)
+    return f' helpers={names}' if names else ''
--- /dev/null
+++ b/tests/test_relay/test_given_groups.py
@@ -0,0 +1,134 @@
+"""Guard against shards that are lost, doubled or asked twice because a helper asks for them."""
+
+from __future__ import annotations
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.messages.fleet import Place
+from pistachioloft_core.request import gather
+from pistachioloft_core.request.attempts import (
+    AttemptEnd,
+    DeliverMerged,
+    Ended,
+    GiveGroup,
+    Refuse,
+    RoutedAction,
+    SendAttempt,
+    end_attempt,
+)
+from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.relay import HelperTable, set_helpers
+from tests.test_gather.routed_player import DOMAIN, Player
+
+# Two thirds of the shards are given to two helpers near this instance.
+SHARD_COUNT = 60
+
+
+class Asking:
+    """Hold a query whose shards are divided among this instance and helpers."""
+
+    def __init__(self, floor: float = 0.75) -> None:
+        self.player = Player(shard_count=SHARD_COUNT, floor=floor)
+        self.helpers = HelperTable()
+        set_helpers(self.helpers, [Place('h1', DOMAIN), Place('h2', DOMAIN)], 'entry')
+        self.query = GatherState('q', self.player.gather_route, 95.0, 1_000.0)
+        self.actions = gather.start_gather(self.player.state, 0.0, self.query, self.helpers)
+        self.groups = [each for each in self.actions if isinstance(each, GiveGroup)]
+        self.sends = [each for each in self.actions if isinstance(each, SendAttempt)]
+
+    def end_own(self) -> list[RoutedAction]:
+        """Answer every attempt that was sent from here."""
+        actions: list[RoutedAction] = []
+        for send in self.sends:
+            end = AttemptEnd(Ended.ANSWERED, reply=send.attempt.service)
+            end_attempt(self.player.state, 10.0, send.attempt, end)
+            actions += gather.on_attempt_end(self.player.state, 10.0, self.query, send.attempt, end)
+        return actions
+
+    def reply(self, services: tuple[str, ...], now_ms: float = 20.0) -> list[RoutedAction]:
+        """Answer shards through a helper."""
+        return gather.on_group_replies(now_ms, self.query, [(name, name) for name in services])
+
+
+def test_an_answer_holds_each_shard_once() -> None:
+    """Guard against rows that are doubled or lost where replies come merged."""
+    asking = Asking()
+    given = [name for group in asking.groups for name in group.services]
+    assert len(given) + len(asking.sends) == SHARD_COUNT
+    assert asking.end_own() == []
+    assert asking.reply(asking.groups[0].services) == []
+    (answer,) = asking.reply(asking.groups[1].services)
+    assert isinstance(answer, DeliverMerged)
+    assert sorted(answer.replies) == sorted(asking.query.by_service)
+    assert answer.missing == ()
+
+
+def test_given_shards_are_not_asked_from_here() -> None:
+    """Guard against shards that two instances ask for, beyond the tries of the route."""
+    asking = Asking()
+    asking.end_own()
+    for now_ms in range(10, 90, 10):
+        actions = gather.on_gather_timer(asking.player.state, float(now_ms), asking.query)
+        assert not any(isinstance(action, SendAttempt) for action in actions)
+
+
+def test_what_came_is_answered_when_it_is_due() -> None:
+    """Guard against a query that waits for a group beyond its latency target."""
+    asking = Asking(floor=0.6)
+    asking.end_own()
+    asking.reply(asking.groups[0].services)
+    assert gather.next_check_ms(20.0, asking.query) == 95.0
+    (answer,) = gather.on_gather_timer(asking.player.state, 95.0, asking.query)
+    assert isinstance(answer, DeliverMerged)
+    assert set(answer.missing) == set(asking.groups[1].services)
+
+
+def test_a_lost_group_counts_as_missing() -> None:
+    """Guard against waiting for, or asking again for, shards whose helper is silent."""
+    asking = Asking(floor=0.6)
+    asking.end_own()
+    asking.reply(asking.groups[0].services)
+    (answer,) = gather.on_group_lost(30.0, asking.query, asking.groups[1].services)
+    assert isinstance(answer, DeliverMerged)
+    assert len(answer.missing) == len(asking.groups[1].services)
+
+
+def test_a_lost_group_below_the_floor_promises_nothing() -> None:
+    """Guard against a promise that nothing ran where a helper may have asked endpoints."""
+    asking = Asking(floor=0.95)
+    asking.query.sent_count = 0
+    refusals = gather.on_group_lost(30.0, asking.query, asking.groups[1].services)
+    (refusal,) = [action for action in refusals if isinstance(action, Refuse)]
+    assert refusal.code is ResultCode.NO_ANSWER
+
+
+def test_a_refused_group_is_asked_from_here() -> None:
+    """Guard against shards that are lost because a helper is stopping."""
+    asking = Asking()
+    actions = gather.take_back(asking.player.state, 5.0, asking.query, asking.groups[0].services)
+    sent = [each.attempt.service for each in actions if isinstance(each, SendAttempt)]
+    assert sorted(sent) == sorted(asking.groups[0].services)
+    asking.sends += [each for each in actions if isinstance(each, SendAttempt)]
+    asking.end_own()
+    (answer,) = asking.reply(asking.groups[1].services)
+    assert isinstance(answer, DeliverMerged)
+    assert answer.missing == ()
+
+
+def test_a_group_ends_with_what_its_shards_gave() -> None:
+    """Guard against a helper that refuses a group for one shard without a reply."""
+    player = Player(shard_count=4, floor=1.0, attempt_limit=1)
+    services = ('s0', 's2')
+    group = GatherState('g', player.gather_route, 1_000.0, 1_000.0, False, services)
+    sends = [
+        each
+        for each in gather.start_gather(player.state, 0.0, group)
+        if isinstance(each, SendAttempt)
+    ]
+    assert [each.attempt.service for each in sends] == list(services)
+    for send, end in zip(
+        sends, (AttemptEnd(Ended.LOST, 'reset'), AttemptEnd(Ended.ANSWERED, reply='r')), strict=True
+    ):
+        end_attempt(player.state, 10.0, send.attempt, end)
+        actions = gather.on_attempt_end(player.state, 10.0, group, send.attempt, end)
+    (answer,) = [each for each in actions if isinstance(each, DeliverMerged)]
+    assert (answer.replies, answer.missing) == (('r',), ('s0',))
