Send an answer early enough for a narrow link

Cause: at the grown sites an answer names 90 receipts, 4 kB that take 3 ms on the machine's whole link of 10.8 Mbit/s, more while attempts use it too. Change: the platform's figure for the link is a setting, and the time to send the answer is taken off what is left, with half of the link for it. Ruled out: the time to merge and write in the process, 0.7 ms at the median and 1.3 ms at the 99th percentile (trial).

--- a/packages/core/src/pistachioloft_core/request/patience.py
+++ b/packages/core/src/pistachioloft_core/request/patience.py
@@ -6,12 +6,20 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .records import RECORD_BYTES
+
 if TYPE_CHECKING:
     from ..messages.routes import Route
 
 # The time from a due answer to its last byte leaving this process: the timer fires late, and
 # the replies are merged and written.
 OWN_DELAY_MS = 4.0
+# The head of an answer, and what each shard adds to it: its receipt, as long as those of today.
+HEAD_BYTES = 256
+RECEIPT_BYTES = 44
+# Part of the link that an answer gets; attempts, hedges and answers of other queries have the
+# rest.
+LINK_PART = 0.5
 # Deadlines of a route that are remembered; some seconds of requests at today's load.
 DEADLINE_COUNT = 64
 # A deadline that fewer of the last requests had is not the usual one of a route's callers.
@@ -74,9 +82,23 @@
     return spent_ms if 0.0 < spent_ms < route.latency_target_ms else 0.0
 
 
-def answer_time_ms(route: Route, now_ms: float, way: CallerWay, fastest_ms: float) -> float:
+def answer_sending_ms(route: Route, link_mbit_per_s: float) -> float:
+    """Return how long a query's whole answer takes to leave the machine."""
+    if route.gather is None:
+        return 0.0
+    size_bytes = (
+        HEAD_BYTES
+        + RECEIPT_BYTES * len(route.gather.shards)
+        + RECORD_BYTES * route.gather.top_count
+    )
+    return size_bytes * 8 / (1_000.0 * link_mbit_per_s * LINK_PART)
+
+
+def answer_time_ms(
+    route: Route, now_ms: float, way: CallerWay, fastest_ms: float, sending_ms: float = 0.0
+) -> float:
     """Return when an answer must leave to reach the caller within the latency target."""
-    left_ms = route.latency_target_ms - way.total_ms - OWN_DELAY_MS
+    left_ms = route.latency_target_ms - way.total_ms - OWN_DELAY_MS - sending_ms
     if left_ms < fastest_ms:
         # No answer can be in time any more; then a whole one is worth the most.
         left_ms = route.latency_target_ms
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -31,6 +31,8 @@
     extra_allowance_count: float
     # What the process may hold open to all endpoints together.
     connection_count: int = 1_000_000
+    # What the machine's network link carries.
+    link_mbit_per_s: float = 1_000.0
 
 
 class RoutedState:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -79,6 +79,7 @@
             settings.bounds.extra_share,
             settings.bounds.extra_allowance_count,
             shares.endpoint_count,
+            settings.link_mbit_per_s,
         )
         self.state = RoutedState(settings.instance, settings.failure_domain, limits, source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
--- a/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
+++ b/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
@@ -40,6 +40,7 @@
         'extra_share',
         'extra_allowance_count',
     ),
+    'machine': ('link_mbit_per_s',),
     'data': ('folder',),
     'log': ('level',),
 }
@@ -79,6 +80,8 @@
     lost_voter_count: int
     heartbeat_ms: float
     bounds: Bounds
+    # What the machine's network link carries.
+    link_mbit_per_s: float
     data_folder: Path | None
     log_level: str
 
@@ -107,6 +110,8 @@
         lost_voter_count=int(reader.number('fleet', 'lost_voters', 0, 4, 1)),
         heartbeat_ms=reader.number('fleet', 'heartbeat_ms', 10, 60_000, 1_200),
         bounds=_read_bounds(reader),
+        # A machine of today's deployments; where nothing is said, the link is no limit.
+        link_mbit_per_s=reader.number('machine', 'link_mbit_per_s', 0.001, 1e6, 1_000),
         data_folder=Path(reader.text('data', 'folder', 'a folder')) if control else None,
         log_level=reader.choice('log', 'level', LOG_LEVELS, LOG_LEVEL_DEFAULT),
     )
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -31,7 +31,12 @@
 from pistachioloft_core.request.forward import ForwardState
 from pistachioloft_core.request.gather import LINGER_MS, GatherState
 from pistachioloft_core.request.hedge_delay import usual_latency_ms
-from pistachioloft_core.request.patience import CallerWay, answer_time_ms, spent_before_ms
+from pistachioloft_core.request.patience import (
+    CallerWay,
+    answer_sending_ms,
+    answer_time_ms,
+    spent_before_ms,
+)
 from pistachioloft_core.request.records import greatest_records
 from pistachioloft_core.request.relay import HelperTable
 from pistachioloft_core.request.routed_state import connection_share, deadlines_of
@@ -197,7 +202,13 @@
         way = self._way_of(routed, route)
         version = self.state.routes.version if self.state.routes is not None else 0
         if route.gather is not None:
-            answer_at_ms = answer_time_ms(route, now_ms, way, usual_latency_ms(self.state, route))
+            answer_at_ms = answer_time_ms(
+                route,
+                now_ms,
+                way,
+                usual_latency_ms(self.state, route),
+                answer_sending_ms(route, self.state.limits.link_mbit_per_s),
+            )
             state = GatherState(str(self.number), route, answer_at_ms, limit_ms, suspected)
         else:
             service = choose_service(self.splits, route)
--- a/tests/test_gather/test_patience.py
+++ b/tests/test_gather/test_patience.py
@@ -10,6 +10,7 @@
     OWN_DELAY_MS,
     CallerDeadlines,
     CallerWay,
+    answer_sending_ms,
     answer_time_ms,
     spent_before_ms,
 )
@@ -102,3 +103,16 @@
     # the usual deadline.
     assert in_time >= 298
     assert coverage / 300 >= 0.95
+
+
+def test_answer_leaves_in_time_for_a_narrow_link() -> None:
+    """Guard against the answer of many shards that waits on the link past the target."""
+    route = Player(shard_count=90).gather_route
+    way = CallerWay(ONE_WAY_MS, ONE_WAY_MS)
+    wide_ms, narrow_ms = (answer_sending_ms(route, each) for each in (1_000.0, 10.8))
+    # Receipts of 90 shards take 3 ms on the whole link of a machine at the grown sites.
+    assert wide_ms < 0.1
+    assert 3.0 < narrow_ms < 9.0
+    due_ms = answer_time_ms(route, 0.0, way, FASTEST_MS, narrow_ms)
+    assert due_ms == answer_time_ms(route, 0.0, way, FASTEST_MS) - narrow_ms
+    assert answer_sending_ms(Player().single_route, 10.8) == 0.0
--- a/tests/test_platform/test_templates.py
+++ b/tests/test_platform/test_templates.py
@@ -33,6 +33,7 @@
         'directory': '10.1.0.12:8100',
     },
     'faultTolerance': {'machines': 2, 'zones': 0, 'regions': 0},
+    'limits': {'linkMbps': 10.8, 'memoryMb': 200},
     'bounds': {
         'drainMs': 2500,
         'graceS': 7,
@@ -102,6 +103,7 @@
     assert (found.caller_address, found.readiness_address) == ('10.1.0.12:8104', '10.1.0.12:8105')
     assert (found.peer_address, found.control_peer_port) == ('10.1.0.12:7395', 7380)
     assert found.metrics_address == '10.1.0.12:9100'
+    assert found.link_mbit_per_s == 10.8
     assert found.data_folder is None
 
 
@@ -111,6 +113,7 @@
     fields = copy.deepcopy(FIELDS)
     fields['bounds'] = {}
     fields['faultTolerance'] = {}
+    fields['limits'] = {}
     del fields['heartbeatMs']
     found = settings(tmp_path, name, fields)
     assert found.bounds.apply_ms > 0
