Ask for a near shard always through the same instance

Cause: the entries of a failure domain divided each query anew, so each of six saw an endpoint about once a second and had forgotten that it was slow, loaded or failing when it asked it again. Change: shards are divided by their place in the route's list among the entries of the failure domain, alike on all.

--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -158,12 +158,12 @@
         detail = f'{served} of {len(query.shards)} shards have an endpoint'
         return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
     picks: list[Pick] = []
-    for shard in query.shards:
+    for position, shard in enumerate(query.shards):
         load = _pick(state, now_ms, query, shard)
         if load is None:
             _note_exhausted(state, now_ms, query, shard)
         else:
-            picks.append(Pick(shard.service, load))
+            picks.append(Pick(position, shard.service, load))
     plan = plan_query(helpers or HelperTable(), now_ms, state.failure_domain, picks, state.random)
     actions: list[RoutedAction] = []
     for group in plan.groups:
--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -19,6 +19,8 @@
 # An instance asks at most this many shards of one query itself where others of its failure
 # domain can share them: sending and reading a hundred takes longer than a quick answer may.
 OWN_GROUP_COUNT = 20
+# Groups near an instance are not smaller than this on the average: each is one more message.
+NEAR_GROUP_COUNT = 10
 # A helper that gave no sign for a whole group is left alone for this time, then tried again.
 SUSPEND_MS = 2_000.0
 # The way to a helper and back with its waiting at both ends, and how much that varies, until
@@ -58,9 +60,10 @@
 class HelperTable:
     """Hold the other entry instances that callers are sent to."""
 
-    __slots__ = ('helpers',)
+    __slots__ = ('helpers', 'own_instance')
 
     def __init__(self) -> None:
+        self.own_instance = ''
         self.helpers: dict[str, Helper] = {}
 
 
@@ -68,6 +71,8 @@
 class Pick:
     """Name a shard's service and the endpoint that is expected to answer first."""
 
+    # The place of the shard in the list of the route.
+    position: int
     service: str
     load: EndpointLoad
 
@@ -90,6 +95,7 @@
 
 def set_helpers(table: HelperTable, places: Iterable[Place], own_instance: str) -> None:
     """Replace the helpers; those that stay keep what was learned of them."""
+    table.own_instance = own_instance
     named = {place.instance: place.failure_domain for place in places}
     named.pop(own_instance, None)
     table.helpers = {
@@ -111,18 +117,17 @@
     direct: list[Pick] = []
     groups: list[GroupPlan] = []
     for domain, group in sorted(domains.items()):
-        near = domain == own_domain
         helpers = _available(table, now_ms, domain)
-        if near:
-            parts = _split(group, len(helpers))
-            direct += parts.pop(0)
+        if domain == own_domain:
+            own, given = _divide_near(table, own_domain, helpers, group)
+            direct += own
+            groups += given
+        elif helpers and len(group) >= SMALLEST_GROUP_COUNT:
+            random_source.shuffle(helpers)
+            helper = min(helpers, key=lambda each: each.open_count)
+            groups.append(_make_group(helper, group))
         else:
-            parts = [group] if helpers and len(group) >= SMALLEST_GROUP_COUNT else []
-            direct += [] if parts else group
-        random_source.shuffle(helpers)
-        helpers.sort(key=lambda helper: helper.open_count)
-        for helper, part in zip(helpers, parts, strict=False):
-            groups.append(GroupPlan(helper, tuple(pick.service for pick in part)))
+            direct += group
     return QueryPlan(tuple(direct), tuple(groups))
 
 
@@ -157,8 +162,30 @@
     ]
 
 
-def _split(group: list[Pick], helper_count: int) -> list[list[Pick]]:
-    """Cut a group into equal parts, the first for this instance."""
-    wanted_count = -(-len(group) // OWN_GROUP_COUNT)
-    count = max(1, min(wanted_count, helper_count + 1))
-    return [group[start::count] for start in range(count)]
+def _divide_near(
+    table: HelperTable, own_domain: str, available: list[Helper], group: list[Pick]
+) -> tuple[list[Pick], list[GroupPlan]]:
+    """Divide a large group so that all instances ask for a shard through the same one."""
+    # An instance that gets all requests for an endpoint from its failure domain knows how loaded
+    # and how slow it is; one that gets a sixth of them learns it too late.
+    if len(group) <= OWN_GROUP_COUNT or not available:
+        return group, []
+    names = [name for name, each in table.helpers.items() if each.failure_domain == own_domain]
+    member_count = min(len(names) + 1, -(-len(group) // NEAR_GROUP_COUNT))
+    members = sorted([*names, table.own_instance])[:member_count]
+    parts: defaultdict[str, list[Pick]] = defaultdict(list)
+    for pick in group:
+        parts[members[pick.position % member_count]].append(pick)
+    own = parts.pop(table.own_instance, [])
+    present = {helper.instance: helper for helper in available}
+    homeless = [pick for name in parts if name not in present for pick in parts[name]]
+    given = {name: part for name, part in parts.items() if name in present}
+    # What a silent helper would ask for is spread over the others.
+    for number, pick in enumerate(homeless):
+        receivers = [own, *given.values()]
+        receivers[number % len(receivers)].append(pick)
+    return own, [_make_group(present[name], part) for name, part in sorted(given.items())]
+
+
+def _make_group(helper: Helper, picks: list[Pick]) -> GroupPlan:
+    return GroupPlan(helper, tuple(pick.service for pick in picks))
--- a/tests/test_relay/test_plan.py
+++ b/tests/test_relay/test_plan.py
@@ -15,7 +15,7 @@
     record = AnnouncedEndpoint(
         f'i-{number}', service, f'10.0.0.{number}:80', domain, 2, STANDING_READY, 1, 1
     )
-    return Pick(service, EndpointLoad(record, 0.0))
+    return Pick(number, service, EndpointLoad(record, 0.0))
 
 
 def picks(**counts: int) -> list[Pick]:
@@ -55,8 +55,10 @@
 def test_a_large_near_group_is_shared() -> None:
     """Guard against one instance that asks for and reads a hundred replies itself."""
     planned = plan(HELPERS, picks(a=90))
-    sizes = [len(planned.direct), *(len(group.services) for group in planned.groups)]
-    assert max(sizes) <= relay.OWN_GROUP_COUNT
+    sizes = [len(group.services) for group in planned.groups]
+    # Of ten instances nine are enough, and this one is not among them.
+    assert len(planned.direct) + sum(sizes) == 90
+    assert max(len(planned.direct), *sizes) <= relay.OWN_GROUP_COUNT
     assert max(sizes) - min(sizes) <= 1
     helpers = {group.helper.instance for group in planned.groups}
     assert len(helpers) == len(planned.groups) > 0
@@ -104,3 +106,41 @@
     for number in range(200):
         relay.note_trip(helper, 2.0 + number % 3)
     assert 4.0 < helper.overhead_ms() < 8.0
+
+
+def test_all_instances_ask_for_a_shard_through_the_same_one() -> None:
+    """Guard against knowledge of an endpoint that is divided among all who ask it now and then."""
+    places = [Place(f'a{number}', 'a') for number in range(6)]
+    asked_by: dict[str, set[str]] = {}
+    for place in places:
+        made = relay.HelperTable()
+        relay.set_helpers(made, places, place.instance)
+        planned = plan(made, picks(a=90))
+        for each in planned.direct:
+            asked_by.setdefault(each.service, set()).add(place.instance)
+        for group in planned.groups:
+            for service in group.services:
+                asked_by.setdefault(service, set()).add(group.helper.instance)
+    assert len(asked_by) == 90
+    assert all(len(names) == 1 for names in asked_by.values())
+    shares = [sum(names == {place.instance} for names in asked_by.values()) for place in places]
+    assert shares == [15] * 6
+
+
+def test_the_shards_of_a_silent_helper_are_spread() -> None:
+    """Guard against shards that are lost, or that all go to one, while a helper is gone."""
+    made = table(*((f'a{number}', 'a') for number in range(5)))
+    relay.note_silent(made.helpers['a3'], 0.0)
+    planned = plan(made, picks(a=90), 10.0)
+    sizes = [len(planned.direct), *(len(group.services) for group in planned.groups)]
+    assert sum(sizes) == 90
+    assert sizes == [18] * 5
+
+
+def test_many_instances_are_not_all_asked() -> None:
+    """Guard against a message for each few shards where a failure domain has many instances."""
+    made = table(*((f'a{number:02}', 'a') for number in range(40)))
+    planned = plan(made, picks(a=90))
+    sizes = [len(group.services) for group in planned.groups]
+    assert sum(sizes) + len(planned.direct) == 90
+    assert min(sizes) >= relay.NEAR_GROUP_COUNT
