Give up a dial that hangs before the system repeats it

Cause: after a loss of power the machines come back within 0.4 s of each other. Control instances that started first dialled machines without power; the first packet was lost and the system repeats it after 1 s. Those instances heard nobody and nobody heard them, so the votes of all voters, which end the wait for an old lease, were there only then. Change: a peer without a connection for 250 ms is dialled anew, later up to every 2 s.

--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/dialing.py
@@ -0,0 +1,38 @@
+"""When a connection that does not come about is tried anew."""
+
+from __future__ import annotations
+
+# The first packet of a connection is lost while the other machine has no power or is cut off, and
+# the system sends it again only after 1, 3 and 7 s. A dial takes a few round trips.
+DIAL_PATIENCE_MS = 250.0
+# A peer that stays away is dialled at this interval in the end.
+DIAL_PATIENCE_LIMIT_MS = 2_000.0
+
+
+class DialState:
+    """Hold how long each peer has not been connected."""
+
+    __slots__ = ('patience_ms', 'since_ms')
+
+    def __init__(self) -> None:
+        self.since_ms: dict[str, float] = {}
+        self.patience_ms: dict[str, float] = {}
+
+
+def must_dial_again(state: DialState, now_ms: float, peer: str, connected: bool) -> bool:
+    """Tell whether the dial to a peer should be given up for a new one."""
+    if connected:
+        forget_peer(state, peer)
+        return False
+    patience_ms = state.patience_ms.setdefault(peer, DIAL_PATIENCE_MS)
+    if now_ms - state.since_ms.setdefault(peer, now_ms) < patience_ms:
+        return False
+    state.since_ms[peer] = now_ms
+    state.patience_ms[peer] = min(DIAL_PATIENCE_LIMIT_MS, 2 * patience_ms)
+    return True
+
+
+def forget_peer(state: DialState, peer: str) -> None:
+    """Forget a peer that is connected or not wanted any more."""
+    state.since_ms.pop(peer, None)
+    state.patience_ms.pop(peer, None)
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -23,7 +23,7 @@
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
-from .peers import Peers
+from .peers import DIAL_CHECK_MS, Peers
 from .proposals import Proposals
 from .reads import Reads
 from .routes_document import unpack_document
@@ -125,6 +125,7 @@
             await server.start()
         await self.watch.start()
         self.timers.every(TICK_MS, self._tick)
+        self.timers.every(DIAL_CHECK_MS, self.peers.check_dials)
         self.timers.every(REPAIR_INTERVAL_MS, self._repair_membership)
         logger.info(
             '%s control instance started: instance=%s label=%s seeds=%s',
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -26,7 +26,7 @@
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
-from .peers import Peers
+from .peers import DIAL_CHECK_MS, Peers
 from .routed_requests import PeerHooks, RoutedRequests
 from .routes_document import unpack_document
 from .watch_face import WatchFace
@@ -112,6 +112,7 @@
         await self.callers.start()
         await self.watch.start()
         self.timers.every(TICK_MS, self._tick)
+        self.timers.every(DIAL_CHECK_MS, self.peers.check_dials)
         self.timers.every(POOL_CHECK_MS, self._check_endpoints)
         self._tick(monotonic_ms())
         logger.info(
--- a/packages/daemon/src/pistachioloft_daemon/peers.py
+++ b/packages/daemon/src/pistachioloft_daemon/peers.py
@@ -10,6 +10,7 @@
 import pynng
 
 from pistachioloft_core.codec import decode_peer, encode_peer
+from pistachioloft_core.connection.dialing import DialState, forget_peer, must_dial_again
 from pistachioloft_core.errors import CodedError
 
 logger = logging.getLogger(__name__)
@@ -24,6 +25,8 @@
 RECONNECT_LIMIT_MS = 100
 # More than this are read in the next turn of the loop, so that timers are not held up.
 RECEIVE_BATCH_COUNT = 32
+# Twice in the time for which a dial is waited for.
+DIAL_CHECK_MS = 100.0
 
 PeerHandler = Callable[[str, Any], None]
 
@@ -39,6 +42,7 @@
         self.senders: dict[str, pynng.Push0] = {}
         self.addresses: dict[str, str] = {}
         self.outgoing: dict[str, list[Any]] = {}
+        self.dials = DialState()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.dropped_count = 0
@@ -71,10 +75,18 @@
     def disconnect(self, peer: str) -> None:
         """Close the connection to a peer."""
         self.addresses.pop(peer, None)
+        forget_peer(self.dials, peer)
         sender = self.senders.pop(peer, None)
         if sender is not None:
             sender.close()
 
+    def check_dials(self, now_ms: float) -> None:
+        """Dial peers anew whose connection does not come about."""
+        for peer, sender in list(self.senders.items()):
+            if must_dial_again(self.dials, now_ms, peer, bool(sender.pipes)):
+                logger.info('%s dialling again: instance=%s', PREFIX, peer)
+                self.reconnect(peer)
+
     def send(self, peer: str, message: Any) -> bool:
         """Queue a message; all of one turn of the loop to a peer leave together."""
         if peer == self.instance:
