Count lost replies against an endpoint, and not callers that leave early

The choice of an endpoint counted refusals, not lost replies. The test for it showed a second fault: a caller that left after 3 ms counted as an unanswered attempt, and two in a row opened the endpoint's breaker, so that load moved to other failure domains.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -21,7 +21,7 @@
 SLOWNESS_HALF_LIFE_FACTOR = 3.0
 LONGEST_HALF_LIFE_MS = 5_000.0
 LONGEST_STREAK = 9
-# Weight of the newest outcome in the estimate of how many requests an endpoint sheds.
+# Weight of the newest outcome in the estimate of how many requests an endpoint sheds or loses.
 SHED_WEIGHT = 0.2
 SHED_HALF_LIFE_MS = 2_000.0
 # A load report is older than the work that it counted after this time.
@@ -90,7 +90,7 @@
         return 1.0 + (self._slowness - 1.0) * left
 
     def shed_share(self, now_ms: float) -> float:
-        """Return the share of requests that this endpoint refuses."""
+        """Return the share of requests that this endpoint refuses, fails or loses."""
         return self._shed * _decay(now_ms - self._shed_ms, SHED_HALF_LIFE_MS)
 
     def note_reply(self, now_ms: float, latency_ms: float, usual_ms: float) -> None:
@@ -133,6 +133,11 @@
         """Take an attempt that ended without a reply; a refused connection is no accident."""
         self.breaker.count_unanswered(now_ms, 1 if refused else UNANSWERED_LIMIT)
 
+    def note_lost_reply(self, now_ms: float) -> None:
+        """Take an attempt whose connection broke after it was sent."""
+        self._shed = _blend(self.shed_share(now_ms), 1.0, SHED_WEIGHT)
+        self._shed_ms = now_ms
+
     def note_report(self, now_ms: float, report: LoadReport) -> None:
         """Take the load that the endpoint reported."""
         self.report, self.report_ms = report, now_ms
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -206,14 +206,19 @@
         load.note_shed(now_ms)
     else:
         load.note_lost(now_ms, end.absent)
+        if end.ended is Ended.LOST:
+            load.note_lost_reply(now_ms)
 
 
 def withdraw_attempt(state: RoutedState, now_ms: float, attempt: Attempt) -> None:
     """Count an attempt that was given up without a reply."""
     release_attempt(attempt)
     usual_ms = usual_latency_ms(state, attempt.route)
-    attempt.load.note_late(now_ms, attempt.latency_ms(now_ms), usual_ms)
-    attempt.load.note_lost(now_ms, False)
+    age_ms = attempt.latency_ms(now_ms)
+    attempt.load.note_late(now_ms, age_ms, usual_ms)
+    # A caller may leave before any endpoint could have answered.
+    if age_ms >= attempt.late_after_ms:
+        attempt.load.note_lost(now_ms, False)
 
 
 def release_attempt(attempt: Attempt) -> None:
--- a/tests/test_gather/test_placement.py
+++ b/tests/test_gather/test_placement.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import itertools
+from typing import TYPE_CHECKING
+
 from pistachioloft_core.connection.endpoint_load import EndpointLoad, LoadReport
 from pistachioloft_core.request.attempts import AttemptEnd, Ended
 from pistachioloft_core.request.placement import choose_endpoint
 from tests.test_gather.routed_player import Behaviour, Player, answered, silent
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 USUAL_MS = 10.0
 
 
@@ -111,6 +117,45 @@
     assert chosen.record.endpoint == 's0-1'
 
 
+def losing_some(every: int) -> Behaviour:
+    """Lose every so many replies and answer the others in 10 ms."""
+    counts = itertools.count(1)
+
+    def behave(_now_ms: float, _attempt: object) -> tuple[float, AttemptEnd]:
+        if next(counts) % every == 0:
+            return 5.0, AttemptEnd(Ended.LOST, 'reset')
+        return USUAL_MS, AttemptEnd(Ended.ANSWERED, reply='part')
+
+    return behave
+
+
+def test_an_endpoint_that_loses_replies_is_used_less() -> None:
+    """Guard against the few tries of a shard that go to a replica which loses replies."""
+    player = Player(shard_count=4, replica_count=3)
+    for number in range(4):
+        player.behaviours[f's{number}-0'] = losing_some(2)
+    for number in range(400):
+        player.at(number * 20.0, player.query)
+    player.run(9_000.0)
+    assert share_to(player, '-0') < 0.1
+
+
+def test_callers_that_leave_do_not_count_against_an_endpoint() -> None:
+    """Guard against load that moves to other failure domains because callers gave up."""
+    player = player_with_remote()
+    for number in range(100):
+        left = player.now_ms + number * 40.0
+        player.at(left, lambda: player.at(player.now_ms + 3.0, leaving(player)))
+    player.run(player.now_ms + 5_000.0)
+    assert share_to(player, '-0') > 0.9
+
+
+def leaving(player: Player) -> Callable[[], None]:
+    """Start a query and return what its caller does when it gives up."""
+    played = player.query()
+    return lambda: player.leave(played)
+
+
 def test_a_lost_endpoint_is_probed_once_at_a_time() -> None:
     """Guard against a burst of requests to an endpoint that may still be down."""
     player = Player(replica_count=1)
