--- a/packages/core/src/pistachioloft_core/request/hedge_delay.py
+++ b/packages/core/src/pistachioloft_core/request/hedge_delay.py
@@ -20,8 +20,9 @@
 AMPLE_SHARE = 0.85
 SCARCE_SHARE = 0.97
 # Where a part of the endpoints is slow, these shares are theirs; an attempt that takes this
-# many times the median is late whatever the others do.
-LATE_MEDIAN_FACTOR = 2.0
+# many times the median is late whatever the others do, with an ample budget and with a spent one.
+AMPLE_MEDIAN_FACTOR = 2.0
+SCARCE_MEDIAN_FACTOR = 3.0
 # A shorter delay would measure the scheduling of this process.
 SHORTEST_DELAY_MS = 2.0
 
@@ -41,5 +42,6 @@
         return max(SHORTEST_DELAY_MS, route.latency_target_ms * UNLEARNED_LATE_PART)
     scarcity = hedge_scarcity(budget_of(state, service))
     share = AMPLE_SHARE + (SCARCE_SHARE - AMPLE_SHARE) * scarcity
-    late_ms = min(latency.quantile_ms(share), LATE_MEDIAN_FACTOR * latency.median_ms)
+    factor = AMPLE_MEDIAN_FACTOR + (SCARCE_MEDIAN_FACTOR - AMPLE_MEDIAN_FACTOR) * scarcity
+    late_ms = min(latency.quantile_ms(share), factor * latency.median_ms)
     return max(SHORTEST_DELAY_MS, late_ms)
