Keep to near endpoints that are a little slower, and avoid failing ones sooner

Change: another failure domain must promise to be 1.7 times faster, and a refused or lost try counts for more than its time, since a request has few.

--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -16,7 +16,7 @@
 
 # An endpoint of another failure domain must promise to be this much faster: each such
 # attempt costs bytes between failure domains and two more one-way delays.
-REMOTE_FACTOR = 1.3
+REMOTE_FACTOR = 1.7
 # An endpoint with an attempt past its hedge delay is probably pausing; another replica
 # that answers in up to this many times the usual latency is the better choice.
 OVERDUE_FACTOR = 6.0
@@ -24,6 +24,9 @@
 COLD_FACTOR = 1.6
 # An endpoint that refuses nearly everything still gets a try now and then.
 SHED_LIMIT = 0.9
+# A try that is refused or lost takes one of the few tries of a request and of the budget, beside
+# its time.
+SHED_EXPONENT = 2.0
 
 
 def choose_endpoint(
@@ -71,4 +74,5 @@
         expected_ms += OVERDUE_FACTOR * usual_ms
     if load.record.failure_domain != state.failure_domain:
         expected_ms *= REMOTE_FACTOR
-    return expected_ms / (1.0 - min(SHED_LIMIT, load.shed_share(now_ms)))
+    kept_share = 1.0 - min(SHED_LIMIT, load.shed_share(now_ms))
+    return float(expected_ms / kept_share**SHED_EXPONENT)
--- a/tests/test_gather/test_placement.py
+++ b/tests/test_gather/test_placement.py
@@ -11,7 +11,7 @@
 from tests.test_gather.routed_player import Behaviour, Player, answered, silent
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 USUAL_MS = 10.0
 
@@ -140,6 +140,37 @@
     assert share_to(player, '-0') < 0.1
 
 
+def test_a_somewhat_slower_near_endpoint_is_kept() -> None:
+    """Guard against dear bytes between failure domains for a few milliseconds."""
+    player = player_with_remote()
+    for number in range(4):
+        player.behaviours[f's{number}-0'] = answered(1.4 * USUAL_MS)
+    for number in range(100):
+        player.at(player.now_ms + number * 20.0, player.query)
+    player.run(player.now_ms + 3_000.0)
+    assert share_to(player, '-0') > 0.9
+
+
+def test_a_near_endpoint_that_refuses_a_third_is_not_kept() -> None:
+    """Guard against tries and budget that are spent on refusals to save bytes."""
+    player = player_with_remote()
+    for number in range(4):
+        counts = itertools.count(1)
+
+        def refuse_some(
+            _now_ms: float, _attempt: object, counts: Iterator[int] = counts
+        ) -> tuple[float, AttemptEnd]:
+            if next(counts) % 3 == 0:
+                return 1.0, AttemptEnd(Ended.NOT_RUN, 'full')
+            return USUAL_MS, AttemptEnd(Ended.ANSWERED, reply='part')
+
+        player.behaviours[f's{number}-0'] = refuse_some
+    for number in range(200):
+        player.at(player.now_ms + number * 20.0, player.query)
+    player.run(player.now_ms + 5_000.0)
+    assert share_to(player, '-0') < 0.5
+
+
 def test_callers_that_leave_do_not_count_against_an_endpoint() -> None:
     """Guard against load that moves to other failure domains because callers gave up."""
     player = player_with_remote()
