--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -161,8 +161,10 @@
         expire_suspects(self.crashes.suspects, now_ms)
 
     def in_flight_count(self) -> int:
-        """Count the requests without an answer."""
-        return sum(each.respond is not None for each in self.requests.values())
+        """Count the requests without an answer, groups of other instances among them."""
+        return sum(
+            each.respond is not None or each.group is not None for each in self.requests.values()
+        )
 
     def _find_route(self, routed: RoutedRequest) -> Refuse | Route:
         routes = self.state.routes
@@ -238,7 +240,8 @@
         now_ms = monotonic_ms()
         request = group.request
         routes = self.state.routes
-        if routes is None or self.fenced or len(self.requests) >= IN_FLIGHT_LIMIT_COUNT:
+        full = len(self.requests) >= IN_FLIGHT_LIMIT_COUNT
+        if routes is None or self.fenced or self.refusing or full:
             return None
         route = routes.named(request.route)
         if route is None or route.gather is None:
