--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -21,7 +21,7 @@
 OWN_GROUP_COUNT = 20
 # Groups near an instance are not smaller than this on the average: each is one more message.
 NEAR_GROUP_COUNT = 10
-# A helper that gave no sign for a whole group is left alone for this time, then tried again.
+# A helper that sent nothing of a group in time is left alone for this time, then tried again.
 SUSPEND_MS = 2_000.0
 # The way to a helper and back with its waiting at both ends, and how much that varies, until
 # both are learned. What takes longer than the mean and four deviations is late.
@@ -148,12 +148,17 @@
     helper.open_count = max(0, helper.open_count - 1)
 
 
-def note_silent(helper: Helper, now_ms: float) -> None:
-    """Leave a helper alone that gave no sign of a group."""
-    helper.open_count = max(0, helper.open_count - 1)
+def note_late(helper: Helper, now_ms: float) -> None:
+    """Leave a helper alone that sent nothing of a group in time for the answer."""
     helper.suspended_until_ms = now_ms + SUSPEND_MS
 
 
+def note_silent(helper: Helper, now_ms: float) -> None:
+    """Take note that a helper gave no sign of a group at all."""
+    note_ended(helper)
+    note_late(helper, now_ms)
+
+
 def _available(table: HelperTable, now_ms: float, domain: str) -> list[Helper]:
     return [
         helper
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -59,7 +59,15 @@
 class GivenGroup:
     """Hold a group that a helper has."""
 
-    __slots__ = ('heard', 'helper', 'in_flight', 'sent_ms', 'services', 'silent_at_ms')
+    __slots__ = (
+        'heard',
+        'helper',
+        'in_flight',
+        'late_at_ms',
+        'sent_ms',
+        'services',
+        'silent_at_ms',
+    )
 
     def __init__(
         self, helper: Helper, in_flight: InFlight, services: set[str], sent_ms: float
@@ -70,6 +78,8 @@
         self.services = services
         self.sent_ms = sent_ms
         self.heard = False
+        # When something should have come, and when the group is given up if nothing has.
+        self.late_at_ms = float('inf')
         self.silent_at_ms = float('inf')
 
 
@@ -129,7 +139,8 @@
         if not self.hooks.send(group.helper.instance, request):
             return False
         given = GivenGroup(group.helper, in_flight, set(group.services), now_ms)
-        given.silent_at_ms = now_ms + flush_after_ms + group.helper.overhead_ms() + SILENT_MS
+        given.late_at_ms = now_ms + flush_after_ms + group.helper.overhead_ms()
+        given.silent_at_ms = given.late_at_ms + SILENT_MS
         self.given[relay_id] = given
         in_flight.relay_ids.append(relay_id)
         relay.note_sent(group.helper)
@@ -141,7 +152,7 @@
         if given is None:
             return
         now_ms = monotonic_ms()
-        given.silent_at_ms = float('inf')
+        given.late_at_ms = given.silent_at_ms = float('inf')
         if not given.heard:
             given.heard = True
             relay.note_trip(given.helper, now_ms - given.sent_ms - results.held_ms)
@@ -186,10 +197,14 @@
 
     def _check_silent(self, now_ms: float) -> None:
         for relay_id, given in list(self.given.items()):
+            name = given.helper.instance
+            if now_ms >= given.late_at_ms:
+                given.late_at_ms = float('inf')
+                relay.note_late(given.helper, now_ms)
+                logger.info('%s helper late: instance=%s relay=%s', PREFIX, name, relay_id)
             if now_ms < given.silent_at_ms:
                 continue
             del self.given[relay_id]
-            name = given.helper.instance
             relay.note_silent(given.helper, now_ms)
             # What waits for a connection that does not work would come late.
             self.hooks.reconnect(name)
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -224,6 +224,25 @@
     run(play)
 
 
+def test_a_late_helper_is_left_alone_and_its_replies_are_still_taken() -> None:
+    """Guard against query after query that waits for a machine which turned slow."""
+
+    async def play(pair: Pair) -> None:
+        pair.give()
+        await turn()
+        for shard in SHARDS[:3]:
+            pair.helping.end(shard, b'1')
+        pair.helping.connected = False
+        await until(lambda: pair.helper.suspended_until_ms > monotonic_ms())
+        assert pair.asking.lost == []
+        pair.helping.connected = True
+        pair.helping.end('s3', b'1')
+        await turn()
+        assert 's3' in [name for name, _ in pair.asking.answers()]
+
+    run(play)
+
+
 def test_a_withdrawn_group_is_withdrawn_at_the_helper() -> None:
     """Guard against endpoints that work for a caller that is gone."""
 
