Keep results for an earlier process from matching a group

Cause: found by reading: groups are named by the instance and a count from 1. Before: test_results_for_an_earlier_process_match_no_group fails. After: passes.

--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -101,7 +101,9 @@
 class Relays:
     """Hold the groups that this instance gave to others and those that it was given."""
 
-    def __init__(self, instance: str, timers: LoopTimers, hooks: RelayHooks) -> None:
+    def __init__(
+        self, instance: str, timers: LoopTimers, hooks: RelayHooks, first_number: int
+    ) -> None:
         self.instance = instance
         self.timers = timers
         self.hooks = hooks
@@ -109,7 +111,8 @@
         # By sender and relay: what arrived in this turn of the loop.
         self.arrived: dict[tuple[str, str], RelayedGroup] = {}
         self.groups: dict[str, RelayedGroup] = {}
-        self.number = 0
+        # A random first number keeps results for an earlier process from matching a group.
+        self.number = first_number
         timers.every(CHECK_INTERVAL_MS, self._check_silent)
 
     # Groups given to helpers.
@@ -258,7 +261,8 @@
 
     def finish(self, group: RelayedGroup, state: GatherState) -> None:
         """Send what was not sent before; nothing more follows."""
-        if self.groups.pop(group.request.relay_id, None) is not None:
+        if self.groups.get(group.request.relay_id) is group:
+            del self.groups[group.request.relay_id]
             self._send_results(group, state, done=True)
 
     def _on_flush_time(self, group: RelayedGroup) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -81,6 +81,8 @@
 NO_ROUTES_RETRY_MS = 500.0
 STOPPING_RETRY_MS = 10.0
 IN_FLIGHT_LIMIT_COUNT = 1_000
+# Enough that a restarted process does not use the numbers of the one before it.
+RELAY_NUMBER_BITS = 48
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +129,7 @@
                 self._begin_group,
                 self._withdraw_group,
             ),
+            state.random.getrandbits(RELAY_NUMBER_BITS),
         )
         self.splits = SplitState()
         self.crashes = CrashWatch()
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.messages.fleet import Place
@@ -55,7 +56,8 @@
             self.begin,
             self.withdrawn.append,
         )
-        self.relays = Relays(name, LoopTimers(asyncio.get_running_loop()), hooks)
+        self.hooks = hooks
+        self.relays = Relays(name, LoopTimers(asyncio.get_running_loop()), hooks, 0)
 
     def begin(self, group: RelayedGroup) -> InFlight | None:
         if self.refusing:
@@ -243,6 +245,28 @@
     run(play)
 
 
+def test_results_for_an_earlier_process_match_no_group() -> None:
+    """Guard against the records of another request in the answer of a restarted instance."""
+
+    async def play(pair: Pair) -> None:
+        pair.give()
+        await turn()
+        timers = LoopTimers(asyncio.get_running_loop())
+        first = random.Random('10.0.0.1-2').getrandbits(48)
+        started = Relays('asking', timers, pair.asking.hooks, first)
+        pair.asking.relays = started
+        pair.give()
+        await turn()
+        assert len(pair.helping.groups) == 2
+        for shard in SHARDS:
+            pair.helping.end(shard, b'old')
+        await turn()
+        assert pair.asking.answers() == []
+        assert len(started.given) == 1
+
+    run(play)
+
+
 def test_a_withdrawn_group_is_withdrawn_at_the_helper() -> None:
     """Guard against endpoints that work for a caller that is gone."""
 
