Let one piece serve where the change had written it twice

Cause: read again as a whole. The same check of whether new work is taken stood in two places, the interval between reconnects in two, the blend of refusals in three, the description of an endpoint in two; the records of all endpoints were built every 200 ms on a control instance although they are written once a second at most; six casts named the state of a query. Change: _usable_routes, _reconnect_again, _add_outcome, replace() of one description, records built when they are due, InFlight.query. test_endpoint_memory.py hands over a function instead of the records; its assertions are the same. Conclusion: behaviour stays as it was.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -109,15 +109,13 @@
             sample = self.slowness(now_ms)
         self._slowness = _blend(self.slowness(now_ms), sample, SLOWNESS_WEIGHT)
         self._slowness_ms = now_ms
-        self._shed = _blend(self.shed_share(now_ms), 0.0, SHED_WEIGHT)
-        self._shed_ms = now_ms
+        self._add_outcome(now_ms, 0.0)
         self.replied_ms = now_ms
         self.breaker.reset()
 
     def note_shed(self, now_ms: float) -> None:
         """Take a reply that proves that the endpoint did not run the request."""
-        self._shed = _blend(self.shed_share(now_ms), 1.0, SHED_WEIGHT)
-        self._shed_ms = now_ms
+        self._add_outcome(now_ms, 1.0)
         self.replied_ms = now_ms
         self.breaker.unanswered_count = 0
 
@@ -135,8 +133,7 @@
 
     def note_lost_reply(self, now_ms: float) -> None:
         """Take an attempt whose connection broke after it was sent."""
-        self._shed = _blend(self.shed_share(now_ms), 1.0, SHED_WEIGHT)
-        self._shed_ms = now_ms
+        self._add_outcome(now_ms, 1.0)
 
     def note_report(self, now_ms: float, report: LoadReport) -> None:
         """Take the load that the endpoint reported."""
@@ -151,6 +148,10 @@
         busy = self.report.running_count >= self.report.slot_count
         return max(own, float(self.report.waiting_count + (1 if busy else 0)))
 
+    def _add_outcome(self, now_ms: float, shed: float) -> None:
+        self._shed = _blend(self.shed_share(now_ms), shed, SHED_WEIGHT)
+        self._shed_ms = now_ms
+
 
 def _decay(elapsed_ms: float, half_life_ms: float) -> float:
     return 0.5 ** (max(0.0, elapsed_ms) / half_life_ms)
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -266,7 +266,7 @@
         if fleet.tick(self.fleet, now_ms, self.confirmed()):
             self.push()
         revision = self.fleet.announced.revision
-        self.memory.save_if_due(now_ms, revision, fleet.known_records(self.fleet))
+        self.memory.save_if_due(now_ms, revision, lambda: fleet.known_records(self.fleet))
         share = fleet.take_news(self.fleet, now_ms)
         for peer in self._connect_peers(now_ms):
             self.peers.send(peer, share)
@@ -295,6 +295,11 @@
         self.reconnected[name] = now_ms
         self.peers.reconnect(name)
 
+    def _reconnect_again(self, name: str, now_ms: float) -> None:
+        """Reconnect to an instance unless that was done within the interval."""
+        if now_ms - self.reconnected.get(name, float('-inf')) >= RECONNECT_MS:
+            self._reconnect(name, now_ms)
+
     def push(self) -> None:
         """Send what changed in this turn of the loop to the entry instances that poll here."""
         if not self.push_due:
@@ -370,17 +375,14 @@
             self.peers.send(sender, fleet.whole_share(self.fleet, now_ms))
         for status in share.controls:
             silent = status.instance == self.settings.instance and status.age_ms >= RECONNECT_MS
-            since_ms = now_ms - self.reconnected.get(sender, float('-inf'))
-            if silent and since_ms >= RECONNECT_MS:
+            if silent:
                 # The sender does not hear what is sent to it.
-                self._reconnect(sender, now_ms)
+                self._reconnect_again(sender, now_ms)
 
     def _on_poll(self, sender: str, poll: messages.FeedPoll, now_ms: float) -> None:
         self.peers.connect(sender, poll.entry.peer_address)
         if poll.heard_age_ms >= RECONNECT_MS:
-            since_ms = now_ms - self.reconnected.get(sender, float('-inf'))
-            if since_ms >= RECONNECT_MS:
-                self._reconnect(sender, now_ms)
+            self._reconnect_again(sender, now_ms)
         routes = self.routes
         reply = fleet.on_feed_poll(
             self.fleet, now_ms, poll, self.confirmed(), routes.version, routes.document
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_memory.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_memory.py
@@ -17,6 +17,7 @@
 from .storage.records import frame, scan
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 logger = logging.getLogger(__name__)
@@ -52,7 +53,10 @@
             return ()
 
     def save_if_due(
-        self, now_ms: float, revision: int, records: tuple[AnnouncedEndpoint, ...]
+        self,
+        now_ms: float,
+        revision: int,
+        known_records: Callable[[], tuple[AnnouncedEndpoint, ...]],
     ) -> None:
         """Write the endpoints if they changed, at most once an interval."""
         busy = self.task is not None and not self.task.done()
@@ -60,7 +64,7 @@
             return
         self.saved_revision = revision
         self.next_save_ms = now_ms + SAVE_INTERVAL_MS
-        self.task = asyncio.get_running_loop().create_task(self._save(records))
+        self.task = asyncio.get_running_loop().create_task(self._save(known_records()))
 
     async def _save(self, records: tuple[AnnouncedEndpoint, ...]) -> None:
         content = msgspec.msgpack.encode(records)
--- a/packages/daemon/src/pistachioloft_daemon/in_flight.py
+++ b/packages/daemon/src/pistachioloft_daemon/in_flight.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from pistachioloft_core.request.gather import GatherState
+
 if TYPE_CHECKING:
     from pistachioloft_core.request.forward import ForwardState
-    from pistachioloft_core.request.gather import GatherState
 
     from .http1.server import Respond
     from .relays import RelayedGroup
@@ -54,3 +55,9 @@
         self.way_ms = way_ms
         self.timer = 0
         self.check_at_ms = float('inf')
+
+    @property
+    def query(self) -> GatherState:
+        """Return the state of a request that is a query or a group of one."""
+        assert isinstance(self.state, GatherState)
+        return self.state
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -270,8 +270,7 @@
             return
         group.flushed = True
         assert group.in_flight is not None
-        state: GatherState = group.in_flight.state  # type: ignore[assignment]
-        self._send_results(group, state, done=False)
+        self._send_results(group, group.in_flight.query, done=False)
 
     def _send_results(self, group: RelayedGroup, state: GatherState, done: bool) -> None:
         news = [
--- a/packages/daemon/src/pistachioloft_daemon/reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.messages.fleet import STANDING_LAPSED, STANDING_READY
@@ -134,15 +135,9 @@
 
 
 def _describe_load(load: EndpointLoad, usable: bool, now_ms: float) -> AnnouncedReport:
-    record = load.record
-    return AnnouncedReport(
-        record.endpoint,
-        record.service,
-        record.failure_domain,
-        record.address,
-        STANDING_SILENT if record.standing == STANDING_LAPSED else record.standing,
-        usable,
-        load.in_flight_count,
-        load.overdue_count,
-        load.breaker.is_open(now_ms),
+    return replace(
+        _describe(load.record, usable),
+        in_flight_count=load.in_flight_count,
+        overdue_count=load.overdue_count,
+        breaker_open=load.breaker.is_open(now_ms),
     )
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -67,6 +67,7 @@
     from pistachioloft_core.messages.routes import Route
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
     from pistachioloft_core.request.routed_state import RoutedState
+    from pistachioloft_core.version.route_table import RouteTable
 
     from .http1.messages import Response
     from .http1.server import Cancel, Respond
@@ -169,7 +170,8 @@
             each.respond is not None or each.group is not None for each in self.requests.values()
         )
 
-    def _find_route(self, routed: RoutedRequest) -> Refuse | Route:
+    def _usable_routes(self) -> Refuse | RouteTable:
+        """Return the routes for new work, or why none is taken."""
         routes = self.state.routes
         if routes is None or self.fenced:
             detail = 'no configuration is confirmed here'
@@ -179,6 +181,12 @@
         if len(self.requests) >= IN_FLIGHT_LIMIT_COUNT:
             detail = 'too many requests are in flight here'
             return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
+        return routes
+
+    def _find_route(self, routed: RoutedRequest) -> Refuse | Route:
+        routes = self._usable_routes()
+        if isinstance(routes, Refuse):
+            return routes
         route = routes.find(routed.host, routed.path)
         if route is None:
             return Refuse(ResultCode.UNKNOWN_PATH, f'version {routes.version} has no such route')
@@ -242,9 +250,8 @@
         """Ask for the shards that another instance gave to this one."""
         now_ms = monotonic_ms()
         request = group.request
-        routes = self.state.routes
-        full = len(self.requests) >= IN_FLIGHT_LIMIT_COUNT
-        if routes is None or self.fenced or self.refusing or full:
+        routes = self._usable_routes()
+        if isinstance(routes, Refuse):
             return None
         route = routes.named(request.route)
         if route is None or route.gather is None:
@@ -269,26 +276,26 @@
         return in_flight
 
     def _withdraw_group(self, in_flight: InFlight) -> None:
-        actions = gather.cancel_gather(in_flight.state)  # type: ignore[arg-type]
+        actions = gather.cancel_gather(in_flight.query)
         self._carry_out(monotonic_ms(), in_flight, actions)
         self._finish(in_flight)
 
     def _on_group_replies(self, in_flight: InFlight, replies: Replies) -> None:
         now_ms = monotonic_ms()
-        state: GatherState = in_flight.state  # type: ignore[assignment]
+        state = in_flight.query
         on_answered(self.crashes, now_ms, in_flight.routed.digest)
         self._carry_out(now_ms, in_flight, gather.on_group_replies(now_ms, state, replies))
 
     def _on_group_lost(self, in_flight: InFlight, services: list[str], reason: str) -> None:
         now_ms = monotonic_ms()
-        state: GatherState = in_flight.state  # type: ignore[assignment]
+        state = in_flight.query
         if not state.done:
             log_note(in_flight, Note('group lost', f'{reason}: {",".join(services)}'))
         self._carry_out(now_ms, in_flight, gather.on_group_lost(now_ms, state, services))
 
     def _on_group_refused(self, in_flight: InFlight, services: list[str]) -> None:
         now_ms = monotonic_ms()
-        state: GatherState = in_flight.state  # type: ignore[assignment]
+        state = in_flight.query
         actions = gather.take_back(self.state, now_ms, state, services)
         self._carry_out(now_ms, in_flight, actions)
         self._arm(now_ms, in_flight)
@@ -310,7 +317,7 @@
         if any(isinstance(action, SendAttempt) for action in actions):
             self._arm(now_ms, in_flight)
         if in_flight.group is not None and not state.done:
-            self.relays.on_progress(in_flight.group, state)  # type: ignore[arg-type]
+            self.relays.on_progress(in_flight.group, in_flight.query)
 
     def _watch_crashes(
         self, now_ms: float, in_flight: InFlight, attempt: Attempt, end: AttemptEnd
@@ -389,7 +396,7 @@
                     self._answer(now_ms, in_flight, action)
 
     def _give(self, now_ms: float, in_flight: InFlight, action: GiveGroup) -> None:
-        state: GatherState = in_flight.state  # type: ignore[assignment]
+        state = in_flight.query
         if not self.relays.give(in_flight, action):
             actions = gather.take_back(self.state, now_ms, state, action.services)
             self._carry_out(now_ms, in_flight, actions)
@@ -415,9 +422,8 @@
         self, now_ms: float, in_flight: InFlight, action: Deliver | DeliverMerged | Refuse
     ) -> None:
         if in_flight.group is not None:
-            state: GatherState = in_flight.state  # type: ignore[assignment]
             log_group_ended(in_flight, now_ms - in_flight.arrived_ms)
-            self.relays.finish(in_flight.group, state)
+            self.relays.finish(in_flight.group, in_flight.query)
             self._finish(in_flight)
             return
         code = ResultCode.COMPLETE
--- a/tests/test_fleet/test_endpoint_memory.py
+++ b/tests/test_fleet/test_endpoint_memory.py
@@ -24,7 +24,7 @@
 def save(folder: Path, records: tuple[AnnouncedEndpoint, ...]) -> None:
     async def whole() -> None:
         memory = EndpointMemory(folder)
-        memory.save_if_due(0.0, 1, records)
+        memory.save_if_due(0.0, 1, lambda: records)
         assert memory.task is not None
         await memory.task
 
