Bound what every connection may keep, in bytes and in time, and name connections by their address

Cause: replies of endpoints had a bound for the body only: header names and values, interim replies, chunk sizes, extensions and trailers were kept without an end, and the bodies of all connections together had no bound. Trailers counted as headers, so one could make the reply to another request look right. The server for callers kept answers for one that reads none, had no time limit for a body and no bound over all bodies. The pool of endpoints found connections and waiting attempts by the endpoint's name, which may stand for another address by then. Change: the client counts what comes beside a body; unfinished messages share a quarter of the machine's memory (machine.memory_mb), past which the longest is ended; trailers are left out; the server starts no request while answers wait, ends a connection whose answers are not read, limits the time of a body and the bytes beside it. Attempts are withdrawn where they wait, and earlier addresses of an endpoint are kept until their last connection is closed. Ruled out: a bound on each connection alone; 2,000 of 16 MiB do not fit.

--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -20,6 +20,7 @@
 
 from .control_face import ControlFace
 from .endpoint_memory import EndpointMemory
+from .http1.receive_budget import memory_budget
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
@@ -100,9 +101,10 @@
         self.was_confirmed = False
         self.was_leader: str | None = None
         limits = ServerLimits(header_limit_bytes=65_536, body_limit_bytes=16 * 1024 * 1024)
+        budget = memory_budget(settings.memory_mb)
         self.servers = (
-            HttpServer(settings.control_address, self.face.handle, limits),
-            HttpServer(settings.directory_address, self.face.handle, limits),
+            HttpServer(settings.control_address, self.face.handle, limits, budget),
+            HttpServer(settings.directory_address, self.face.handle, limits, budget),
         )
 
     def _make_keeper(self, folder: Path) -> VoterKeeper:
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -124,7 +124,7 @@
                 asyncio.timeout(CONNECT_TIMEOUT_S),
                 connection.session.get(f'http://{connection.address}{PING_PATH}') as reply,
             ):
-                await reply.read()
+                await _read_bounded(reply)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self._drop(connection, f'{type(error).__name__}: {error}')
             return
@@ -161,7 +161,7 @@
                     headers=JSON_HEADERS,
                 ) as reply,
             ):
-                await reply.read()
+                await _read_bounded(reply)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self._drop(connection, f'{type(error).__name__}: {error}')
             return
@@ -179,7 +179,7 @@
                 data=encode_json(CancelRequest(identity)),
                 headers=JSON_HEADERS,
             ) as reply:
-                await reply.read()
+                await _read_bounded(reply)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             logger.debug('%s cancel of %s failed: %s', PREFIX, identity, error)
 
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -20,6 +20,7 @@
     from pistachioloft_core.request.attempts import Attempt
 
     from .http1.messages import Response
+    from .http1.receive_budget import ReceiveBudget
 
 logger = logging.getLogger(__name__)
 
@@ -61,7 +62,7 @@
         self.idle_limit_s = IDLE_DEFAULT_S * IDLE_PART
         self.idle_since_s = 0.0
         self.trip_ms = 0.0
-        self.wire = ClientConnection(self)
+        self.wire = ClientConnection(self, pool.budget)
 
     def on_reply(self, response: Response, reusable: bool) -> bool:
         """Take a reply if it answers the attempt in flight."""
@@ -107,10 +108,12 @@
 
 
 class _Target:
-    """Hold the connections to one endpoint and the attempts that wait for one."""
+    """Hold the connections to one address of an endpoint and the attempts that wait for one."""
 
     def __init__(self, record: AnnouncedEndpoint) -> None:
         self.record = record
+        # The endpoint is at another address now.
+        self.retired = False
         self.idle: list[PooledConnection] = []
         self.open: set[PooledConnection] = set()
         self.opening_count = 0
@@ -120,10 +123,14 @@
 class EndpointPool:
     """Hold the connections to all endpoints."""
 
-    def __init__(self, hooks: PoolHooks) -> None:
+    def __init__(self, hooks: PoolHooks, budget: ReceiveBudget) -> None:
         self.hooks = hooks
+        self.budget = budget
         self.targets: dict[str, _Target] = {}
+        # Earlier addresses of endpoints, until their last connection is closed.
+        self.retired: set[_Target] = set()
         self.by_attempt: dict[str, PooledConnection] = {}
+        self.waiting_at: dict[str, _Target] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.opened_count = 0
 
@@ -135,12 +142,14 @@
             self._start(connection, attempt, data)
             return
         target.queue[attempt.attempt_id] = (attempt, data)
+        self.waiting_at[attempt.attempt_id] = target
         self._open_more(target)
 
     def abandon(self, attempt: Attempt) -> bool:
         """Withdraw an attempt and tell whether it was still in flight."""
-        target = self.targets.get(attempt.load.record.endpoint)
-        if target is not None and target.queue.pop(attempt.attempt_id, None) is not None:
+        target = self.waiting_at.pop(attempt.attempt_id, None)
+        if target is not None:
+            del target.queue[attempt.attempt_id]
             return True
         connection = self.by_attempt.get(attempt.attempt_id)
         if connection is None:
@@ -159,13 +168,13 @@
         """Close the idle connections to an endpoint that gets no new work."""
         target = self.targets.get(endpoint)
         if target is not None:
-            self._close_idle(target, target.idle)
+            self._close_idle(target.idle)
 
     def close_aged(self) -> None:
         """Close the connections that were idle for nearly as long as their endpoint allows."""
         now_s = monotonic_ms() / 1000.0
         for target in list(self.targets.values()):
-            self._close_idle(target, [each for each in target.idle if not each.is_fresh(now_s)])
+            self._close_idle([each for each in target.idle if not each.is_fresh(now_s)])
 
     def release(self, connection: PooledConnection) -> None:
         """Give a free connection to the next attempt, or keep it idle."""
@@ -173,7 +182,10 @@
         target = connection.target
         if target.queue:
             attempt, data = target.queue.pop(next(iter(target.queue)))
+            del self.waiting_at[attempt.attempt_id]
             self._start(connection, attempt, data)
+        elif target.retired:
+            self._close_idle([connection])
         else:
             connection.idle_since_s = monotonic_ms() / 1000.0
             target.idle.append(connection)
@@ -187,32 +199,46 @@
             target.idle.remove(connection)
         if target.queue:
             self._open_more(target)
-        elif not target.open and not target.opening_count:
-            self.targets.pop(target.record.endpoint, None)
+        else:
+            self._forget_unused(target)
 
     def connection_count(self) -> int:
         """Count the open connections."""
-        return sum(len(target.open) for target in self.targets.values())
+        return sum(len(target.open) for target in self._all_targets())
 
     def stop(self) -> None:
         """Close everything."""
         for task in self.tasks:
             task.cancel()
-        for target in list(self.targets.values()):
+        for target in self._all_targets():
             for connection in list(target.open):
                 connection.wire.close()
 
+    def _all_targets(self) -> list[_Target]:
+        return [*self.targets.values(), *self.retired]
+
     def _target(self, record: AnnouncedEndpoint) -> _Target:
         target = self.targets.get(record.endpoint)
         if target is not None and target.record.address == record.address:
             return target
         if target is not None:
             # The endpoint started again elsewhere; attempts in flight end by themselves.
-            self._close_idle(target, target.idle)
+            target.retired = True
+            self.retired.add(target)
+            self._close_idle(target.idle)
+            self._forget_unused(target)
         target = self.targets[record.endpoint] = _Target(record)
         return target
 
-    def _close_idle(self, target: _Target, connections: list[PooledConnection]) -> None:
+    def _forget_unused(self, target: _Target) -> None:
+        if target.open or target.opening_count or target.queue:
+            return
+        self.retired.discard(target)
+        # The name may belong to another address by now.
+        if self.targets.get(target.record.endpoint) is target:
+            del self.targets[target.record.endpoint]
+
+    def _close_idle(self, connections: list[PooledConnection]) -> None:
         for connection in list(connections):
             connection.wire.close()
             self.drop(connection)
@@ -274,7 +300,8 @@
 
     def _fail_waiting(self, target: _Target, detail: str) -> None:
         waiting, target.queue = target.queue, {}
-        if not target.open and not target.opening_count:
-            self.targets.pop(target.record.endpoint, None)
+        for attempt_id in waiting:
+            del self.waiting_at[attempt_id]
+        self._forget_unused(target)
         for attempt, _ in waiting.values():
             self.hooks.ended(attempt, AttemptEnd(Ended.NOT_SENT, detail, absent=True))
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -23,6 +23,7 @@
 
 from .control_calls import CheckReadiness, Done
 from .descriptors import descriptor_shares
+from .http1.receive_budget import memory_budget
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
@@ -83,12 +84,14 @@
         )
         self.state = RoutedState(settings.instance, settings.failure_domain, limits, source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
+        budget = memory_budget(settings.memory_mb)
         self.requests = RoutedRequests(
             self.state,
             self.timers,
             wire,
             self.metrics,
             PeerHooks(self._send_to_entry, self.peers.reconnect),
+            budget,
         )
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.requests.report_crashes = self._report_crashes
@@ -100,6 +103,7 @@
             settings.caller_address,
             self.requests.handle,
             ServerLimits(connection_limit_count=shares.caller_count),
+            budget,
         )
         self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
         self.watch = WatchFace(settings.metrics_address, self.metrics, self._gauges, self._report)
--- a/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
+++ b/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
@@ -40,7 +40,7 @@
         'extra_share',
         'extra_allowance_count',
     ),
-    'machine': ('link_mbit_per_s',),
+    'machine': ('link_mbit_per_s', 'memory_mb'),
     'data': ('folder',),
     'log': ('level',),
 }
@@ -82,6 +82,8 @@
     bounds: Bounds
     # What the machine's network link carries.
     link_mbit_per_s: float
+    # What the process may use before the platform ends it.
+    memory_mb: float
     data_folder: Path | None
     log_level: str
 
@@ -112,6 +114,8 @@
         bounds=_read_bounds(reader),
         # A machine of today's deployments; where nothing is said, the link is no limit.
         link_mbit_per_s=reader.number('machine', 'link_mbit_per_s', 0.001, 1e6, 1_000),
+        # Less than the smallest machine of today's deployments has.
+        memory_mb=reader.number('machine', 'memory_mb', 32, 1e7, 192),
         data_folder=Path(reader.text('data', 'folder', 'a folder')) if control else None,
         log_level=reader.choice('log', 'level', LOG_LEVELS, LOG_LEVEL_DEFAULT),
     )
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING, Protocol
 
 import httptools
@@ -11,9 +12,17 @@
 
 if TYPE_CHECKING:
     from .messages import Headers
+    from .receive_budget import ReceiveBudget
 
+logger = logging.getLogger(__name__)
+
+PREFIX = '[endpoint]'
 # A longer reply is no reply of an endpoint; it would take the memory of the process.
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
+# Status lines, headers, trailers and interim replies are some hundreds of bytes.
+OVERHEAD_LIMIT_BYTES = 64 * 1024
+# A chunk of one byte takes five more for its size and line ends; extensions may double that.
+OVERHEAD_PER_BODY_BYTE = 10
 
 
 class ClientEvents(Protocol):
@@ -29,15 +38,18 @@
 class ClientConnection(asyncio.Protocol):
     """Hold one connection; it is usable until `closing` is true."""
 
-    def __init__(self, events: ClientEvents) -> None:
+    def __init__(self, events: ClientEvents, budget: ReceiveBudget) -> None:
         self.events = events
+        self.budget = budget
         self.transport: asyncio.Transport | None = None
         self.closing = False
         self.busy = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        # What came since the last request was sent: bodies, and everything else.
         self._body_bytes = 0
+        self._overhead_bytes = 0
         self._in_message = False
         self._has_length = False
         self._replies: list[tuple[Response, bool]] = []
@@ -46,14 +58,20 @@
         """Send one request; the next may follow once its reply was taken."""
         assert self.transport is not None
         self.busy = True
+        self._body_bytes = self._overhead_bytes = 0
         self.transport.write(data)
 
     def close(self) -> None:
         """Close the connection; nothing more is reported."""
         self.closing = True
+        self.budget.release(self)
         if self.transport is not None:
             self.transport.abort()
 
+    def shed(self) -> None:
+        """End an unfinished reply because all of them together are too large."""
+        self._end(f'unfinished replies take over {self.budget.limit_bytes} bytes')
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
@@ -66,17 +84,19 @@
         if not self.busy:
             self._end('bytes that no request asked for')
             return
+        self._overhead_bytes += len(data)
         error = ''
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as problem:
             error = f'not HTTP: {problem}'
-        if self._body_bytes > BODY_LIMIT_BYTES:
-            error = f'reply is larger than {BODY_LIMIT_BYTES} bytes'
-        self._hand_on(error)
+        self._hand_on(error or self._excess())
+        if self.busy and not self.closing:
+            self.budget.keep(self, self._body_bytes + self._overhead_bytes)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end; a reply without length is whole only if the end was clean."""
+        self.budget.release(self)
         if self.closing:
             return
         self.closing = True
@@ -95,12 +115,13 @@
         """Start a reply."""
         self._headers = []
         self._body = []
-        self._body_bytes = 0
         self._in_message = False
         self._has_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
+        """Take one header; trailers are left out."""
+        if self._in_message:
+            return
         self._headers.append((name, value.strip(b' \t')))
         if name.lower() in (b'content-length', b'transfer-encoding'):
             self._has_length = True
@@ -113,6 +134,7 @@
         """Take a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
+        self._overhead_bytes -= len(body)
 
     def on_message_complete(self) -> None:
         """End a reply; an interim one is not handed on."""
@@ -120,6 +142,14 @@
             self._replies.append((self._take_message(), self._parser.should_keep_alive()))
         self._in_message = False
 
+    def _excess(self) -> str:
+        if self._body_bytes > BODY_LIMIT_BYTES:
+            return f'reply is larger than {BODY_LIMIT_BYTES} bytes'
+        allowed_bytes = OVERHEAD_LIMIT_BYTES + OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        if self._overhead_bytes > allowed_bytes:
+            return f'reply has over {OVERHEAD_LIMIT_BYTES} bytes beside its body'
+        return ''
+
     def _take_message(self) -> Response:
         headers: Headers = tuple(self._headers)
         return Response(self._parser.get_status_code(), headers, b''.join(self._body))
@@ -133,6 +163,7 @@
             last = position == len(replies) - 1
             # The reply may make the next request start on this connection.
             self.busy = False
+            self.budget.release(self)
             if not self.events.on_reply(response, keep_alive and last and not more):
                 # A reply to an earlier request is left out, and the wait goes on.
                 self.busy = True
@@ -144,5 +175,7 @@
     def _end(self, detail: str) -> None:
         if self.closing:
             return
+        peer = self.transport.get_extra_info('peername') if self.transport is not None else None
+        logger.info('%s connection ended: address=%s reason="%s"', PREFIX, peer, detail)
         self.close()
         self.events.on_closed(detail, None)
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -12,6 +12,7 @@
 import httptools
 
 from .messages import Request, Response, encode_response, find_header
+from .receive_budget import ReceiveBudget
 from .round_trip import round_trip_ms
 
 logger = logging.getLogger(__name__)
@@ -23,6 +24,10 @@
 # this are not read.
 PIPELINE_LIMIT_COUNT = 16
 BACKLOG_COUNT = 1024
+# A chunk of one byte takes five more for its size and line ends; extensions may double that.
+FRAMING_PER_BODY_BYTE = 10
+# For servers whose clients send no bodies to speak of.
+RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +39,10 @@
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
     connection_limit_count: int = 2_000
+    # From the first byte of a request to its last; as long as a connection may be idle.
+    body_timeout_s: float = 15.0
+    # For which written answers may wait for a client that does not read them.
+    answer_timeout_s: float = 15.0
 
 
 Cancel = Callable[[], None]
@@ -45,10 +54,17 @@
 class HttpServer:
     """Listen on one address and hand each request to a handler."""
 
-    def __init__(self, address: str, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: ServerLimits,
+        budget: ReceiveBudget | None = None,
+    ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
+        self.budget = budget or ReceiveBudget(RECEIVE_LIMIT_BYTES)
         # A stopping server answers, and asks its clients to go elsewhere.
         self.closing = False
         self.connections: set[ServerConnection] = set()
@@ -107,10 +123,17 @@
         self._closed = False
         self._refused = False
         self._since_s = self._loop.time()
+        # When the request that is being received began.
+        self._begun_s = 0.0
+        # Since when answers wait for the client to read, and whether too much waits.
+        self._unread_since_s: float | None = None
+        self._write_paused = False
         self._receiving = False
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        # What came with a body beside it: sizes and extensions of chunks, trailers.
+        self._framing_bytes = 0
         self._in_headers = False
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -135,6 +158,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress, since its client left."""
         self._closed = True
+        self._waiting.clear()
+        self.server.budget.release(self)
         self.server.connections.discard(self)
         cancel, self._cancel = self._cancel, None
         if self._answering and cancel is not None:
@@ -146,6 +171,8 @@
             return
         if self._in_headers or not self._receiving:
             self._header_bytes += len(data)
+        else:
+            self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -153,22 +180,71 @@
         except httptools.HttpParserError as error:
             logger.info('%s bad request: %s', PREFIX, error)
             self._refuse(400)
-        if self._in_headers and self._header_bytes > self.server.limits.header_limit_bytes:
+        limits = self.server.limits
+        allowed_bytes = limits.header_limit_bytes + FRAMING_PER_BODY_BYTE * self._body_bytes
+        if (
+            self._in_headers and self._header_bytes > limits.header_limit_bytes
+        ) or self._framing_bytes > allowed_bytes:
             self._refuse(431)
-        elif self._body_bytes > self.server.limits.body_limit_bytes:
+        elif self._body_bytes > limits.body_limit_bytes:
             self._refuse(413)
+        self._note_kept()
+        self._next()
+
+    def pause_writing(self) -> None:
+        """Start no further request until the client has read its answers."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the requests that wait."""
+        self._write_paused = False
+        self._next()
+
+    def shed(self) -> None:
+        """Refuse an unfinished request because all of them together are too large."""
+        logger.warning(
+            '%s request refused: unfinished ones take over %d bytes',
+            PREFIX,
+            self.server.budget.limit_bytes,
+        )
+        self._waiting.clear()
+        self._refuse(503)
         self._next()
 
     def check_timeouts(self, now_s: float) -> None:
-        """Close a connection that is idle or receives its headers for too long."""
+        """Close a connection that is idle, or whose client sends or reads too slowly."""
         limits = self.server.limits
-        waited_s = now_s - self._since_s
-        if self._in_headers and waited_s > limits.header_timeout_s:
+        received_s = now_s - self._begun_s
+        if self._is_unread(now_s, limits.answer_timeout_s):
+            logger.info('%s connection ended: answers were not read in time', PREFIX)
+            assert self.transport is not None
+            self.transport.abort()
+        elif (self._in_headers and received_s > limits.header_timeout_s) or (
+            self._receiving and received_s > limits.body_timeout_s
+        ):
             self._refuse(408)
             self._next()
-        elif self.is_idle and waited_s > limits.idle_timeout_s:
+        elif self.is_idle and now_s - self._since_s > limits.idle_timeout_s:
             self.close()
 
+    def _is_unread(self, now_s: float, timeout_s: float) -> bool:
+        if self.transport is None or not self.transport.get_write_buffer_size():
+            self._unread_since_s = None
+            return False
+        if self._unread_since_s is None:
+            self._unread_since_s = now_s
+        return now_s - self._unread_since_s > timeout_s
+
+    def _note_kept(self) -> None:
+        """Count the bodies that are kept for requests that have not started."""
+        kept_bytes = sum(len(request.body) for request, _ in self._waiting)
+        if self._receiving and not self._refused:
+            kept_bytes += self._body_bytes
+        if kept_bytes:
+            self.server.budget.keep(self, kept_bytes)
+        else:
+            self.server.budget.release(self)
+
     def close(self) -> None:
         """Close the connection after what is already written."""
         if self.transport is not None:
@@ -179,19 +255,20 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._receiving = self._in_headers = True
-        self._since_s = self._loop.time()
+        self._begun_s = self._loop.time()
         self._target = b''
         self._headers = []
         self._body = []
-        self._body_bytes = 0
+        self._body_bytes = self._framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
-        self._headers.append((name, value.strip(b' \t')))
+        """Take one header; trailers are left out."""
+        if self._in_headers:
+            self._headers.append((name, value.strip(b' \t')))
 
     def on_headers_complete(self) -> None:
         """Begin the body, and ask for it where the client waits."""
@@ -207,7 +284,8 @@
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes <= self.server.limits.body_limit_bytes:
+        self._framing_bytes -= len(body)
+        if not self._refused and self._body_bytes <= self.server.limits.body_limit_bytes:
             self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -237,9 +315,12 @@
         if not self._refused:
             self._refused = True
             self._refusal = Response(status)
+            self._body = []
+            # What follows is not read; the client is told so once its turn comes.
+            self._receiving = self._in_headers = False
 
     def _next(self) -> None:
-        while not self._answering and not self._closed:
+        while not self._answering and not self._closed and not self._write_paused:
             if not self._waiting:
                 if self._refused and self.transport is not None:
                     self.transport.write(encode_response(self._refusal, close=True))
@@ -247,6 +328,8 @@
                     self._closed = True
                 return
             request, keep_alive = self._waiting.popleft()
+            if request.body:
+                self._note_kept()
             self._start(request, keep_alive)
 
     def _start(self, request: Request, keep_alive: bool) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -70,6 +70,7 @@
     from pistachioloft_core.version.route_table import RouteTable
 
     from .http1.messages import Response
+    from .http1.receive_budget import ReceiveBudget
     from .http1.server import Cancel, Respond
     from .loop_timers import LoopTimers
     from .metrics import Metrics
@@ -104,6 +105,7 @@
         wire: WireFormat,
         metrics: Metrics,
         peers: PeerHooks,
+        budget: ReceiveBudget,
     ) -> None:
         self.state = state
         self.timers = timers
@@ -115,7 +117,8 @@
                 self._on_end,
                 lambda record: connection_share(state, record.service),
                 self.on_endpoint_down,
-            )
+            ),
+            budget,
         )
         self.helpers = HelperTable()
         self.relays = Relays(
--- /dev/null
+++ b/tests/test_http1/test_endless_replies.py
@@ -0,0 +1,128 @@
+"""Guard against replies of endpoints that go on without end."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pistachioloft_core.request.attempts import Ended
+from tests.test_http1.pool_bench import Bench, read_id, reply, run
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PIECE = b'x' * 65_536
+# What an endpoint feeds at most before the test fails.
+FED_LIMIT_BYTES = 64 * 1024 * 1024
+HEAD = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+def forever(begin: bytes, piece: bytes) -> Iterator[bytes]:
+    yield begin
+    while True:
+        yield piece
+
+
+CASES = {
+    'status line': (b'HTTP/1.1 200 ', PIECE),
+    'header name': (HEAD, PIECE),
+    'header value': (HEAD + b'A: ', PIECE),
+    'headers': (HEAD, b'A: b\r\n' * 8_192),
+    'interim replies': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2_048),
+    'replies to other requests': (b'', reply('9', b'') * 1_024),
+    'chunk extension': (CHUNKED + b'1;', PIECE),
+    'chunk size': (CHUNKED, b'0' * 65_536),
+    'trailers': (CHUNKED + b'0\r\n', b'A: b\r\n' * 8_192),
+    'trailer value': (CHUNKED + b'0\r\nA: ', PIECE),
+    'body': (HEAD + b'\r\n', PIECE),
+    'chunks': (CHUNKED, b'10000\r\n' + PIECE + b'\r\n'),
+    'length': (HEAD + b'Content-Length: 99999999999\r\n\r\n', PIECE),
+}
+
+
+@pytest.mark.parametrize('case', CASES)
+def test_endless_reply_loses_the_attempt(case: str) -> None:
+    """Guard against a reply that is read until the memory is full."""
+    fed_bytes = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal fed_bytes
+        await read_id(reader)
+        for piece in forever(*CASES[case]):
+            writer.write(piece)
+            fed_bytes += len(piece)
+            assert fed_bytes < FED_LIMIT_BYTES
+            await writer.drain()
+
+    async def play(bench: Bench) -> None:
+        assert (await bench.call()).ended is Ended.LOST
+        assert bench.pool.connection_count() == 0
+        assert bench.budget.total_bytes == 0
+
+    run(serve, play)
+    assert fed_bytes < FED_LIMIT_BYTES
+
+
+def test_endless_bodies_leave_room_for_a_sound_one() -> None:
+    """Guard against many endless bodies at once that end the process or refuse sound replies."""
+    budget_bytes = 8 * 1024 * 1024
+    started = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request_id = await read_id(reader)
+        if request_id == '1':
+            writer.write(reply('1', b'y' * 200_000)[:-1])
+            await writer.drain()
+            await asyncio.wait_for(started.wait(), 5.0)
+            writer.write(b'y')
+            return
+        for piece in forever(HEAD.replace(b'1\r', request_id.encode() + b'\r') + b'\r\n', PIECE):
+            writer.write(piece)
+            await writer.drain()
+
+    async def play(bench: Bench) -> None:
+        bench.pool.hooks = bench.hooks_with_limit(40)
+        bench.send()
+        await asyncio.sleep(0.05)
+        before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        for _ in range(30):
+            bench.send()
+        ends = dict([await asyncio.wait_for(bench.ends.get(), 10.0) for _ in range(30)])
+        started.set()
+        ends.update([await asyncio.wait_for(bench.ends.get(), 10.0)])
+        assert ends.pop('1').reply == b'y' * 200_000
+        assert {end.ended for end in ends.values()} == {Ended.LOST}
+        grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
+        # What is kept, and what the loop reads at once for each connection.
+        assert grown_kb * 1024 < budget_bytes + 31 * 512 * 1024
+
+    run(serve, play, budget_bytes)
+
+
+def test_trickle_ends_with_its_attempt() -> None:
+    """Guard against a reply that goes on byte by byte after nobody waits for it."""
+    closed = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_id(reader)
+        writer.write(HEAD + b'\r\n')
+        while not reader.at_eof():
+            writer.write(b'x')
+            await writer.drain()
+            await asyncio.sleep(0.005)
+            if writer.transport.is_closing():
+                break
+        closed.set()
+
+    async def play(bench: Bench) -> None:
+        attempt = bench.send()
+        await asyncio.sleep(0.1)
+        assert bench.pool.abandon(attempt)
+        await asyncio.wait_for(closed.wait(), 5.0)
+        assert bench.budget.total_bytes == 0
+
+    run(serve, play)
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -5,95 +5,11 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
-from typing import Any
 
 import pytest
 
-from pistachioloft_core.connection.endpoint_load import EndpointLoad
-from pistachioloft_core.messages.fleet import STANDING_READY, AnnouncedEndpoint
-from pistachioloft_core.messages.routes import Route, WeightedService
-from pistachioloft_core.request.attempts import Attempt, AttemptEnd, Ended
-from pistachioloft_daemon.endpoint_pool import EndpointPool, PoolHooks
-from pistachioloft_daemon.http1.messages import Response, find_header
-
-ROUTE = Route('r', 'h', '/', True, 1_000.0, 100.0, 1, 2, (WeightedService('s'),))
-Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
-
-
-def reply(request_id: str, body: bytes = b'body', extra: bytes = b'') -> bytes:
-    head = f'HTTP/1.1 200 OK\r\nX-Id: {request_id}\r\nContent-Length: {len(body)}\r\n'
-    return head.encode() + extra + b'\r\n' + body
-
-
-class Bench:
-    """Hold a raw server, a pool and the ends of its attempts."""
-
-    def __init__(self, serve: Serve) -> None:
-        self.serve = serve
-        self.ends: asyncio.Queue[tuple[str, AttemptEnd]] = asyncio.Queue()
-        self.refused: list[str] = []
-        self.pool = EndpointPool(
-            PoolHooks(self.decode, self.ended, lambda _record: 2, self.refused.append)
-        )
-        self.connection_count = 0
-        self.load: EndpointLoad | None = None
-        self.number = 0
-
-    async def __aenter__(self) -> Bench:
-        self.server = await asyncio.start_server(self.handle, '127.0.0.1', 0)
-        port = self.server.sockets[0].getsockname()[1]
-        record = AnnouncedEndpoint('e', 's', f'127.0.0.1:{port}', 'a', 2, STANDING_READY, 1, 1)
-        self.load = EndpointLoad(record, 0.0)
-        return self
-
-    async def __aexit__(self, *_: Any) -> None:
-        self.pool.stop()
-        self.server.close()
-
-    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connection_count += 1
-        try:
-            await self.serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-    def decode(self, attempt: Attempt, response: Response) -> AttemptEnd | None:
-        echoed = find_header(response.headers, b'x-id')
-        if echoed != attempt.attempt_id.encode():
-            return None
-        return AttemptEnd(Ended.ANSWERED, reply=response.body)
-
-    def ended(self, attempt: Attempt, end: AttemptEnd) -> None:
-        self.ends.put_nowait((attempt.attempt_id, end))
-
-    def send(self) -> Attempt:
-        assert self.load is not None
-        self.number += 1
-        attempt = Attempt(str(self.number), ROUTE, 's', self.load, 0.0, 50.0, False)
-        self.pool.send(attempt, f'GET /{self.number} HTTP/1.1\r\nHost: h\r\n\r\n'.encode())
-        return attempt
-
-    async def call(self) -> AttemptEnd:
-        attempt = self.send()
-        attempt_id, end = await asyncio.wait_for(self.ends.get(), 5.0)
-        assert attempt_id == attempt.attempt_id
-        return end
-
-
-async def read_id(reader: asyncio.StreamReader) -> str:
-    head = await reader.readuntil(b'\r\n\r\n')
-    return head.split(b' ', 2)[1][1:].decode()
-
-
-def run(serve: Serve, play: Callable[[Bench], Awaitable[None]]) -> None:
-    async def whole() -> None:
-        async with Bench(serve) as bench:
-            await play(bench)
-
-    asyncio.run(whole())
+from pistachioloft_core.request.attempts import Ended
+from tests.test_http1.pool_bench import Bench, read_id, reply, run
 
 
 def test_connection_is_used_again() -> None:
@@ -259,3 +175,20 @@
         assert bench.connection_count == 2
 
     run(serve, play)
+
+
+def test_trailers_do_not_change_what_a_reply_says() -> None:
+    """Guard against an id in a trailer that makes another request's reply look right."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request_id = await read_id(reader)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n'
+            + f'X-Id: {request_id}\r\n\r\n'.encode()
+        )
+        writer.write(reply(request_id, b'own'))
+
+    async def play(bench: Bench) -> None:
+        assert (await bench.call()).reply == b'own'
+
+    run(serve, play)
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pistachioloft_daemon.http1.messages import Request, Response, end_to_end_headers
+from pistachioloft_daemon.http1.receive_budget import ReceiveBudget
 from pistachioloft_daemon.http1.server import Cancel, HttpServer, Respond, ServerLimits
 
 LIMITS = ServerLimits(
@@ -15,6 +16,8 @@
     body_limit_bytes=2_000,
     header_timeout_s=0.3,
     idle_timeout_s=0.5,
+    body_timeout_s=0.6,
+    answer_timeout_s=0.5,
 )
 
 
@@ -41,13 +44,13 @@
 Play = Callable[[HttpServer, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-def run(handler: Handler, play: Play) -> None:
+def run(handler: Handler, play: Play, budget_bytes: int = 1_000_000) -> None:
     async def whole() -> None:
         probe = await asyncio.start_server(lambda _r, _w: None, '127.0.0.1', 0)
         port = probe.sockets[0].getsockname()[1]
         probe.close()
         await probe.wait_closed()
-        server = HttpServer(f'127.0.0.1:{port}', handler, LIMITS)
+        server = HttpServer(f'127.0.0.1:{port}', handler, LIMITS, ReceiveBudget(budget_bytes))
         await server.start()
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         try:
@@ -184,3 +187,117 @@
         assert await reader.read() == b''
 
     run(Handler(), play)
+
+
+def test_caller_that_reads_no_answers_is_left() -> None:
+    """Guard against answers that pile up for a caller that only sends requests."""
+    handler = Handler(at_once=False)
+    answer = Response(200, (), b'x' * 100_000)
+    transports: list[asyncio.WriteTransport] = []
+
+    async def play(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        reader._transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n' * 8_000)
+        await asyncio.sleep(0.05)
+        (connection,) = server.connections
+        assert connection.transport is not None
+        transports.append(connection.transport)
+        answered = 0
+        while server.connections:
+            while answered < len(handler.responds):
+                handler.responds[answered](answer)
+                answered += 1
+                # One answer beyond the mark at which the system's own buffers are full.
+                assert connection.transport.get_write_buffer_size() < 300_000
+            await asyncio.sleep(0.01)
+        assert answered < 200
+
+    run(handler, play)
+
+
+@pytest.mark.parametrize('piece', [b'x', b''])
+def test_body_has_a_time_limit(piece: bytes) -> None:
+    """Guard against a body that comes byte by byte, or stops, and keeps its connection."""
+    handler = Handler()
+
+    async def play(
+        _server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n')
+        begun_s = asyncio.get_running_loop().time()
+        reply = asyncio.ensure_future(read_reply(reader))
+        while not reply.done():
+            writer.write(piece)
+            await asyncio.sleep(0.05)
+        assert (await reply)[0].startswith(b'HTTP/1.1 408 ')
+        assert asyncio.get_running_loop().time() - begun_s < 5.0
+
+    run(handler, play)
+    assert handler.requests == []
+
+
+@pytest.mark.parametrize(
+    'piece', [b'1;' + b'x' * 1_000, b'0\r\n' + b'A: b\r\n' * 500, b'0' * 4_000]
+)
+def test_chunked_body_has_little_beside_its_bytes(piece: bytes) -> None:
+    """Guard against chunk sizes, extensions or trailers without end."""
+    handler = Handler()
+
+    async def play(
+        _server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+        await asyncio.sleep(0.02)
+        writer.write(piece)
+        await asyncio.sleep(0.02)
+        writer.write(b'x' * 1_000)
+        assert (await read_reply(reader))[0].startswith(b'HTTP/1.1 4')
+
+    run(handler, play)
+    assert handler.requests == []
+
+
+def test_trailers_are_no_headers() -> None:
+    """Guard against a trailer that is passed on as a header of the request."""
+    handler = Handler()
+
+    async def play(
+        _server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(
+            b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'1\r\nx\r\n0\r\nX-Late: 1\r\n\r\n'
+        )
+        await read_reply(reader)
+
+    run(handler, play)
+    assert b'X-Late' not in dict(handler.requests[0].headers)
+
+
+def test_bodies_of_all_connections_have_one_bound() -> None:
+    """Guard against a process that ends because many callers send large bodies at once."""
+    handler = Handler()
+    head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1500\r\n\r\n'
+
+    async def play(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, port = server.address.rsplit(':', 1)
+        others = [await asyncio.open_connection(host, int(port)) for _ in range(4)]
+        writer.write(head.replace(b'1500', b'150') + b'x' * 100)
+        for _, other in others:
+            other.write(head + b'x' * 1_400)
+        await asyncio.sleep(0.1)
+        assert server.budget.total_bytes <= 3_000
+        writer.write(b'x' * 50)
+        assert (await read_reply(reader))[0].startswith(b'HTTP/1.1 200 ')
+        statuses = []
+        for other_reader, other in others:
+            other.write(b'x' * 100)
+            statuses.append((await read_reply(other_reader))[0].split(b' ')[1])
+            other.close()
+        assert sorted(statuses) == [b'200', b'200', b'503', b'503']
+
+    run(handler, play, 3_000)
--- a/tests/test_relay/test_helping.py
+++ b/tests/test_relay/test_helping.py
@@ -16,6 +16,7 @@
 from pistachioloft_core.request.routed_state import RoutedState, SharedLimits, set_routes
 from pistachioloft_core.version.route_table import RouteTable
 from pistachioloft_daemon.http1.messages import Response
+from pistachioloft_daemon.http1.receive_budget import ReceiveBudget
 from pistachioloft_daemon.loop_timers import LoopTimers
 from pistachioloft_daemon.metrics import Metrics
 from pistachioloft_daemon.routed_messages import EndpointReply
@@ -75,7 +76,7 @@
         )
         hooks = PeerHooks(send, unused)
         self.requests = RoutedRequests(
-            state, LoopTimers(asyncio.get_running_loop()), wire, Metrics(), hooks
+            state, LoopTimers(asyncio.get_running_loop()), wire, Metrics(), hooks, ReceiveBudget(1)
         )
         self.requests.fenced = False
         self.pool = FakePool()
