Share entry instances between control instances only when they change

Change: the control instance that an entry polls says at once what changes and that it fell silent, repeats this for 0.8 s and renews the rest once a second; others trust that for as long as they hear the control instance. Control instances that are known already are named by instance and age. Ages are whole milliseconds. Ruled out: a longer interval of shares, which delays drains; leaving out renewals, which would keep an entry whose control instance is lost with it.

--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -66,13 +66,21 @@
 
 # An endpoint that announced itself again without a change: its name, the start and the sequence
 # that it announced, and the age of the announcement. A tuple, as most of a share is these.
-Renewal = tuple[str, int, int, float]
+Renewal = tuple[str, int, int, int]
 
 
 # What can change of an entry instance while it runs: its name, the incarnation, the sequence,
 # whether it is ready and stopping, its version of the routes, its requests in flight, and the
 # age of all this.
-EntryRenewal = tuple[str, int, int, bool, bool, int, int, float]
+EntryRenewal = tuple[str, int, int, bool, bool, int, int, int]
+
+# An entry instance that polls no more where it polled: its name, and the incarnation and the
+# sequence of its last poll.
+SilentEntry = tuple[str, int, int]
+
+# A control instance that is known already: its name, the incarnation, and the time in ms since
+# it was heard.
+HeardControl = tuple[str, int, int]
 
 
 class Place(Struct, frozen=True, array_like=True):
@@ -105,6 +113,8 @@
     renewals: tuple[Renewal, ...] = ()
     crashes: tuple[RequestCrash, ...] = ()
     entry_renewals: tuple[EntryRenewal, ...] = ()
+    silent_entries: tuple[SilentEntry, ...] = ()
+    heard: tuple[HeardControl, ...] = ()
 
 
 class LeavingNotice(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -13,16 +13,29 @@
     STANDING_READY,
     ControlShare,
     ControlStatus,
-    EntryRenewal,
     EntryStatus,
     FeedPoll,
     FeedReply,
+    HeardControl,
     HeardEndpoint,
     Place,
     RequestCrash,
 )
 from .announced import AnnouncedState, Merged, expire, heard_endpoints, mark_left, merge, renew
 from .directory import chosen_entries
+from .heard_entries import (
+    ENTRY_LIVE_MS,
+    INSTANCE_LIMIT_COUNT,
+    REPEAT_MS,
+    HeardEntries,
+    aged,
+    forget_entries,
+    is_live,
+    merge_entry,
+    renew_entry,
+    silence_entry,
+    take_entry_news,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -32,8 +45,6 @@
 SHARE_INTERVAL_MS = 200.0
 # Five shares may be lost or late before an instance counts as gone.
 CONTROL_LIVE_MS = 1_200.0
-# An entry instance polls about every 300 ms; three polls may be lost or late.
-ENTRY_LIVE_MS = 1_100.0
 # New endpoints are gathered for this time before entry instances are told; they poll for them
 # about as often. At a start hundreds announce themselves within a heartbeat.
 PUSH_INTERVAL_MS = 200.0
@@ -49,7 +60,6 @@
 CRASH_LIMIT_COUNT = 4_096
 # Crash reports that each update repeats, so that one lost update costs nothing.
 FEED_CRASH_COUNT = 32
-INSTANCE_LIMIT_COUNT = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,13 +69,6 @@
     direct_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class _HeardEntry:
-    status: EntryStatus
-    heard_ms: float
-    direct: bool
-
-
 class FleetState:
     """Hold the known instances, the endpoints and how far both can be trusted."""
 
@@ -76,9 +79,9 @@
         # An entry instance became ready or stops, so callers should be sent elsewhere at once.
         self.share_soon = False
         self.controls: dict[str, _HeardControl] = {}
-        self.entries: dict[str, _HeardEntry] = {}
-        # The incarnations of the entry instances that poll here and were shared already.
-        self.shared_entries: dict[str, int] = {}
+        self.entries = HeardEntries()
+        # The control instances that were shared, as they were, and until when this is repeated.
+        self.shared_controls: dict[str, tuple[ControlStatus, float]] = {}
         self.crashes: dict[tuple[str, str, int], float] = {}
         # Since when this instance may have missed announcements; None once it knows all.
         self.unsettled_since_ms: float | None = now_ms
@@ -143,7 +146,7 @@
 
 def whole_share(state: FleetState, now_ms: float) -> ControlShare:
     """Build a share of everything that is known here."""
-    entries = tuple(_aged(each, now_ms) for each in state.entries.values())
+    entries = tuple(aged(each, now_ms) for each in state.entries.heard.values())
     return _make_share(
         state, now_ms, True, list(state.announced.endpoints), entries, list(state.crashes)
     )
@@ -154,47 +157,45 @@
     names = sorted(state.direct | set(state.urgent))
     crashes = sorted(state.new_crashes)
     renewals = tuple(
-        (name, entry.record.born_ms, entry.record.sequence, now_ms - entry.heard_ms)
+        (name, entry.record.born_ms, entry.record.sequence, round(now_ms - entry.heard_ms))
         for name in sorted(state.renewed)
         if (entry := state.announced.endpoints.get(name)) is not None
     )
     state.direct, state.renewed, state.new_crashes = set(), set(), set()
     state.share_soon = False
-    entries, entry_renewals = _take_entry_news(state, now_ms)
+    entries, entry_renewals, silent_entries = take_entry_news(state.entries, now_ms)
     share = _make_share(state, now_ms, False, names, entries, crashes)
     state.needs_whole = False
-    return replace(share, renewals=renewals, entry_renewals=entry_renewals)
-
-
-def _take_entry_news(
-    state: FleetState, now_ms: float
-) -> tuple[tuple[EntryStatus, ...], tuple[EntryRenewal, ...]]:
-    """Return the entry instances that are new, and what changed of the others."""
-    new: list[EntryStatus] = []
-    renewals: list[EntryRenewal] = []
-    shared: dict[str, int] = {}
-    for name, each in state.entries.items():
-        if not each.direct or now_ms - each.heard_ms >= ENTRY_LIVE_MS:
-            continue
-        status = each.status
-        shared[name] = status.incarnation
-        if state.shared_entries.get(name) != status.incarnation:
-            new.append(_aged(each, now_ms))
-            continue
-        renewals.append(
-            (
-                name,
-                status.incarnation,
-                status.sequence,
-                status.ready,
-                status.stopping,
-                status.route_version,
-                status.in_flight_count,
-                now_ms - each.heard_ms,
-            )
-        )
-    state.shared_entries = shared
-    return tuple(new), tuple(renewals)
+    controls, heard = _take_control_news(state, now_ms, share.controls)
+    return replace(
+        share,
+        renewals=renewals,
+        entry_renewals=entry_renewals,
+        silent_entries=silent_entries,
+        controls=controls,
+        heard=heard,
+    )
+
+
+def _take_control_news(
+    state: FleetState, now_ms: float, controls: tuple[ControlStatus, ...]
+) -> tuple[tuple[ControlStatus, ...], tuple[HeardControl, ...]]:
+    """Divide what other control instances said into what is new and when the rest was heard."""
+    new: list[ControlStatus] = []
+    heard: list[HeardControl] = []
+    shared: dict[str, tuple[ControlStatus, float]] = {}
+    for status in controls:
+        said = replace(status, age_ms=0.0)
+        known, repeat_until_ms = state.shared_controls.get(status.instance, (None, 0.0))
+        if known != said:
+            repeat_until_ms = now_ms + REPEAT_MS
+        shared[status.instance] = (said, repeat_until_ms)
+        if now_ms < repeat_until_ms:
+            new.append(status)
+        else:
+            heard.append((status.instance, status.incarnation, round(status.age_ms)))
+    state.shared_controls = shared
+    return tuple(new), tuple(heard)
 
 
 def _make_share(
@@ -234,10 +235,16 @@
         if status.instance == state.own.instance:
             state.heard_by[sender.instance] = now_ms - status.age_ms
         _merge_control(state, now_ms, status)
+    for name, incarnation, age_ms in share.heard:
+        _renew_control(state, now_ms, sender.instance, (name, incarnation, age_ms))
     for entry in share.entries:
-        _merge_entry(state, now_ms - entry.age_ms, entry, direct=False)
+        merge_entry(state.entries, now_ms - entry.age_ms, entry, sender.instance)
     for renewal in share.entry_renewals:
-        _renew_entry(state, now_ms, renewal)
+        if not renew_entry(state.entries, now_ms, renewal, sender.instance):
+            # The share that told of its start was lost.
+            state.needs_whole = True
+    for silent in share.silent_entries:
+        silence_entry(state.entries, now_ms, silent)
     for heard in share.endpoints:
         merge(state.announced, heard.record, now_ms - heard.age_ms)
     for endpoint, born_ms, sequence, age_ms in share.renewals:
@@ -259,7 +266,8 @@
     document: bytes,
 ) -> FeedReply:
     """Answer an entry instance with what it does not know yet."""
-    _merge_entry(state, now_ms, poll.entry, direct=True)
+    if merge_entry(state.entries, now_ms, poll.entry):
+        state.share_soon = True
     for crash in poll.crashes:
         add_crash(state, now_ms, crash, spread=True)
     known = poll.control_incarnation == state.own.incarnation
@@ -315,9 +323,7 @@
         state.unsettled_since_ms = None
     lapsed = expire(state.announced, now_ms, state.lease_ms) if is_settled(state) else []
     state.urgent = {name: until_ms for name, until_ms in state.urgent.items() if now_ms < until_ms}
-    state.entries = {
-        name: each for name, each in state.entries.items() if now_ms - each.heard_ms < FORGET_MS
-    }
+    forget_entries(state.entries, now_ms, FORGET_MS)
     state.controls = {
         name: each for name, each in state.controls.items() if now_ms - each.heard_ms < FORGET_MS
     }
@@ -360,10 +366,13 @@
 
 def live_entries(state: FleetState, now_ms: float) -> tuple[EntryStatus, ...]:
     """Return the entry instances that were heard of lately."""
+    hearing = {
+        name for name, each in state.controls.items() if now_ms - each.direct_ms < ENTRY_LIVE_MS
+    }
     return tuple(
         each.status
-        for _, each in sorted(state.entries.items())
-        if now_ms - each.heard_ms < ENTRY_LIVE_MS
+        for _, each in sorted(state.entries.heard.items())
+        if is_live(now_ms, each, hearing.__contains__)
     )
 
 
@@ -371,8 +380,8 @@
     """Return the live entry instances that poll this instance."""
     return tuple(
         each.status
-        for each in state.entries.values()
-        if each.direct and now_ms - each.heard_ms < ENTRY_LIVE_MS
+        for each in state.entries.heard.values()
+        if not each.via and now_ms - each.heard_ms < ENTRY_LIVE_MS
     )
 
 
@@ -425,42 +434,15 @@
         state.controls[status.instance] = _HeardControl(status, heard_ms, known.direct_ms)
 
 
-def _merge_entry(state: FleetState, heard_ms: float, status: EntryStatus, direct: bool) -> None:
-    known = state.entries.get(status.instance)
-    if known is None and len(state.entries) >= INSTANCE_LIMIT_COUNT:
+def _renew_control(state: FleetState, now_ms: float, sender: str, heard: HeardControl) -> None:
+    """Take when another control instance heard a third one, or this one."""
+    name, incarnation, age_ms = heard
+    if name == state.own.instance:
+        state.heard_by[sender] = now_ms - age_ms
         return
-    if known is not None:
-        order = (status.incarnation, status.sequence)
-        known_order = (known.status.incarnation, known.status.sequence)
-        if order < known_order or (order == known_order and heard_ms <= known.heard_ms):
-            return
-    if direct and (known is None or _place_of(known.status) != _place_of(status)):
-        state.share_soon = True
-    state.entries[status.instance] = _HeardEntry(replace(status, age_ms=0.0), heard_ms, direct)
-
-
-def _renew_entry(state: FleetState, now_ms: float, renewal: EntryRenewal) -> None:
-    name, incarnation, sequence, ready, stopping, route_version, in_flight_count, age_ms = renewal
-    known = state.entries.get(name)
+    known = state.controls.get(name)
     if known is None or known.status.incarnation < incarnation:
         # The share that told of its start was lost.
         state.needs_whole = True
-    elif known.status.incarnation == incarnation:
-        status = replace(
-            known.status,
-            sequence=sequence,
-            ready=ready,
-            stopping=stopping,
-            route_version=route_version,
-            in_flight_count=in_flight_count,
-        )
-        _merge_entry(state, now_ms - age_ms, status, direct=False)
-
-
-def _place_of(status: EntryStatus) -> tuple[bool, bool, str]:
-    """Return what decides whether callers are sent to an entry instance."""
-    return status.ready, status.stopping, status.caller_address
-
-
-def _aged(heard: _HeardEntry, now_ms: float) -> EntryStatus:
-    return replace(heard.status, age_ms=now_ms - heard.heard_ms)
+    else:
+        _merge_control(state, now_ms, replace(known.status, age_ms=age_ms))
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -375,11 +375,11 @@
             self.push()
         if share.wants_whole and fleet.is_settled(self.fleet) and not share.whole:
             self.peers.send(sender, fleet.whole_share(self.fleet, now_ms))
-        for status in share.controls:
-            silent = status.instance == self.settings.instance and status.age_ms >= RECONNECT_MS
-            if silent:
-                # The sender does not hear what is sent to it.
-                self._reconnect_again(sender, now_ms)
+        ages_ms = {status.instance: status.age_ms for status in share.controls}
+        ages_ms |= {name: age_ms for name, _, age_ms in share.heard}
+        if ages_ms.get(self.settings.instance, 0.0) >= RECONNECT_MS:
+            # The sender does not hear what is sent to it.
+            self._reconnect_again(sender, now_ms)
 
     def _on_poll(self, sender: str, poll: messages.FeedPoll, now_ms: float) -> None:
         self.peers.connect(sender, poll.entry.peer_address)
