--- a/packages/core/src/pistachioloft_core/process/directory.py
+++ b/packages/core/src/pistachioloft_core/process/directory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.rendezvous import rendezvous_weight
+from ..version.route_table import shard_services
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,13 +30,7 @@
     """Return how many entry instances the endpoints' connections can bear, None if any."""
     limits = {rule.service: rule.connection_limit for rule in routes.services}
     # A query uses every endpoint of its shards; other requests spread over their endpoints.
-    shards = {
-        shard
-        for route in routes.routes
-        if route.gather is not None
-        for shard in route.gather.shards
-    }
-    bounds = [limits[shard] for shard in shards if shard in limits]
+    bounds = [limits[shard] for shard in shard_services(routes) if shard in limits]
     if not bounds:
         return None
     return max(1, int(min(bounds) * CONNECTION_PART / CONNECTIONS_PER_ENTRY))
--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -60,10 +60,12 @@
 class HelperTable:
     """Hold the other entry instances that callers are sent to."""
 
-    __slots__ = ('helpers', 'own_instance')
+    __slots__ = ('helpers', 'own_instance', 'own_serves')
 
     def __init__(self) -> None:
         self.own_instance = ''
+        # Callers are sent to this instance as well, so it keeps connections to near endpoints.
+        self.own_serves = True
         self.helpers: dict[str, Helper] = {}
 
 
@@ -97,7 +99,7 @@
     """Replace the helpers; those that stay keep what was learned of them."""
     table.own_instance = own_instance
     named = {place.instance: place.failure_domain for place in places}
-    named.pop(own_instance, None)
+    table.own_serves = named.pop(own_instance, None) is not None
     table.helpers = {
         name: table.helpers.get(name) or Helper(name, domain) for name, domain in named.items()
     }
@@ -110,7 +112,12 @@
     picks: Iterable[Pick],
     random_source: random.Random,
 ) -> QueryPlan:
-    """Choose a helper for each group of shards that is far away or large."""
+    """
+    Choose a helper for each group of shards that is far away or large.
+
+    An instance without callers gives all shards away: the few requests that it gets are not worth
+    connections, of which an endpoint takes only some.
+    """
     domains: defaultdict[str, list[Pick]] = defaultdict(list)
     for pick in picks:
         domains[pick.load.record.failure_domain].append(pick)
@@ -118,11 +125,11 @@
     groups: list[GroupPlan] = []
     for domain, group in sorted(domains.items()):
         helpers = _available(table, now_ms, domain)
-        if domain == own_domain:
+        if domain == own_domain and (table.own_serves or len(group) > OWN_GROUP_COUNT):
             own, given = _divide_near(table, own_domain, helpers, group)
             direct += own
             groups += given
-        elif helpers and len(group) >= SMALLEST_GROUP_COUNT:
+        elif helpers and (len(group) >= SMALLEST_GROUP_COUNT or not table.own_serves):
             random_source.shuffle(helpers)
             helper = min(helpers, key=lambda each: each.open_count)
             groups.append(_make_group(helper, group))
@@ -131,6 +138,19 @@
     return QueryPlan(tuple(direct), tuple(groups))
 
 
+def keeps_warm(table: HelperTable, own_domain: str, domain: str, is_shard: bool) -> bool:
+    """Tell whether this instance opens connections to an endpoint before it needs them."""
+    if not table.own_serves:
+        return False
+    near = domain == own_domain
+    # Shards of another failure domain are asked through a helper there; only hedges are not.
+    return (
+        near
+        or not is_shard
+        or not any(helper.failure_domain == domain for helper in table.helpers.values())
+    )
+
+
 def note_sent(helper: Helper) -> None:
     """Count a group that was sent to a helper."""
     helper.open_count += 1
@@ -176,8 +196,10 @@
     if len(group) <= OWN_GROUP_COUNT or not available:
         return group, []
     names = [name for name, each in table.helpers.items() if each.failure_domain == own_domain]
-    member_count = min(len(names) + 1, -(-len(group) // NEAR_GROUP_COUNT))
-    members = sorted([*names, table.own_instance])[:member_count]
+    if table.own_serves:
+        names.append(table.own_instance)
+    member_count = min(len(names), -(-len(group) // NEAR_GROUP_COUNT))
+    members = sorted(names)[:member_count]
     parts: defaultdict[str, list[Pick]] = defaultdict(list)
     for pick in group:
         parts[members[pick.position % member_count]].append(pick)
@@ -186,8 +208,10 @@
     homeless = [pick for name in parts if name not in present for pick in parts[name]]
     given = {name: part for name, part in parts.items() if name in present}
     # What a silent helper would ask for is spread over the others.
+    receivers = list(given.values())
+    if table.own_serves or not receivers:
+        receivers.insert(0, own)
     for number, pick in enumerate(homeless):
-        receivers = [own, *given.values()]
         receivers[number % len(receivers)].append(pick)
     return own, [_make_group(present[name], part) for name, part in sorted(given.items())]
 
--- a/packages/core/src/pistachioloft_core/version/route_table.py
+++ b/packages/core/src/pistachioloft_core/version/route_table.py
@@ -56,6 +56,12 @@
     return tuple(part.service for part in route.services)
 
 
+def shard_services(routes: RouteSet) -> frozenset[str]:
+    """Return the services that are shards of a query."""
+    gathers = (route.gather for route in routes.routes if route.gather is not None)
+    return frozenset(shard for gather in gathers for shard in gather.shards)
+
+
 def check_routes(routes: RouteSet) -> tuple[str, ...]:
     """Return every mistake of a set of routes, none if it can be put in force."""
     known = {rule.service for rule in routes.services}
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -12,14 +12,14 @@
 from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults
 from pistachioloft_core.process import endpoint_table, feed
 from pistachioloft_core.process.crash_watch import on_reports
-from pistachioloft_core.request.relay import set_helpers
+from pistachioloft_core.request.relay import keeps_warm, set_helpers
 from pistachioloft_core.request.routed_state import (
     RoutedState,
     SharedLimits,
     set_entry_count,
     set_routes,
 )
-from pistachioloft_core.version.route_table import RouteTable, used_services
+from pistachioloft_core.version.route_table import RouteTable, shard_services, used_services
 
 from .control_calls import CheckReadiness, Done
 from .descriptors import descriptor_shares
@@ -343,10 +343,13 @@
         if routes is None:
             return
         used = {name for route in routes.routes.routes for name in used_services(route)}
+        shards = shard_services(routes.routes)
+        own_domain, helpers = self.settings.failure_domain, self.requests.helpers
         for endpoint in endpoints:
             load = self.state.table.endpoints.get(endpoint)
             if load is not None and load in self.state.table.usable(load.record.service):
-                if self.chosen and load.record.service in used:
+                service, domain = load.record.service, load.record.failure_domain
+                if service in used and keeps_warm(helpers, own_domain, domain, service in shards):
                     self.requests.pool.warm(load.record)
             else:
                 self.requests.pool.forget(endpoint)
