--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -21,6 +21,9 @@
 OWN_GROUP_COUNT = 20
 # Groups near an instance are not smaller than this on the average: each is one more message.
 NEAR_GROUP_COUNT = 10
+# A new connection holds a slot of its endpoint for about 6 ms. Where no more entry instances than
+# this open one at the same time, two slots are busy for 24 ms, less than a hedge waits.
+WARM_ENTRY_COUNT = 8
 # A helper that sent nothing of a group in time is left alone for this time, then tried again.
 SUSPEND_MS = 2_000.0
 # The way to a helper and back with its waiting at both ends, and how much that varies, until
@@ -142,8 +145,9 @@
     """Tell whether this instance opens connections to an endpoint before it needs them."""
     if not table.own_serves:
         return False
-    near = domain == own_domain
-    # Shards of another failure domain are asked through a helper there; only hedges are not.
+    near = domain == own_domain or len(table.helpers) < WARM_ENTRY_COUNT
+    # Shards of another failure domain are asked through a helper there; only hedges and groups
+    # of one or two are not.
     return (
         near
         or not is_shard
