Ask the only endpoint of a shard again through its new owner

Change: that refusal has a detail of its own, says nothing about the endpoint, costs no budget and lets it be asked again; an instance that is asked after it lost an endpoint passes the attempt on already. Ruled out: the choice of the version; every plan in that stretch had all 8 shards.

--- a/packages/core/src/pistachioloft_core/connection/owner.py
+++ b/packages/core/src/pistachioloft_core/connection/owner.py
@@ -7,6 +7,7 @@
 
 from ..messages.endpoint import STATUS_FAILED, STATUS_NOT_STARTED, STATUS_OK
 from ..messages.peer import (
+    DETAIL_NOT_OWNED,
     OUTCOME_FAILED,
     OUTCOME_NOT_STARTED,
     OUTCOME_OK,
@@ -275,7 +276,7 @@
         results.refuse_queued(state, endpoint, now_ms, queued, detail, actions)
     silence.check(state, endpoint, now_ms, actions)
     if not endpoint_state.accepts_work(endpoint):
-        detail = 'the endpoint is draining' if endpoint.draining else 'no longer owned'
+        detail = 'the endpoint is draining' if endpoint.draining else DETAIL_NOT_OWNED
         results.refuse_all(state, endpoint, now_ms, detail, actions)
     pool.maintain(state, endpoint, now_ms, actions)
     dispatch.dispatch(state, endpoint, now_ms, actions)
--- a/packages/core/src/pistachioloft_core/request/observe.py
+++ b/packages/core/src/pistachioloft_core/request/observe.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..messages.peer import OUTCOME_NOT_STARTED
+from ..messages.peer import DETAIL_NOT_OWNED, OUTCOME_NOT_STARTED
 from ..process.latency import service_latency
 from ..process.observed import (
     mark_slow,
@@ -57,7 +57,7 @@
     observed = routing.observed
     if result.draining:
         record_draining(observed, name)
-    if result.detail.startswith(DETAIL_NOT_HELD):
+    if result.detail.startswith((DETAIL_NOT_HELD, DETAIL_NOT_OWNED)):
         return
     if result.crashed:
         record_lost(observed, name, owner, now_ms)
--- a/packages/core/src/pistachioloft_core/request/query.py
+++ b/packages/core/src/pistachioloft_core/request/query.py
@@ -8,7 +8,12 @@
 from ..codec import content_digest
 from ..errors import ResultCode, RunStatus
 from ..messages.crash import SuccessReport
-from ..messages.peer import OUTCOME_NOT_STARTED, OUTCOME_OK, OUTCOME_UNKNOWN
+from ..messages.peer import (
+    DETAIL_NOT_OWNED,
+    OUTCOME_NOT_STARTED,
+    OUTCOME_OK,
+    OUTCOME_UNKNOWN,
+)
 from ..process.latency import service_latency
 from ..process.suspects import Standing, on_success, standing
 from ..version.snapshot import find_version
@@ -170,7 +175,11 @@
     if result.crashed:
         query.crash_count += 1
         attempt.family.crash_count += 1
-    if result.retry_after_ms is not None:
+    if result.detail.startswith(DETAIL_NOT_OWNED):
+        # It waited at the owner before; the endpoint may be the only one that has the shards.
+        attempt.family.allow_again(result.endpoint)
+        attempt.family.free_retry = True
+    elif result.retry_after_ms is not None:
         query.retry_after_ms = max(query.retry_after_ms or 0, result.retry_after_ms)
     elif not result.handed_over:
         attempt.family.free_retry = True
--- a/tests/test_request/test_query.py
+++ b/tests/test_request/test_query.py
@@ -8,6 +8,7 @@
 
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.endpoint import ShardRows
+from pistachioloft_core.messages.peer import DETAIL_NOT_OWNED
 from pistachioloft_core.request.query import cancel_query
 from pistachioloft_core.version.snapshot import build_view
 from tests.test_request.request_support import QueryRun, make_routing
@@ -120,3 +121,21 @@
         run.answer(attempt)
     assert run.reply.result_code is ResultCode.COMPLETE
     assert routing.budget.extra_count == 0
+
+
+def test_only_endpoint_of_a_shard_is_asked_again_through_its_new_owner() -> None:
+    """Guard against a partial answer because an endpoint changed its owner meanwhile."""
+    accepted, endpoints = make_cluster()
+    alone = tuple({each.service: each for each in endpoints}.values())
+    routing = make_routing(accepted, alone)
+    routing.budget.balance = 0.0
+    run = QueryRun(routing)
+    first_tries = list(run.attempts)
+    moved, *others = first_tries
+    for attempt in others:
+        run.answer(attempt)
+    run.fail(moved, 'not_started', handed_over=False, detail=DETAIL_NOT_OWNED, retry_after_ms=50)
+    (again,) = run.attempts[len(first_tries) :]
+    assert again.endpoint == moved.endpoint
+    run.answer(again)
+    assert run.reply.result_code is ResultCode.COMPLETE
