--- a/packages/daemon/src/pistachioloft_daemon/loop_timers.py
+++ b/packages/daemon/src/pistachioloft_daemon/loop_timers.py
@@ -68,5 +68,8 @@
     def _fire(self) -> None:
         self.handle = None
         self.handle_due_ms = float('inf')
-        run_due(self.service, monotonic_ms())
-        self._arm()
+        try:
+            run_due(self.service, monotonic_ms())
+        finally:
+            # A callback that fails is logged by the loop; the timers after it still run.
+            self._arm()
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -200,6 +200,9 @@
 
     def _check_silent(self, now_ms: float) -> None:
         for relay_id, given in list(self.given.items()):
+            if self.given.get(relay_id) is not given:
+                # The query of a silent group before it gave up and withdrew its other groups.
+                continue
             name = given.helper.instance
             if now_ms >= given.late_at_ms:
                 given.late_at_ms = float('inf')
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.messages.fleet import Place
@@ -327,3 +328,27 @@
         assert pair.asking.answers() == []
 
     run(play)
+
+
+def test_a_silent_helper_may_end_the_other_groups_of_its_query() -> None:
+    """Guard against a check of silent helpers that fails half way."""
+
+    async def play(pair: Pair) -> None:
+        pair.asking.connected = False
+        pair.give()
+        pair.give()
+        pair.give()
+        relays = pair.asking.relays
+        lost: list[list[str]] = []
+
+        def give_up(request: InFlight, services: list[str], _reason: str) -> None:
+            lost.append(services)
+            relays.withdraw(request, 0.0)
+
+        relays.hooks = replace(relays.hooks, lost=give_up)
+        relays._check_silent(monotonic_ms() + 10_000.0)
+        assert len(lost) == 1
+        assert relays.given == {}
+        assert pair.helper.open_count == 0
+
+    run(play)
