--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -59,6 +59,7 @@
     'relay': (
         'RelayRequest',
         'RelayResults',
+        'RelayTried',
         'RelayCancel',
     ),
     'agreement': (
--- a/packages/core/src/pistachioloft_core/connection/dialing.py
+++ b/packages/core/src/pistachioloft_core/connection/dialing.py
@@ -7,16 +7,22 @@
 DIAL_PATIENCE_MS = 250.0
 # A peer that stays away is dialled at this interval in the end.
 DIAL_PATIENCE_LIMIT_MS = 2_000.0
+# A peer whose connection broke has ended if no new one comes about in this time: one that runs is
+# dialled after 20 ms and answers within a round trip.
+LEFT_AFTER_MS = 40.0
 
 
 class DialState:
     """Hold how long each peer has not been connected."""
 
-    __slots__ = ('patience_ms', 'since_ms')
+    __slots__ = ('broken_ms', 'connected', 'patience_ms', 'since_ms')
 
     def __init__(self) -> None:
         self.since_ms: dict[str, float] = {}
         self.patience_ms: dict[str, float] = {}
+        self.connected: set[str] = set()
+        # Since when those that were connected are not.
+        self.broken_ms: dict[str, float] = {}
 
 
 def must_dial_again(state: DialState, now_ms: float, peer: str, connected: bool) -> bool:
@@ -32,7 +38,28 @@
     return True
 
 
+def has_left(state: DialState, now_ms: float, peer: str, connected: bool) -> bool:
+    """Tell once that a peer that was connected has ended."""
+    if connected:
+        state.connected.add(peer)
+        state.broken_ms.pop(peer, None)
+        return False
+    if peer not in state.connected:
+        return False
+    if now_ms - state.broken_ms.setdefault(peer, now_ms) < LEFT_AFTER_MS:
+        return False
+    state.connected.discard(peer)
+    del state.broken_ms[peer]
+    return True
+
+
 def forget_peer(state: DialState, peer: str) -> None:
     """Forget a peer that is connected or not wanted any more."""
     state.since_ms.pop(peer, None)
     state.patience_ms.pop(peer, None)
+
+
+def forget_connection(state: DialState, peer: str) -> None:
+    """Forget a connection that is closed from here."""
+    state.connected.discard(peer)
+    state.broken_ms.pop(peer, None)
--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -45,6 +45,13 @@
     refused: bool = False
 
 
+class RelayTried(Struct, frozen=True, array_like=True):
+    """Tell that a shard of a group was sent to a second endpoint."""
+
+    relay_id: str
+    service: str
+
+
 class RelayCancel(Struct, frozen=True, array_like=True):
     """Withdraw a group whose replies are no longer needed."""
 
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -28,7 +28,7 @@
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from ..connection.endpoint_load import EndpointLoad
     from ..messages.routes import Gather, Route
@@ -213,7 +213,7 @@
 
 
 def on_group_lost(now_ms: float, query: GatherState, services: Iterable[str]) -> list[RoutedAction]:
-    """Count out shards whose helper is silent or got no reply for them."""
+    """Count out shards whose helper got no reply for them."""
     if query.done:
         return []
     for service in services:
@@ -226,6 +226,26 @@
     return _conclude(now_ms, query)
 
 
+def on_helper_lost(
+    state: RoutedState,
+    now_ms: float,
+    query: GatherState,
+    services: Iterable[str],
+    tried_twice: Container[str],
+) -> list[RoutedAction]:
+    """Ask from here for shards of a helper that is gone, as far as tries are left."""
+    if query.done:
+        return []
+    actions: list[RoutedAction] = []
+    for service in services:
+        shard = query.by_service[service]
+        shard.given = False
+        # The helper sent its first try as it got the group, and said so of each further one.
+        shard.run_count = query.route.attempt_limit if service in tried_twice else 1
+        actions += _retry(state, now_ms, query, shard, free=False)
+    return actions + _conclude(now_ms, query)
+
+
 def on_attempt_end(
     state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, end: AttemptEnd
 ) -> list[RoutedAction]:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -9,7 +9,7 @@
 
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
-from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults
+from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults, RelayTried
 from pistachioloft_core.process import endpoint_table, feed
 from pistachioloft_core.process.crash_watch import on_reports
 from pistachioloft_core.request.relay import keeps_warm, set_helpers
@@ -96,6 +96,7 @@
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, source)
         self.requests.report_crashes = self._report_crashes
         self.requests.feed_age_ms = self._stale_ms
+        self.peers.on_left = self.requests.relays.on_peer_left
         self.stopping = False
         self.chosen = False
         self.chosen_places: tuple[Place, ...] = ()
@@ -264,6 +265,8 @@
                 self.requests.relays.on_request(sender, message)
             case RelayResults():
                 self.requests.relays.on_results(message)
+            case RelayTried():
+                self.requests.relays.on_tried(message)
             case RelayCancel():
                 self.requests.relays.on_cancel(sender, message)
 
--- a/packages/daemon/src/pistachioloft_daemon/peers.py
+++ b/packages/daemon/src/pistachioloft_daemon/peers.py
@@ -10,7 +10,13 @@
 import pynng
 
 from pistachioloft_core.codec import decode_peer, encode_peer
-from pistachioloft_core.connection.dialing import DialState, forget_peer, must_dial_again
+from pistachioloft_core.connection.dialing import (
+    DialState,
+    forget_connection,
+    forget_peer,
+    has_left,
+    must_dial_again,
+)
 from pistachioloft_core.errors import CodedError
 
 logger = logging.getLogger(__name__)
@@ -25,8 +31,8 @@
 RECONNECT_LIMIT_MS = 100
 # More than this are read in the next turn of the loop, so that timers are not held up.
 RECEIVE_BATCH_COUNT = 32
-# Twice in the time for which a dial is waited for.
-DIAL_CHECK_MS = 100.0
+# A connection that broke is seen in this time, and a peer that ended in twice this time.
+DIAL_CHECK_MS = 50.0
 
 PeerHandler = Callable[[str, Any], None]
 
@@ -46,6 +52,8 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.dropped_count = 0
+        # Is told of peers whose process has ended, as far as a broken connection shows it.
+        self.on_left: Callable[[str], None] = lambda _peer: None
 
     def start(self) -> None:
         """Listen and begin to receive."""
@@ -69,6 +77,7 @@
         """Replace the connection to a peer by a new one."""
         sender = self.senders.pop(peer, None)
         if sender is not None:
+            forget_connection(self.dials, peer)
             sender.close()
             self._dial(peer)
 
@@ -76,13 +85,17 @@
         """Close the connection to a peer."""
         self.addresses.pop(peer, None)
         forget_peer(self.dials, peer)
+        forget_connection(self.dials, peer)
         sender = self.senders.pop(peer, None)
         if sender is not None:
             sender.close()
 
     def check_dials(self, now_ms: float) -> None:
-        """Dial peers anew whose connection does not come about."""
+        """Dial peers anew whose connection does not come about, and tell of those that ended."""
         for peer, sender in list(self.senders.items()):
+            if has_left(self.dials, now_ms, peer, bool(sender.pipes)):
+                logger.info('%s connection lost: instance=%s', PREFIX, peer)
+                self.on_left(peer)
             if must_dial_again(self.dials, now_ms, peer, bool(sender.pipes)):
                 logger.info('%s dialling again: instance=%s', PREFIX, peer)
                 self.reconnect(peer)
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -12,6 +12,7 @@
     RelayedReply,
     RelayRequest,
     RelayResults,
+    RelayTried,
 )
 from pistachioloft_core.request import relay
 from pistachioloft_core.request.records import greatest_records
@@ -51,6 +52,8 @@
     replied: Callable[[InFlight, Replies], None]
     lost: Callable[[InFlight, list[str], str], None]
     refused: Callable[[InFlight, list[str]], None]
+    # The same of a helper that is gone, with those that it sent to a second endpoint.
+    gone: Callable[[InFlight, list[str], set[str], str], None]
     # For the helper: asks for the shards of a group, or returns None if it can't.
     begin: Callable[[RelayedGroup], InFlight | None]
     withdraw: Callable[[InFlight], None]
@@ -67,6 +70,7 @@
         'sent_ms',
         'services',
         'silent_at_ms',
+        'tried_twice',
     )
 
     def __init__(
@@ -76,6 +80,8 @@
         self.in_flight = in_flight
         # Those without a reply so far.
         self.services = services
+        # Those that the helper sent to a second endpoint.
+        self.tried_twice: set[str] = set()
         self.sent_ms = sent_ms
         self.heard = False
         # When something should have come, and when the group is given up if nothing has.
@@ -210,18 +216,39 @@
                 logger.info('%s helper late: instance=%s relay=%s', PREFIX, name, relay_id)
             if now_ms < given.silent_at_ms:
                 continue
-            del self.given[relay_id]
-            relay.note_silent(given.helper, now_ms)
             # What waits for a connection that does not work would come late.
             self.hooks.reconnect(name)
-            logger.warning(
-                '%s helper silent: instance=%s relay=%s request=%s',
-                PREFIX,
-                name,
-                relay_id,
-                given.in_flight.routed.request_id,
-            )
-            self.hooks.lost(given.in_flight, sorted(given.services), f'helper {name} is silent')
+            self._give_up(now_ms, relay_id, given, 'silent')
+
+    def on_peer_left(self, instance: str) -> None:
+        """Give up the groups of a helper whose process has ended."""
+        now_ms = monotonic_ms()
+        for relay_id, given in list(self.given.items()):
+            if given.helper.instance == instance and self.given.get(relay_id) is given:
+                self._give_up(now_ms, relay_id, given, 'gone')
+
+    def _give_up(self, now_ms: float, relay_id: str, given: GivenGroup, why: str) -> None:
+        del self.given[relay_id]
+        relay.note_silent(given.helper, now_ms)
+        name = given.helper.instance
+        logger.warning(
+            '%s helper %s: instance=%s relay=%s request=%s',
+            PREFIX,
+            why,
+            name,
+            relay_id,
+            given.in_flight.routed.request_id,
+        )
+        # One that still runs must not try its shards beside this instance.
+        self.hooks.send(name, RelayCancel(relay_id))
+        detail = f'helper {name} is {why}'
+        self.hooks.gone(given.in_flight, sorted(given.services), given.tried_twice, detail)
+
+    def on_tried(self, tried: RelayTried) -> None:
+        """Take note that a helper sent a shard to a second endpoint."""
+        given = self.given.get(tried.relay_id)
+        if given is not None:
+            given.tried_twice.add(tried.service)
 
     # Groups that this instance asks for.
 
@@ -257,6 +284,10 @@
             if group.in_flight is not None:
                 self.hooks.withdraw(group.in_flight)
 
+    def tell_tried(self, group: RelayedGroup, service: str) -> None:
+        """Tell the instance that asks that a shard is sent to a second endpoint."""
+        self.hooks.send(group.sender, RelayTried(group.request.relay_id, service))
+
     def on_progress(self, group: RelayedGroup, state: GatherState) -> None:
         """Send the replies that came after the flush."""
         if group.flushed:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -130,6 +130,7 @@
                 self._on_group_replies,
                 self._on_group_lost,
                 self._on_group_refused,
+                self._on_helper_gone,
                 self._begin_group,
                 self._withdraw_group,
             ),
@@ -296,6 +297,17 @@
             log_note(in_flight, Note('group lost', f'{reason}: {",".join(services)}'))
         self._carry_out(now_ms, in_flight, gather.on_group_lost(now_ms, state, services))
 
+    def _on_helper_gone(
+        self, in_flight: InFlight, services: list[str], tried_twice: set[str], reason: str
+    ) -> None:
+        now_ms = monotonic_ms()
+        state = in_flight.query
+        if not state.done:
+            log_note(in_flight, Note('group lost', f'{reason}: {",".join(services)}'))
+        actions = gather.on_helper_lost(self.state, now_ms, state, services, tried_twice)
+        self._carry_out(now_ms, in_flight, actions)
+        self._arm(now_ms, in_flight)
+
     def _on_group_refused(self, in_flight: InFlight, services: list[str]) -> None:
         now_ms = monotonic_ms()
         state = in_flight.query
@@ -408,6 +420,10 @@
         attempt = action.attempt
         self.owner_of[attempt.attempt_id] = in_flight
         endpoint = attempt.load.record.endpoint
+        if in_flight.group is not None:
+            shard = in_flight.query.by_service[attempt.service]
+            if shard.run_count > 1:
+                self.relays.tell_tried(in_flight.group, attempt.service)
         data = self.wire.encode_attempt(in_flight.routed, endpoint, action.time_left_ms)
         self.pool.send(attempt, data)
 
--- a/tests/test_link/test_dialing.py
+++ b/tests/test_link/test_dialing.py
@@ -9,7 +9,9 @@
     DIAL_PATIENCE_LIMIT_MS,
     DIAL_PATIENCE_MS,
     DialState,
+    forget_connection,
     forget_peer,
+    has_left,
     must_dial_again,
 )
 from pistachioloft_daemon import peers
@@ -88,3 +90,24 @@
     assert here.senders['10.0.0.2'] is working
     assert here.senders['10.0.0.3'] is FakeSender.made[-1]
     assert len(FakeSender.made) == 3
+
+
+def test_a_peer_that_ended_is_told_once() -> None:
+    """Guard against work that waits for a process that is gone, or is given up with a reset."""
+    state = DialState()
+    assert not has_left(state, 0.0, 'b', False)
+    assert not has_left(state, 50.0, 'b', True)
+    # A reset: the next check finds a new connection.
+    assert not has_left(state, 100.0, 'b', False)
+    assert not has_left(state, 150.0, 'b', True)
+    assert [has_left(state, 200.0 + step, 'b', False) for step in (0.0, 50.0, 100.0, 150.0)] == [
+        False,
+        True,
+        False,
+        False,
+    ]
+    assert not has_left(state, 400.0, 'b', True)
+    # Replaced from here: nobody ended.
+    forget_connection(state, 'b')
+    assert not has_left(state, 500.0, 'b', False)
+    assert not has_left(state, 600.0, 'b', False)
