--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -24,6 +24,9 @@
 # A new connection holds a slot of its endpoint for about 6 ms. Where no more entry instances than
 # this open one at the same time, two slots are busy for 24 ms, less than a hedge waits.
 WARM_ENTRY_COUNT = 8
+# While instances start together, each of them is among those with callers for a moment. None opens
+# connections before its part has been the same for two polls.
+SETTLED_AFTER_MS = 600.0
 # A helper that sent nothing of a group in time is left alone for this time, then tried again.
 SUSPEND_MS = 2_000.0
 # The way to a helper and back with its waiting at both ends, and how much that varies, until
@@ -63,12 +66,14 @@
 class HelperTable:
     """Hold the other entry instances that callers are sent to."""
 
-    __slots__ = ('helpers', 'own_instance', 'own_serves')
+    __slots__ = ('changed_ms', 'helpers', 'own_instance', 'own_serves')
 
     def __init__(self) -> None:
+        # When the part of this instance changed last.
+        self.changed_ms = float('-inf')
         self.own_instance = ''
         # Callers are sent to this instance as well, so it keeps connections to near endpoints.
-        self.own_serves = True
+        self.own_serves = False
         self.helpers: dict[str, Helper] = {}
 
 
@@ -98,14 +103,25 @@
     groups: tuple[GroupPlan, ...]
 
 
-def set_helpers(table: HelperTable, places: Iterable[Place], own_instance: str) -> None:
+def set_helpers(
+    table: HelperTable, places: Iterable[Place], own_instance: str, now_ms: float = float('-inf')
+) -> None:
     """Replace the helpers; those that stay keep what was learned of them."""
+    before = _part_of(table)
     table.own_instance = own_instance
     named = {place.instance: place.failure_domain for place in places}
     table.own_serves = named.pop(own_instance, None) is not None
     table.helpers = {
         name: table.helpers.get(name) or Helper(name, domain) for name, domain in named.items()
     }
+    if _part_of(table) != before:
+        table.changed_ms = now_ms
+
+
+def _part_of(table: HelperTable) -> tuple[bool, bool, frozenset[str]]:
+    """Return what decides which connections an instance opens before it needs them."""
+    domains = frozenset(helper.failure_domain for helper in table.helpers.values())
+    return table.own_serves, len(table.helpers) < WARM_ENTRY_COUNT, domains
 
 
 def plan_query(
@@ -141,9 +157,11 @@
     return QueryPlan(tuple(direct), tuple(groups))
 
 
-def keeps_warm(table: HelperTable, own_domain: str, domain: str, is_shard: bool) -> bool:
+def keeps_warm(
+    table: HelperTable, now_ms: float, own_domain: str, domain: str, is_shard: bool
+) -> bool:
     """Tell whether this instance opens connections to an endpoint before it needs them."""
-    if not table.own_serves:
+    if not table.own_serves or now_ms - table.changed_ms < SETTLED_AFTER_MS:
         return False
     near = domain == own_domain or len(table.helpers) < WARM_ENTRY_COUNT
     # Shards of another failure domain are asked through a helper there; only hedges and groups
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -12,7 +12,7 @@
 from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults, RelayTried
 from pistachioloft_core.process import endpoint_table, feed
 from pistachioloft_core.process.crash_watch import on_reports
-from pistachioloft_core.request.relay import keeps_warm, set_helpers
+from pistachioloft_core.request.relay import SETTLED_AFTER_MS, keeps_warm, set_helpers
 from pistachioloft_core.request.routed_state import (
     RoutedState,
     SharedLimits,
@@ -100,6 +100,8 @@
         self.stopping = False
         self.chosen = False
         self.chosen_places: tuple[Place, ...] = ()
+        # When connections were opened for the part that this instance has.
+        self.warmed_ms = 0.0
         self.callers = HttpServer(
             settings.caller_address,
             self.requests.handle,
@@ -249,6 +251,10 @@
     def _check_endpoints(self, now_ms: float) -> None:
         self.requests.pool.close_aged()
         self.requests.forget_crashes(now_ms)
+        changed_ms = self.requests.helpers.changed_ms
+        if changed_ms > self.warmed_ms and now_ms - changed_ms >= SETTLED_AFTER_MS:
+            self.warmed_ms = now_ms
+            self._update_connections(list(self.state.table.endpoints))
         self._note_changes(endpoint_table.withdraw_silent(self.state.table, now_ms))
 
     def _note_changes(self, changes: list[endpoint_table.EndpointChange]) -> None:
@@ -303,22 +309,21 @@
         if reply.whole and reply.settled:
             changes += endpoint_table.keep_only(table, reply.endpoints)
         self._note_changes(changes)
-        self._note_chosen(reply.chosen)
+        self._note_chosen(now_ms, reply.chosen)
 
-    def _note_chosen(self, chosen: tuple[Place, ...]) -> None:
+    def _note_chosen(self, now_ms: float, chosen: tuple[Place, ...]) -> None:
         """Divide connections and budgets among the instances that get callers."""
         was_chosen = self.chosen
         self.chosen = any(place.instance == self.settings.instance for place in chosen)
         if chosen != self.chosen_places:
             self.chosen_places = chosen
-            set_helpers(self.requests.helpers, chosen, self.settings.instance)
+            set_helpers(self.requests.helpers, chosen, self.settings.instance, now_ms)
             for place in chosen if self.chosen else ():
                 self._connect_entry(place.instance)
         # An instance without callers still answers who comes, with one share more.
         set_entry_count(self.state, len(chosen) + (0 if self.chosen else 1))
         if self.chosen != was_chosen:
             logger.info('[placement] callers are sent here: %s', self.chosen)
-            self._update_connections(list(self.state.table.endpoints))
 
     def _adopt(self, version: int, document: bytes) -> None:
         routes = self.state.routes
@@ -348,11 +353,13 @@
         used = {name for route in routes.routes.routes for name in used_services(route)}
         shards = shard_services(routes.routes)
         own_domain, helpers = self.settings.failure_domain, self.requests.helpers
+        now_ms = monotonic_ms()
         for endpoint in endpoints:
             load = self.state.table.endpoints.get(endpoint)
             if load is not None and load in self.state.table.usable(load.record.service):
                 service, domain = load.record.service, load.record.failure_domain
-                if service in used and keeps_warm(helpers, own_domain, domain, service in shards):
+                is_shard = service in shards
+                if service in used and keeps_warm(helpers, now_ms, own_domain, domain, is_shard):
                     self.requests.pool.warm(load.record)
             else:
                 self.requests.pool.forget(endpoint)
--- a/tests/test_relay/test_plan.py
+++ b/tests/test_relay/test_plan.py
@@ -171,9 +171,30 @@
 
 def test_connections_are_kept_warm_where_they_are_used() -> None:
     """Guard against connections of every instance to every endpoint after each change."""
-    assert relay.keeps_warm(HELPERS, 'a', 'a', is_shard=True)
-    assert relay.keeps_warm(HELPERS, 'a', 'b', is_shard=False)
+    assert relay.keeps_warm(HELPERS, 0.0, 'a', 'a', is_shard=True)
+    assert relay.keeps_warm(HELPERS, 0.0, 'a', 'b', is_shard=False)
     # Shards there are asked through a helper, or directly if there is none.
-    assert not relay.keeps_warm(HELPERS, 'a', 'b', is_shard=True)
-    assert relay.keeps_warm(HELPERS, 'a', 'c', is_shard=True)
-    assert not relay.keeps_warm(table(('b1', 'b')), 'a', 'a', is_shard=True)
+    assert not relay.keeps_warm(HELPERS, 0.0, 'a', 'b', is_shard=True)
+    assert relay.keeps_warm(HELPERS, 0.0, 'a', 'c', is_shard=True)
+    assert not relay.keeps_warm(table(('b1', 'b')), 0.0, 'a', 'a', is_shard=True)
+
+
+def test_instances_that_start_together_open_no_connections_meanwhile() -> None:
+    """Guard against a fleet that dials every endpoint as each instance is chosen for a moment."""
+    made = relay.HelperTable()
+    members = [
+        Place('own', 'a'),
+        *(Place(f'{domain}{n}', domain) for n in range(9) for domain in 'ab'),
+    ]
+    for number in range(1, len(members) + 1):
+        relay.set_helpers(made, members[:number], 'own', number * 20.0)
+        assert not relay.keeps_warm(made, number * 20.0, 'a', 'a', is_shard=True)
+    # It is not among them in the end, or is with a part that stays.
+    settled_ms = number * 20.0 + relay.SETTLED_AFTER_MS
+    assert relay.keeps_warm(made, settled_ms, 'a', 'a', is_shard=True)
+    relay.set_helpers(made, members[1:], 'own', settled_ms)
+    assert not relay.keeps_warm(made, settled_ms + 10_000.0, 'a', 'a', is_shard=True)
+    # The loss of one of many changes nothing.
+    relay.set_helpers(made, members, 'own', 20_000.0)
+    relay.set_helpers(made, members[:-1], 'own', 30_000.0)
+    assert relay.keeps_warm(made, 30_000.0, 'a', 'a', is_shard=True)
