Save a departure of an endpoint at once

Change: an endpoint that drains or left is written with the next share; new ones still wait for the interval. Ruled out: acknowledging after the write, which makes each drain wait for two syncs of a disk that may hang.

--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -268,7 +268,12 @@
         if fleet.tick(self.fleet, now_ms, self.confirmed()):
             self.push()
         revision = self.fleet.announced.revision
-        self.memory.save_if_due(now_ms, revision, lambda: fleet.known_records(self.fleet))
+        self.memory.save_if_due(
+            now_ms,
+            revision,
+            lambda: fleet.known_records(self.fleet),
+            lambda since: fleet.has_urgent_change(self.fleet, since),
+        )
         share = fleet.take_news(self.fleet, now_ms)
         for peer in self._connect_peers(now_ms):
             self.peers.send(peer, share)
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_memory.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_memory.py
@@ -57,10 +57,13 @@
         now_ms: float,
         revision: int,
         known_records: Callable[[], tuple[AnnouncedEndpoint, ...]],
+        has_urgent_change: Callable[[int], bool],
     ) -> None:
-        """Write the endpoints if they changed, at most once an interval."""
+        """Write the endpoints if they changed: at most once an interval, or at once if one left."""
         busy = self.task is not None and not self.task.done()
-        if busy or revision == self.saved_revision or now_ms < self.next_save_ms:
+        if busy or revision == self.saved_revision:
+            return
+        if now_ms < self.next_save_ms and not has_urgent_change(self.saved_revision):
             return
         self.saved_revision = revision
         self.next_save_ms = now_ms + SAVE_INTERVAL_MS
--- a/tests/test_fleet/test_endpoint_memory.py
+++ b/tests/test_fleet/test_endpoint_memory.py
@@ -24,7 +24,7 @@
 def save(folder: Path, records: tuple[AnnouncedEndpoint, ...]) -> None:
     async def whole() -> None:
         memory = EndpointMemory(folder)
-        memory.save_if_due(0.0, 1, lambda: records)
+        memory.save_if_due(0.0, 1, lambda: records, lambda _since: False)
         assert memory.task is not None
         await memory.task
 
@@ -61,3 +61,54 @@
     """Guard against a full disk that stops an instance which could go on."""
     (tmp_path / 'file').write_text('')
     save(tmp_path / 'file', (READY,))
+
+
+def test_an_endpoint_that_left_is_not_used_again_after_a_loss_of_power(tmp_path: Path) -> None:
+    """Guard against a departure that was acknowledged just before all instances lost power."""
+
+    async def play() -> None:
+        own = ControlStatus('10.0.0.1', 2, 'a', '')
+        state = fleet.FleetState(own, 1_200.0, 0.0)
+        memory = EndpointMemory(tmp_path)
+
+        async def save_at(now_ms: float) -> None:
+            memory.save_if_due(
+                now_ms,
+                state.announced.revision,
+                lambda: fleet.known_records(state),
+                lambda since: fleet.has_urgent_change(state, since),
+            )
+            assert memory.task is not None
+            await memory.task
+
+        fleet.on_announcement(state, 0.0, READY)
+        await save_at(0.0)
+        fleet.on_departure(state, 100.0, 'i-1', READY.born_ms, READY.born_ms)
+        await save_at(fleet.SHARE_INTERVAL_MS)
+
+    asyncio.run(play())
+    restarted = fleet.FleetState(ControlStatus('10.0.0.1', 3, 'a', ''), 1_200.0, 0.0)
+    fleet.restore(restarted, 0.0, EndpointMemory(tmp_path).load())
+    (record,) = fleet.known_records(restarted)
+    assert record.standing == STANDING_LEFT
+
+
+def test_new_endpoints_are_saved_once_an_interval(tmp_path: Path) -> None:
+    """Guard against two syncs for each endpoint of hundreds that start together."""
+
+    async def play() -> None:
+        memory = EndpointMemory(tmp_path)
+        writes = 0
+
+        def records() -> tuple[AnnouncedEndpoint, ...]:
+            nonlocal writes
+            writes += 1
+            return (READY,)
+
+        for now_ms in range(0, 2_000, 200):
+            memory.save_if_due(float(now_ms), now_ms + 1, records, lambda _since: False)
+            assert memory.task is not None
+            await memory.task
+        assert writes == 2
+
+    asyncio.run(play())
