--- a/tests/test_fleet/test_entry_instance.py
+++ b/tests/test_fleet/test_entry_instance.py
@@ -5,8 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.fleet import FeedPoll, FeedReply
 from pistachioloft_core.messages.routes import RouteSet
+from pistachioloft_core.request.attempts import Refuse
+from pistachioloft_daemon import entry_instance
 from pistachioloft_daemon.entry_instance import EntryInstance
 from pistachioloft_daemon.fleet_settings import load_fleet_settings
 from pistachioloft_daemon.loop_timers import monotonic_ms
@@ -17,6 +20,8 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    import pytest
+
 SETTINGS = """
 [instance]
 id = '10.1.0.9'
@@ -107,3 +112,22 @@
         assert not any(poll.entry.ready for poll in sent)
 
     run(play)
+
+
+def test_a_paused_instance_uses_no_routes_whose_time_is_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against requests that are read after a pause, before the timers have run."""
+
+    def play() -> None:
+        instance, sent = make_instance(tmp_path)
+        instance._tick(monotonic_ms())
+        instance._on_message(SEED, reply(sent[-1], True, pack_document(b'{}')))
+        assert not isinstance(instance.requests._usable_routes(), Refuse)
+        woken_ms = monotonic_ms() + 60_000.0
+        monkeypatch.setattr(entry_instance, 'monotonic_ms', lambda: woken_ms)
+        refusal = instance.requests._usable_routes()
+        assert isinstance(refusal, Refuse)
+        assert refusal.code is ResultCode.FENCED
+
+    run(play)
