--- a/tests/test_platform/test_templates.py
+++ b/tests/test_platform/test_templates.py
@@ -103,7 +103,7 @@
     assert (found.caller_address, found.readiness_address) == ('10.1.0.12:8104', '10.1.0.12:8105')
     assert (found.peer_address, found.control_peer_port) == ('10.1.0.12:7395', 7380)
     assert found.metrics_address == '10.1.0.12:9100'
-    assert found.link_mbit_per_s == 10.8
+    assert (found.link_mbit_per_s, found.memory_mb) == (10.8, 200.0)
     assert found.data_folder is None
 
 
