Name the bytes beside a chunked body once

Cause: client and server each had the same figure under another name, a constant of results stood among those of outcomes, and one doc comment had several lines. Change: one constant in http1/messages.py, the order in messages/peer.py, a comment in plan_query. No behaviour.

--- a/packages/core/src/pistachioloft_core/messages/peer.py
+++ b/packages/core/src/pistachioloft_core/messages/peer.py
@@ -16,9 +16,9 @@
 OUTCOME_OK = 'ok'
 OUTCOME_NOT_STARTED = 'not_started'
 OUTCOME_UNKNOWN = 'unknown'
+OUTCOME_FAILED = 'failed'
 # The instance that was asked owns the endpoint no more; the new owner may be asked.
 DETAIL_NOT_OWNED = 'not_owned'
-OUTCOME_FAILED = 'failed'
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/request/relay.py
+++ b/packages/core/src/pistachioloft_core/request/relay.py
@@ -131,12 +131,9 @@
     picks: Iterable[Pick],
     random_source: random.Random,
 ) -> QueryPlan:
-    """
-    Choose a helper for each group of shards that is far away or large.
-
-    An instance without callers gives all shards away: the few requests that it gets are not worth
-    connections, of which an endpoint takes only some.
-    """
+    """Choose a helper for each group of shards that is far away or large."""
+    # An instance without callers gives all shards away: the few requests that it gets are not
+    # worth connections, of which an endpoint takes only some.
     domains: defaultdict[str, list[Pick]] = defaultdict(list)
     for pick in picks:
         domains[pick.load.record.failure_domain].append(pick)
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from .messages import Response
+from .messages import FRAMING_PER_BODY_BYTE, Response
 
 if TYPE_CHECKING:
     from .messages import Headers
@@ -21,8 +21,6 @@
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 # Status lines, headers, trailers and interim replies are some hundreds of bytes.
 OVERHEAD_LIMIT_BYTES = 64 * 1024
-# A chunk of one byte takes five more for its size and line ends; extensions may double that.
-OVERHEAD_PER_BODY_BYTE = 10
 
 
 class ClientEvents(Protocol):
@@ -145,7 +143,7 @@
     def _excess(self) -> str:
         if self._body_bytes > BODY_LIMIT_BYTES:
             return f'reply is larger than {BODY_LIMIT_BYTES} bytes'
-        allowed_bytes = OVERHEAD_LIMIT_BYTES + OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        allowed_bytes = OVERHEAD_LIMIT_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
         if self._overhead_bytes > allowed_bytes:
             return f'reply has over {OVERHEAD_LIMIT_BYTES} bytes beside its body'
         return ''
--- a/packages/daemon/src/pistachioloft_daemon/http1/messages.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/messages.py
@@ -22,6 +22,9 @@
         b'expect',
     )
 )
+# What may come beside each byte of a chunked body: five bytes for the size and the line ends of
+# a chunk of one byte; extensions may double that.
+FRAMING_PER_BODY_BYTE = 10
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -11,7 +11,13 @@
 
 import httptools
 
-from .messages import Request, Response, encode_response, find_header
+from .messages import (
+    FRAMING_PER_BODY_BYTE,
+    Request,
+    Response,
+    encode_response,
+    find_header,
+)
 from .receive_budget import ReceiveBudget
 from .round_trip import round_trip_ms
 
@@ -24,8 +30,6 @@
 # this are not read.
 PIPELINE_LIMIT_COUNT = 16
 BACKLOG_COUNT = 1024
-# A chunk of one byte takes five more for its size and line ends; extensions may double that.
-FRAMING_PER_BODY_BYTE = 10
 # For servers whose clients send no bodies to speak of.
 RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
 
