Refuse a part of the queries while their shards are overloaded

Cause: nothing limited the queries on the fleet's path.

Change: a proportional-integral controller per set of shards (request/query_admission.py) refuses a fraction of the queries before anything is sent. It follows the queue wait of the shard on which the coverage floor depends. The test found the wait for a connection: with the limit of connections reached, requests queued in the entry instance and no report showed it. Retry-After is the time in which the fraction would return to zero, spread by half.

The simulation of the tests kept one more timer for each retry of a request; it has one now, as the product does.

--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -29,6 +29,8 @@
 
     service: str
     receipt: bytes
+    # Queue wait at the endpoint; an instance that delegates has no load reports of its own.
+    queue_wait_ms: int = 0
 
 
 class RelayResults(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -8,6 +8,7 @@
 
 from ..process.observed import PROBE_TIMEOUT_MS
 from .hedge_delay import late_after_ms, usual_latency_ms
+from .queue_waits import record_load_report, record_service_time, record_withdrawn
 from .routed_state import route_latency
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         'attempt_id',
         'check_at_ms',
         'hedge',
+        'held_ms',
         'late_after_ms',
         'load',
         'overdue',
@@ -83,6 +85,8 @@
         self.late_after_ms = late_after_ms
         self.check_at_ms = started_ms + CONNECT_GRACE_MS + late_after_ms
         self.hedge = hedge
+        # How long the request waited here until a connection to an endpoint was free.
+        self.held_ms = 0.0
         self.overdue = False
 
     def latency_ms(self, now_ms: float) -> float:
@@ -199,6 +203,10 @@
     if end.report is not None:
         load.record_report(now_ms, end.report)
     latency_ms = attempt.latency_ms(now_ms)
+    if end.report is not None and attempt.route.gather is not None:
+        if end.outcome is AttemptOutcome.ANSWERED and end.report.waiting_count == 0:
+            record_service_time(state.queue_waits, latency_ms)
+        record_load_report(state.queue_waits, now_ms, load, end.report, attempt.held_ms)
     if end.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
         usual_ms = usual_latency_ms(state, attempt.route)
         if end.outcome is AttemptOutcome.ANSWERED:
@@ -220,6 +228,8 @@
     usual_ms = usual_latency_ms(state, attempt.route)
     age_ms = attempt.latency_ms(now_ms)
     attempt.load.record_overdue(now_ms, age_ms, usual_ms)
+    if attempt.route.gather is not None:
+        record_withdrawn(state.queue_waits, now_ms, attempt.load, attempt.started_ms, age_ms)
     # If the caller leaves early, a missing reply is no fault of the endpoint.
     if age_ms >= attempt.late_after_ms:
         attempt.load.record_unanswered(now_ms, False)
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -25,6 +25,7 @@
 from .delegation import HelperTable, ShardAssignment, plan_query
 from .hedge_delay import usual_latency_ms
 from .placement import choose_endpoint, has_usable_endpoint
+from .query_admission import refuse_if_overloaded
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
@@ -62,6 +63,7 @@
         'hedged',
         'may_have_run_count',
         'open_attempts',
+        'queue_wait_ms',
         'refused_endpoint',
         'replied',
         'reply',
@@ -86,6 +88,8 @@
         self.exhausted = False
         self.replied = False
         self.reply: Any = None
+        # Queue wait at the endpoints of this shard when it replied.
+        self.queue_wait_ms = 0.0
 
 
 class GatherState:
@@ -98,6 +102,7 @@
         'delegated_count',
         'done',
         'exhausted_count',
+        'is_group',
         'lost_count',
         'replied_count',
         'request_id',
@@ -106,6 +111,7 @@
         'shard_by_attempt_id',
         'shard_by_service',
         'shards',
+        'started_ms',
         'suspected',
     )
 
@@ -129,9 +135,11 @@
         self.shards = [ShardState(name) for name in queried_services]
         self.shard_by_service = {shard.service: shard for shard in self.shards}
         self.shard_by_attempt_id: dict[str, ShardState] = {}
-        # The instance that delegates a group applies the coverage floor to the whole query.
+        # The instance that delegates a group admits the whole query and applies its coverage floor.
+        self.is_group = services is not None
         required_count = gather.coverage_floor * len(queried_services) if services is None else 0.0
         self.coverage_floor_count = max(1, math.ceil(required_count - 1e-9))
+        self.started_ms = 0.0
         self.sent_count = 0
         # Shards that helpers queried or may have queried.
         self.delegated_count = 0
@@ -157,6 +165,11 @@
         query.done = True
         detail = f'{served_count} of {len(query.shards)} shards have an endpoint'
         return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
+    refusal = None if query.is_group else refuse_if_overloaded(state, now_ms, query.route)
+    if refusal is not None:
+        query.done = True
+        return [refusal]
+    query.started_ms = now_ms
     assignments: list[ShardAssignment] = []
     for position, shard in enumerate(query.shards):
         load = _choose_next_endpoint(state, now_ms, query, shard)
@@ -268,6 +281,7 @@
     if end.outcome is AttemptOutcome.ANSWERED:
         shard.replied = True
         shard.reply = end.reply
+        shard.queue_wait_ms = state.queue_waits.wait_ms(shard.service, now_ms)
         query.replied_count += 1
         if shard.exhausted:
             shard.exhausted = False
@@ -298,6 +312,9 @@
         if shard.replied or shard.delegated:
             continue
         if not shard.open_attempts:
+            if shard.attempt_count == 0:
+                held_ms = now_ms - query.started_ms
+                state.queue_waits.record_longer(shard.service, now_ms, held_ms)
             actions += _retry(state, now_ms, query, shard, unbudgeted=shard.attempt_count == 0)
         elif now_ms >= shard.open_attempts[-1].check_at_ms:
             newest_attempt = shard.open_attempts[-1]
@@ -375,6 +392,8 @@
     query.sent_count += 1
     attempt_id = f'{query.request_id}.{query.sent_count}'
     attempt = begin_attempt(state, now_ms, attempt_id, query.route, shard.service, load, hedge)
+    if shard.attempt_count == 0:
+        attempt.held_ms = now_ms - query.started_ms
     shard.tried.add(load.record.endpoint)
     shard.open_attempts.append(attempt)
     shard.may_have_run_count += 1
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -9,12 +9,15 @@
 from ..process.directory import CONNECTION_FRACTION
 from ..process.endpoint_table import EndpointTable
 from ..process.latency import LatencyState, ServiceLatency, service_latency
+from ..version.route_table import shard_services
 from .answer_timing import CallerDeadlines
+from .queue_waits import QueueWaits
 
 if TYPE_CHECKING:
     import random
 
     from ..version.route_table import RouteTable
+    from .query_admission import QueryAdmission
 
 # Fraction of the shared allowances that the instances divide; the rest covers instances that
 # learn of each other late.
@@ -39,6 +42,7 @@
     """Hold the routes, the endpoints and the budgets of one entry instance."""
 
     __slots__ = (
+        'admissions',
         'budgets',
         'deadlines',
         'entry_count',
@@ -46,6 +50,7 @@
         'instance',
         'latencies',
         'limits',
+        'queue_waits',
         'random',
         'routes',
         'table',
@@ -67,6 +72,9 @@
         self.latencies = LatencyState()
         self.budgets: dict[str, BudgetState] = {}
         self.deadlines: dict[str, CallerDeadlines] = {}
+        self.queue_waits = QueueWaits()
+        # By set of shards.
+        self.admissions: dict[tuple[str, ...], QueryAdmission] = {}
         # Number of instances that share the allowances and the endpoints' connections.
         self.entry_count = 1
 
@@ -100,6 +108,11 @@
         del state.latencies.services[name]
     for name in [name for name in state.deadlines if name not in route_names]:
         del state.deadlines[name]
+    state.queue_waits.forget_services(shard_services(routes.routes))
+    gathers = [route.gather for route in routes.routes.routes if route.gather is not None]
+    shard_sets = {gather.shards for gather in gathers}
+    for shards in [shards for shards in state.admissions if shards not in shard_sets]:
+        del state.admissions[shards]
 
 
 def route_latency(state: RoutedState, route_name: str) -> ServiceLatency:
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -26,7 +26,7 @@
 
     from pistachioloft_core.request.attempts import DelegateGroup
     from pistachioloft_core.request.delegation import Helper
-    from pistachioloft_core.request.gather import GatherState
+    from pistachioloft_core.request.gather import GatherState, ShardState
 
     from .in_flight import InFlight
     from .loop_timers import LoopTimers
@@ -58,6 +58,8 @@
     # At the helper: queries the shards of a group, or returns None if it cannot.
     begin: Callable[[IncomingGroup], InFlight | None]
     withdraw: Callable[[InFlight], None]
+    # At the delegating instance: records the queue waits that a helper reports.
+    record_waits: Callable[[tuple[RelayedReply, ...]], None]
 
 
 class OutgoingGroup:
@@ -181,6 +183,7 @@
             self.hooks.refused(outgoing.in_flight, sorted(outgoing.services))
             return
         if results.replies:
+            self.hooks.record_waits(results.replies)
             self.hooks.replied(outgoing.in_flight, _decode_replies(results))
         if results.done and outgoing.services:
             detail = f'helper {outgoing.helper.instance} got no reply'
@@ -321,7 +324,7 @@
         bodies = [shard.reply.response.body for shard in new_shards]
         results = RelayResults(
             group.request.relay_id,
-            tuple(RelayedReply(shard.service, shard.reply.receipt) for shard in new_shards),
+            tuple(_encode_reply(shard) for shard in new_shards),
             greatest_records(bodies, group.request.top_count),
             monotonic_ms() - group.received_ms,
             done,
@@ -329,6 +332,10 @@
         self.hooks.send(group.sender, results)
 
 
+def _encode_reply(shard: ShardState) -> RelayedReply:
+    return RelayedReply(shard.service, shard.reply.receipt, round(shard.queue_wait_ms))
+
+
 def _decode_replies(results: RelayResults) -> Replies:
     # The helper has merged the records of all shards, so the first reply carries them all.
     records = results.records
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -63,7 +63,7 @@
     from collections.abc import Callable
 
     from pistachioloft_core.messages.fleet import RequestCrash
-    from pistachioloft_core.messages.relay import RelayRequest
+    from pistachioloft_core.messages.relay import RelayedReply, RelayRequest
     from pistachioloft_core.messages.routes import Route
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
     from pistachioloft_core.request.routed_state import RoutedState
@@ -133,6 +133,7 @@
                 self._on_helper_lost,
                 self._begin_group,
                 self._withdraw_group,
+                self._record_queue_waits,
             ),
             state.random.getrandbits(RELAY_NUMBER_BITS),
         )
@@ -298,6 +299,11 @@
         on_request_answered(self.crashes, now_ms, in_flight.routed.digest)
         self._apply_actions(now_ms, in_flight, gather.on_group_replies(now_ms, state, replies))
 
+    def _record_queue_waits(self, replies: tuple[RelayedReply, ...]) -> None:
+        now_ms = monotonic_ms()
+        for reply in replies:
+            self.state.queue_waits.record(reply.service, now_ms, float(reply.queue_wait_ms))
+
     def _on_group_lost(self, in_flight: InFlight, services: list[str], reason: str) -> None:
         now_ms = monotonic_ms()
         state = in_flight.query
--- a/tests/test_gather/routed_simulation.py
+++ b/tests/test_gather/routed_simulation.py
@@ -39,7 +39,9 @@
 from pistachioloft_core.version.route_table import RouteTable
 
 DOMAIN = 'a'
-Reply = tuple[float, AttemptEnd] | None
+# The end of an attempt, or a function that returns it at that time.
+End = AttemptEnd | Callable[[], AttemptEnd]
+Reply = tuple[float, End] | None
 # Returns the time until an attempt ends and its end, or None if it never ends.
 Behaviour = Callable[[float, Attempt], Reply]
 Action = Deliver | DeliverMerged | Refuse
@@ -62,6 +64,8 @@
     arrived_ms: float
     answer: Answer | None = None
     decisions: list[LogDecision] = field(default_factory=list)
+    # When the one timer of the request is due.
+    check_at_ms: float = float('inf')
 
 
 def answered(delay_ms: float, text: str = 'part') -> Behaviour:
@@ -204,9 +208,15 @@
             due_ms = gather.next_check_ms(self.now_ms, state)
         else:
             due_ms = forward.next_check_ms(state)
-        self.at(due_ms, lambda: self._on_timer(simulated))
+        if due_ms < simulated.check_at_ms:
+            simulated.check_at_ms = due_ms
+            self.at(due_ms, lambda: self._on_timer(simulated, due_ms))
 
-    def _on_timer(self, simulated: SimulatedRequest) -> None:
+    def _on_timer(self, simulated: SimulatedRequest, due_ms: float) -> None:
+        if due_ms != simulated.check_at_ms:
+            # An earlier timer replaced this one.
+            return
+        simulated.check_at_ms = float('inf')
         self.timer_count += 1
         assert self.timer_count < 100_000, 'a request is checked without end'
         state = simulated.state
@@ -244,9 +254,11 @@
             delay_ms, end = reply
             self.at(self.now_ms + delay_ms, lambda: self._end(attempt, end))
 
-    def _end(self, attempt: Attempt, end: AttemptEnd) -> None:
+    def _end(self, attempt: Attempt, end: End) -> None:
         if self.open_attempts.pop(attempt.attempt_id, None) is None:
             return
+        if callable(end):
+            end = end()
         record_attempt_end(self.state, self.now_ms, attempt, end)
         simulated = self.simulated_by_attempt_id[attempt.attempt_id]
         if isinstance(simulated.state, GatherState):
--- /dev/null
+++ b/tests/test_gather/test_query_admission.py
@@ -0,0 +1,176 @@
+"""Guard against queries that all become late because more arrive than the endpoints can run."""
+
+from __future__ import annotations
+
+import pytest
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.request import gather, query_admission
+from pistachioloft_core.request.attempts import DeliverMerged, Refuse
+from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.query_admission import RETRY_SPREAD, QueryAdmission
+from pistachioloft_core.request.routed_state import set_routes
+from tests.test_gather.queueing_endpoint import QueueingEndpoint
+from tests.test_gather.routed_simulation import SimulatedRequest, Simulation, silent
+
+SHARD_COUNT = 4
+REPLICA_COUNT = 2
+SERVICE_MS = 10.0
+SLOT_COUNT = 2
+CAPACITY_PER_S = REPLICA_COUNT * SLOT_COUNT * 1_000.0 / SERVICE_MS
+ANSWER_AFTER_MS = 95.0
+# The share of the capacity that must be answered in time during an overload.
+GOODPUT_TARGET = 0.8
+# The largest share of queries that may be refused where the endpoints have room.
+REFUSED_TARGET = 0.001
+
+
+def loaded_simulation(coverage_floor: float = 0.75) -> Simulation:
+    """Return a simulation whose endpoints have slots and a queue."""
+    simulation = Simulation(SHARD_COUNT, REPLICA_COUNT, coverage_floor)
+    for name in simulation.behaviours:
+        simulation.behaviours[name] = QueueingEndpoint(simulation, SERVICE_MS, SLOT_COUNT)
+    return simulation
+
+
+def offer_load(simulation: Simulation, per_s: float, start_ms: float, end_ms: float) -> None:
+    """Let queries arrive at random times at a mean rate."""
+    at_ms = start_ms
+    while at_ms < end_ms:
+        simulation.at(at_ms, lambda: simulation.query(ANSWER_AFTER_MS))
+        at_ms += simulation.random.expovariate(per_s / 1_000.0)
+
+
+def arrived(simulation: Simulation, start_ms: float, end_ms: float) -> list[SimulatedRequest]:
+    return [item for item in simulation.simulated if start_ms <= item.arrived_ms < end_ms]
+
+
+def is_in_time(simulated: SimulatedRequest) -> bool:
+    answer = simulated.answer
+    return (
+        answer is not None
+        and isinstance(answer.action, DeliverMerged)
+        and answer.at_ms - simulated.arrived_ms <= ANSWER_AFTER_MS
+    )
+
+
+def refusals(requests: list[SimulatedRequest]) -> list[Refuse]:
+    actions = [request.answer.action for request in requests if request.answer is not None]
+    return [action for action in actions if isinstance(action, Refuse)]
+
+
+@pytest.mark.parametrize('factor', [1.5, 2.5, 4.0])
+def test_capacity_is_used_for_answers_in_time_during_overload(factor: float) -> None:
+    simulation = loaded_simulation()
+    offer_load(simulation, 0.4 * CAPACITY_PER_S, 0.0, 1_000.0)
+    offer_load(simulation, factor * CAPACITY_PER_S, 1_000.0, 5_000.0)
+    simulation.run(7_000.0)
+    in_time = sum(map(is_in_time, arrived(simulation, 2_000.0, 5_000.0)))
+    assert in_time / 3.0 >= GOODPUT_TARGET * CAPACITY_PER_S
+
+
+def test_refused_query_was_sent_to_no_endpoint_and_did_not_wait() -> None:
+    """Guard against a refusal that is late or untrue."""
+    simulation = loaded_simulation()
+    offer_load(simulation, 3.0 * CAPACITY_PER_S, 0.0, 3_000.0)
+    simulation.run(5_000.0)
+    refused = [item for item in simulation.simulated if refusals([item])]
+    assert refused
+    sent_to = {id(simulation.simulated_by_attempt_id[item.attempt_id]) for item in simulation.sent}
+    for item in refused:
+        assert item.answer is not None
+        assert refusals([item])[0].code is ResultCode.OVERLOADED
+        assert item.answer.at_ms == item.arrived_ms
+        assert id(item) not in sent_to
+
+
+def test_nothing_is_refused_while_endpoints_have_room() -> None:
+    """Guard against refusals because of pauses, which end by themselves."""
+    simulation = loaded_simulation()
+    for number, behaviour in enumerate(simulation.behaviours.values()):
+        assert isinstance(behaviour, QueueingEndpoint)
+        behaviour.pauses_ms = tuple(
+            (start_ms, start_ms + 60.0)
+            for start_ms in range(211 * number, 30_000, 211 * len(simulation.behaviours))
+        )
+    offer_load(simulation, 0.4 * CAPACITY_PER_S, 0.0, 30_000.0)
+    simulation.run(32_000.0)
+    assert len(refusals(simulation.simulated)) <= REFUSED_TARGET * len(simulation.simulated)
+
+
+def test_refusals_end_within_two_seconds_after_an_overload() -> None:
+    simulation = loaded_simulation()
+    offer_load(simulation, 4.0 * CAPACITY_PER_S, 0.0, 4_000.0)
+    offer_load(simulation, 0.4 * CAPACITY_PER_S, 4_000.0, 9_000.0)
+    simulation.run(10_000.0)
+    assert refusals(arrived(simulation, 3_000.0, 4_000.0))
+    assert not refusals(arrived(simulation, 6_000.0, 9_000.0))
+
+
+def test_lost_replicas_reduce_what_is_admitted() -> None:
+    """Guard against a load that only fits while every replica replies."""
+    simulation = loaded_simulation()
+    for name in ('s0-1', 's1-1', 's2-1', 's3-1'):
+        simulation.behaviours[name] = silent
+    offer_load(simulation, CAPACITY_PER_S, 0.0, 6_000.0)
+    simulation.run(8_000.0)
+    in_time = sum(map(is_in_time, arrived(simulation, 3_000.0, 6_000.0)))
+    assert in_time / 3.0 >= GOODPUT_TARGET * CAPACITY_PER_S / REPLICA_COUNT
+
+
+def test_time_to_come_back_grows_with_the_overload_and_is_spread() -> None:
+    """Guard against refused callers that all return at the same time."""
+    simulation = loaded_simulation()
+    offer_load(simulation, 4.0 * CAPACITY_PER_S, 0.0, 4_000.0)
+    simulation.run(4_000.0)
+    waits_ms = [
+        refusal.retry_after_ms
+        for refusal in refusals(arrived(simulation, 2_000.0, 4_000.0))
+        if refusal.retry_after_ms is not None
+    ]
+    lowest, highest = RETRY_SPREAD
+    assert max(waits_ms) > 1_000.0
+    assert max(waits_ms) / min(waits_ms) > highest / lowest / 1.5
+
+
+def test_group_of_another_instance_is_not_refused() -> None:
+    """Guard against a query that lacks shards because a helper applied its own limit."""
+    simulation = loaded_simulation()
+    offer_load(simulation, 4.0 * CAPACITY_PER_S, 0.0, 3_000.0)
+    simulation.run(3_000.0)
+    state = simulation.state
+    assert query_admission.refused_fraction(state) > 0.3
+    for number in range(20):
+        route = simulation.gather_route
+        group = GatherState(f'g{number}', route, 3_100.0, 4_000.0, services=('s0', 's1'))
+        actions = gather.start_gather(state, simulation.now_ms, group)
+        assert not any(isinstance(action, Refuse) for action in actions)
+
+
+def test_waits_reported_by_helpers_limit_an_instance_without_load_reports() -> None:
+    """Guard against an instance far from the endpoints that admits everything."""
+    simulation = Simulation(SHARD_COUNT, REPLICA_COUNT)
+    state = simulation.state
+    for step in range(40):
+        for shard in (
+            simulation.gather_route.gather.shards if simulation.gather_route.gather else ()
+        ):
+            state.queue_waits.record(shard, simulation.now_ms, 500.0)
+        simulation.query(ANSWER_AFTER_MS)
+        simulation.run(50.0 * (step + 1))
+    assert refusals(simulation.simulated)
+
+
+def test_admissions_of_removed_shards_are_forgotten() -> None:
+    """Guard against a limit that outlives the shards that it was learned from."""
+    simulation = loaded_simulation()
+    simulation.query()
+    state = simulation.state
+    assert state.routes is not None
+    assert list(state.admissions) == [('s0', 's1', 's2', 's3')]
+    state.admissions[('old',)] = QueryAdmission()
+    state.queue_waits.record('old', 0.0, 900.0)
+    gather_routes = state.routes
+    set_routes(state, gather_routes)
+    assert list(state.admissions) == [('s0', 's1', 's2', 's3')]
+    assert state.queue_waits.wait_ms('old', 0.0) == 0.0
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -8,7 +8,13 @@
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.messages.fleet import InstanceLocation
-from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults, RelayTried
+from pistachioloft_core.messages.relay import (
+    RelayCancel,
+    RelayedReply,
+    RelayRequest,
+    RelayResults,
+    RelayTried,
+)
 from pistachioloft_core.messages.routes import Gather, Route
 from pistachioloft_core.request import delegation
 from pistachioloft_core.request.attempts import DelegateGroup
@@ -49,6 +55,7 @@
         self.refused: list[str] = []
         self.incoming: list[InFlight] = []
         self.withdrawn: list[InFlight] = []
+        self.reported_waits: list[RelayedReply] = []
         hooks = RelayHooks(
             self.send,
             self.reconnected.append,
@@ -60,6 +67,7 @@
             ),
             self.begin,
             self.withdrawn.append,
+            self.reported_waits.extend,
         )
         self.hooks = hooks
         self.relays = Relays(name, LoopTimers(asyncio.get_running_loop()), hooks, 0)
--- /dev/null
+++ b/tools/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Compare variants of the product on days of the bench."""
