Let queries that can be in time go first, and end hopeless ones early

Cause: during an overload, callers that come back after a refusal took the places of callers who could still be answered in time; endpoints ran sub-requests of queries that were already answered; hedges lengthened the queues; queries waited here for connections; and a query whose replicas were silent was held until its time limit.

--- a/packages/core/src/pistachioloft_core/request/answer_timing.py
+++ b/packages/core/src/pistachioloft_core/request/answer_timing.py
@@ -79,13 +79,22 @@
     """Return how much of its usual deadline a caller had used up when it sent a request."""
     # Callers that first look up addresses or connect send the remaining time as the deadline.
     deadlines.record(deadline_ms)
-    usual_ms = deadlines.usual_ms()
-    elapsed_ms = usual_ms - deadline_ms if usual_ms is not None else 0.0
+    elapsed_ms = _below_usual_ms(deadlines, deadline_ms)
     # A difference beyond the latency target means a caller's second request or another kind of
     # caller.
     return elapsed_ms if 0.0 < elapsed_ms < route.latency_target_ms else 0.0
 
 
+def is_past_target(deadlines: CallerDeadlines, deadline_ms: float, route: Route) -> bool:
+    """Return whether a caller sent a request after its latency target, as after a refusal."""
+    return _below_usual_ms(deadlines, deadline_ms) >= route.latency_target_ms
+
+
+def _below_usual_ms(deadlines: CallerDeadlines, deadline_ms: float) -> float:
+    usual_ms = deadlines.usual_ms()
+    return usual_ms - deadline_ms if usual_ms is not None else 0.0
+
+
 def answer_transmission_ms(route: Route, link_mbit_per_s: float) -> float:
     """Return how long a query's complete answer takes to leave the machine."""
     if route.gather is None:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Any
 
 from ..errors import ResultCode
@@ -25,7 +24,12 @@
 from .delegation import HelperTable, ShardAssignment, plan_query
 from .hedge_delay import usual_latency_ms
 from .placement import choose_endpoint, has_usable_endpoint
-from .query_admission import refuse_if_overloaded
+from .query_admission import (
+    coverage_floor_count,
+    is_refusing,
+    refuse_if_overloaded,
+    refuse_without_connections,
+)
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
@@ -48,6 +52,12 @@
 BUSY_RECHECK_MS = 5.0
 # Limits the attempts on one shard within a query, refused ones included.
 MAX_ATTEMPTS_PER_SHARD = 6
+# An attempt without a reply for this many hedge delays is on a silent endpoint, unless the endpoint
+# replies to others. A paused endpoint replies sooner.
+SILENT_FACTOR = 6.0
+MIN_SILENT_MS = 400.0
+# After its answer was due, a query is checked for silent endpoints at this interval.
+SILENCE_CHECK_MS = 100.0
 # When this many attempts were lost before any shard replied, the query itself may crash the
 # endpoints; no further replica is tried until a shard replies.
 CRASH_SUSPICION_LOST_COUNT = 2
@@ -104,6 +114,7 @@
         'exhausted_count',
         'is_group',
         'lost_count',
+        'past_target',
         'replied_count',
         'request_id',
         'route',
@@ -137,8 +148,7 @@
         self.shard_by_attempt_id: dict[str, ShardState] = {}
         # The instance that delegates a group admits the whole query and applies its coverage floor.
         self.is_group = services is not None
-        required_count = gather.coverage_floor * len(queried_services) if services is None else 0.0
-        self.coverage_floor_count = max(1, math.ceil(required_count - 1e-9))
+        self.coverage_floor_count = coverage_floor_count(gather) if services is None else 1
         self.started_ms = 0.0
         self.sent_count = 0
         # Shards that helpers queried or may have queried.
@@ -146,6 +156,8 @@
         self.replied_count = 0
         self.exhausted_count = 0
         self.lost_count = 0
+        # The caller was refused before, so no answer can be within the latency target.
+        self.past_target = False
         # The same content was in flight at a crash; each shard gets one attempt.
         self.suspected = suspected
         self.done = False
@@ -165,10 +177,15 @@
         query.done = True
         detail = f'{served_count} of {len(query.shards)} shards have an endpoint'
         return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
-    refusal = None if query.is_group else refuse_if_overloaded(state, now_ms, query.route)
-    if refusal is not None:
-        query.done = True
-        return [refusal]
+    if not query.is_group:
+        refusal = refuse_if_overloaded(state, now_ms, query.route, query.past_target)
+        if refusal is not None:
+            query.done = True
+            return [refusal]
+        if is_refusing(state, query.route):
+            # Endpoints drop what nobody will use instead of running it before others.
+            usable_until_ms = query.answer_at_ms + ABANDON_DELAY_MS
+            query.deadline_at_ms = min(query.deadline_at_ms, usable_until_ms)
     query.started_ms = now_ms
     assignments: list[ShardAssignment] = []
     for position, shard in enumerate(query.shards):
@@ -177,6 +194,11 @@
             _update_exhausted(state, now_ms, query, shard)
         else:
             assignments.append(ShardAssignment(position, shard.service, load))
+    if not query.is_group:
+        refusal = refuse_without_connections(state, now_ms, query.route, len(assignments))
+        if refusal is not None:
+            query.done = True
+            return [refusal]
     plan = plan_query(
         helpers or HelperTable(), now_ms, state.failure_domain, assignments, state.random
     )
@@ -322,7 +344,10 @@
             record_overdue_attempt(state, now_ms, newest_attempt)
             if not shard.hedged:
                 actions += _hedge(state, now_ms, query, shard)
-    return actions + _finish_if_due(now_ms, query)
+    actions += _finish_if_due(now_ms, query)
+    if not query.done and not query.is_group and now_ms >= query.answer_at_ms:
+        actions += _refuse_if_silent(state, now_ms, query)
+    return actions
 
 
 def describe_missing(query: GatherState, name_limit_count: int) -> str:
@@ -344,6 +369,8 @@
     due_ms = query.deadline_at_ms
     if now_ms < query.answer_at_ms:
         due_ms = min(due_ms, query.answer_at_ms)
+    elif not query.is_group:
+        due_ms = min(due_ms, now_ms + SILENCE_CHECK_MS)
     for shard in query.shards:
         if shard.replied or shard.delegated or shard.hedged or shard.exhausted:
             continue
@@ -436,6 +463,10 @@
         # The reply to a hedge would arrive after the answer was sent.
         shard.hedged = True
         return []
+    late_attempt = shard.open_attempts[-1]
+    if is_refusing(state, query.route) and late_attempt.load.replied_ms > late_attempt.started_ms:
+        # The endpoint replies to others, so this attempt waits in its queue, as it would elsewhere.
+        return []
     load = _choose_next_endpoint(state, now_ms, query, shard)
     if (
         load is None
@@ -444,7 +475,6 @@
     ):
         return []
     shard.hedged = True
-    late_attempt = shard.open_attempts[-1]
     age_ms = now_ms - late_attempt.started_ms
     detail = (
         f'{shard.service}: {late_attempt.load.record.endpoint} late after {age_ms:.0f} ms, '
@@ -453,14 +483,20 @@
     return [LogDecision('hedge', detail), _send(state, now_ms, query, shard, load, hedge=True)]
 
 
-def _update_exhausted(
+def _has_untried_endpoint(
     state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
-) -> None:
-    """Record whether any endpoint of a shard can still take an attempt."""
-    can_still_attempt = _can_attempt(query, shard) and any(
+) -> bool:
+    return _can_attempt(query, shard) and any(
         load.record.endpoint not in shard.tried and not load.breaker.is_open(now_ms)
         for load in state.table.usable(shard.service)
     )
+
+
+def _update_exhausted(
+    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
+) -> None:
+    """Record whether any endpoint of a shard can still take an attempt."""
+    can_still_attempt = _has_untried_endpoint(state, now_ms, query, shard)
     if can_still_attempt == shard.exhausted:
         shard.exhausted = not can_still_attempt
         query.exhausted_count += 1 if shard.exhausted else -1
@@ -482,6 +518,25 @@
     return []
 
 
+def _refuse_if_silent(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
+    """Refuse a query that waits for endpoints which have fallen silent."""
+    silent_count = sum(_is_silent(state, now_ms, query, shard) for shard in query.shards)
+    if query.reachable_count - silent_count >= query.coverage_floor_count:
+        return []
+    return _refuse(query, f'the endpoints of {silent_count} shards are silent')
+
+
+def _is_silent(state: RoutedState, now_ms: float, query: GatherState, shard: ShardState) -> bool:
+    if shard.replied or shard.exhausted or not shard.open_attempts:
+        return False
+    for attempt in shard.open_attempts:
+        silent_after_ms = max(MIN_SILENT_MS, SILENT_FACTOR * attempt.late_after_ms)
+        has_replied = attempt.load.replied_ms > attempt.started_ms
+        if has_replied or now_ms - attempt.started_ms < silent_after_ms:
+            return False
+    return not _has_untried_endpoint(state, now_ms, query, shard)
+
+
 def _deliver_answer(query: GatherState) -> list[RoutedAction]:
     query.done = True
     replies = tuple(shard.reply for shard in query.shards if shard.replied)
--- a/packages/core/src/pistachioloft_core/request/query_admission.py
+++ b/packages/core/src/pistachioloft_core/request/query_admission.py
@@ -35,15 +35,24 @@
 LOW_PRESSURE = 0.5
 RECOVERY_HALF_LIFE_MS = 300.0
 MIN_REFUSED_FRACTION = 0.05
+# An overload has ended when the queues are short and nothing was refused for this long.
+OVERLOAD_END_MS = 300.0
+# An answer that is late in any case is worth less than one in time. The fraction of such queries
+# that is admitted is the fraction of the others to this power.
+PAST_TARGET_EXPONENT = 3.0
 # Callers return in this range around the time to come back, so that they do not arrive together.
 RETRY_SPREAD = (0.5, 1.5)
-MIN_RETRY_MS = 100.0
+MIN_RETRY_MS = 250.0
+MAX_RETRY_MS = 10_000.0
+# A floor of 0.9 of 20 shards is 18, although the product is slightly larger as a float.
+ROUNDING_TOLERANCE = 1e-9
 
 
 class QueryAdmission:
     """Hold the controller of the queries over one set of shards."""
 
     __slots__ = (
+        'last_refused_ms',
         'overloaded_since_ms',
         'pressure',
         'refusal_credits',
@@ -65,11 +74,14 @@
         self.updated_ms = float('-inf')
         # When the queues became too long; None while there is no overload.
         self.overloaded_since_ms: float | None = None
+        self.last_refused_ms = float('-inf')
         # By route: the sum of the refused fractions of its queries, less those refused.
         self.refusal_credits: dict[str, float] = {}
 
 
-def refuse_if_overloaded(state: RoutedState, now_ms: float, route: Route) -> Refuse | None:
+def refuse_if_overloaded(
+    state: RoutedState, now_ms: float, route: Route, past_target: bool
+) -> Refuse | None:
     """Return the refusal of a new query, None if it is admitted."""
     assert route.gather is not None
     admission = _admission_of(state, route.gather)
@@ -78,6 +90,8 @@
     since_ms = admission.overloaded_since_ms
     if since_ms is None or now_ms - since_ms < BURST_ALLOWANCE_MS:
         return None
+    if past_target:
+        fraction = 1.0 - (1.0 - fraction) ** PAST_TARGET_EXPONENT
     # Refusals are spread evenly over the queries instead of drawn at random.
     credit = admission.refusal_credits.get(route.name, 0.0) + fraction
     is_refused = credit >= 1.0
@@ -86,7 +100,27 @@
         return None
     wait_ms = admission.pressure * admission.wait_limit_ms
     detail = f'sub-requests wait {wait_ms:.0f} ms in queues, refusing {fraction:.2f} of the queries'
-    return Refuse(ResultCode.OVERLOADED, detail, _retry_after_ms(state, fraction))
+    return _refuse(state, now_ms, admission, detail)
+
+
+def refuse_without_connections(
+    state: RoutedState, now_ms: float, route: Route, connected_count: int
+) -> Refuse | None:
+    """Return the refusal of a query that would wait here for connections during an overload."""
+    assert route.gather is not None
+    admission = state.admissions[route.gather.shards]
+    required_count = coverage_floor_count(route.gather)
+    if admission.overloaded_since_ms is None or connected_count >= required_count:
+        return None
+    detail = f'{connected_count} shards of the required {required_count} have a free connection'
+    return _refuse(state, now_ms, admission, detail)
+
+
+def is_refusing(state: RoutedState, route: Route) -> bool:
+    """Return whether the shards of a route are overloaded."""
+    assert route.gather is not None
+    admission = state.admissions.get(route.gather.shards)
+    return admission is not None and admission.overloaded_since_ms is not None
 
 
 def refused_fraction(state: RoutedState) -> float:
@@ -106,8 +140,9 @@
             for route in state.routes.routes.routes
             if route.gather is not None and route.gather.shards == gather.shards
         ]
-        floor = max(route.gather.coverage_floor for route in sharing if route.gather is not None)
-        admission.required_count = max(1, math.ceil(floor * len(gather.shards) - 1e-9))
+        admission.required_count = max(
+            coverage_floor_count(route.gather) for route in sharing if route.gather is not None
+        )
         target_ms = min(route.latency_target_ms for route in sharing)
         admission.wait_limit_ms = WAIT_LIMIT_RATIO * target_ms
     return admission
@@ -131,7 +166,8 @@
         admission.refused_fraction *= 0.5 ** (elapsed_ms / RECOVERY_HALF_LIFE_MS)
         if admission.refused_fraction < MIN_REFUSED_FRACTION:
             admission.refused_fraction = 0.0
-            admission.overloaded_since_ms = None
+            if now_ms - admission.last_refused_ms >= OVERLOAD_END_MS:
+                admission.overloaded_since_ms = None
         return
     if admission.pressure >= 1.0 and admission.overloaded_since_ms is None:
         admission.overloaded_since_ms = now_ms
@@ -142,7 +178,16 @@
     )
 
 
-def _retry_after_ms(state: RoutedState, fraction: float) -> float:
-    # With empty queues, the refused fraction reaches zero after this time.
-    recovery_ms = 1_000.0 * fraction / INTEGRAL_GAIN_PER_S
-    return max(MIN_RETRY_MS, recovery_ms * state.random.uniform(*RETRY_SPREAD))
+def coverage_floor_count(gather: Gather) -> int:
+    """Return how many shards an answer must cover."""
+    return max(1, math.ceil(gather.coverage_floor * len(gather.shards) - ROUNDING_TOLERANCE))
+
+
+def _refuse(state: RoutedState, now_ms: float, admission: QueryAdmission, detail: str) -> Refuse:
+    admission.last_refused_ms = now_ms
+    # An overload that began a while ago is likely to last about as long again.
+    since_ms = admission.overloaded_since_ms
+    elapsed_ms = 0.0 if since_ms is None else now_ms - since_ms
+    retry_after_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, elapsed_ms))
+    retry_after_ms *= state.random.uniform(*RETRY_SPREAD)
+    return Refuse(ResultCode.OVERLOADED, detail, retry_after_ms)
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -17,6 +17,7 @@
     set_helpers,
     should_preconnect,
 )
+from pistachioloft_core.request.query_admission import refused_fraction
 from pistachioloft_core.request.routed_state import (
     RoutedState,
     SharedLimits,
@@ -209,6 +210,11 @@
             ('serving', 'Whether new work is taken', float(self.serving())),
             ('chosen', 'Whether callers are sent here', float(self.advertised)),
             ('route_version', 'Version of the routes in force', routes.version if routes else 0),
+            (
+                'refused_query_fraction',
+                'Fraction of the queries that is refused because of overload',
+                refused_fraction(self.state),
+            ),
             (
                 'confirmed_age_ms',
                 'Time since a quorum confirmed the routes',
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -21,6 +21,7 @@
     answer_due_ms,
     answer_transmission_ms,
     elapsed_before_sending_ms,
+    is_past_target,
 )
 from pistachioloft_core.request.attempts import (
     AbandonAttempt,
@@ -236,6 +237,7 @@
                 answer_transmission_ms(route, self.state.limits.link_mbit_per_s),
             )
             state = GatherState(str(self.number), route, answer_at_ms, deadline_at_ms, suspected)
+            state.past_target = self._is_past_target(routed, route)
         else:
             service = choose_service(self.splits, route)
             state = ForwardState(str(self.number), route, service, deadline_at_ms, suspected)
@@ -259,6 +261,11 @@
             elapsed_ms = elapsed_before_sending_ms(deadlines, routed.time_left_ms, route)
         return CallerTransit(request.connecting_ms, request.return_ms, elapsed_ms)
 
+    def _is_past_target(self, routed: RoutedRequest, route: Route) -> bool:
+        if routed.time_left_ms is None:
+            return False
+        return is_past_target(deadlines_of(self.state, route.name), routed.time_left_ms, route)
+
     def _begin_group(self, group: IncomingGroup) -> InFlight | None:
         """Query the shards that another instance delegated to this one."""
         now_ms = monotonic_ms()
--- a/tools/experiment/program.py
+++ b/tools/experiment/program.py
@@ -8,6 +8,7 @@
 import typer
 
 from .comparison import compare, format_differences, format_results
+from .losses import find_losses, format_rows, summarize
 from .plays import Play, Workers, decode_result
 from .variants import UNCHANGED, VARIANTS_FILE, load_variants
 
@@ -66,5 +67,22 @@
     typer.echo(format_differences(compare(results)))
 
 
+@app.command()
+def losses(
+    log_file: Annotated[Path, typer.Argument(help='What the bench printed with --log all.')],
+    shards: Annotated[
+        list[str] | None, typer.Option(help='ROUTE=COUNT for each route that queries shards.')
+    ] = None,
+) -> None:
+    """Print what callers lost in each window, by cause."""
+    shard_counts: dict[str, int] = {}
+    for text in shards or []:
+        route, _, count = text.rpartition('=')
+        shard_counts[route] = int(count)
+    with log_file.open() as lines:
+        rows = summarize(find_losses(lines, shard_counts))
+    typer.echo(format_rows(rows))
+
+
 if __name__ == '__main__':
     app()
