Query remote shards in fewer failure domains, and tell kinds of callers apart

Callers with a shorter deadline than most counted as callers that come back late.

Change: among replicas that are about as fast, remote shards are moved to the failure domains that can serve most of them (request/consolidation.py). A deadline that a quarter of the requests have is a usual one, whatever the others send.

--- a/packages/core/src/pistachioloft_core/request/answer_timing.py
+++ b/packages/core/src/pistachioloft_core/request/answer_timing.py
@@ -70,7 +70,14 @@
         deadline_ms, count = max(
             self._counts.items(), key=lambda item: (item[1], item[0]), default=(0.0, 0)
         )
-        return deadline_ms if count >= max(1.0, MIN_USUAL_RATIO * len(self._recent)) else None
+        return deadline_ms if count >= self._min_usual_count() else None
+
+    def is_usual(self, deadline_ms: float) -> bool:
+        """Return whether a deadline is frequent, as that of one of several kinds of callers."""
+        return self._counts[deadline_ms] >= self._min_usual_count()
+
+    def _min_usual_count(self) -> float:
+        return max(1.0, MIN_USUAL_RATIO * len(self._recent))
 
 
 def elapsed_before_sending_ms(
@@ -87,7 +94,8 @@
 
 def is_past_target(deadlines: CallerDeadlines, deadline_ms: float, route: Route) -> bool:
     """Return whether a caller sent a request after its latency target, as after a refusal."""
-    return _below_usual_ms(deadlines, deadline_ms) >= route.latency_target_ms
+    is_early = _below_usual_ms(deadlines, deadline_ms) < route.latency_target_ms
+    return not is_early and not deadlines.is_usual(deadline_ms)
 
 
 def _below_usual_ms(deadlines: CallerDeadlines, deadline_ms: float) -> float:
--- a/packages/core/src/pistachioloft_core/request/delegation.py
+++ b/packages/core/src/pistachioloft_core/request/delegation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -86,6 +86,10 @@
     service: str
     load: EndpointLoad
 
+    def on_endpoint(self, load: EndpointLoad) -> ShardAssignment:
+        """Return the assignment of the shard to another endpoint."""
+        return replace(self, load=load)
+
 
 @dataclass(frozen=True, slots=True)
 class GroupPlan:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -21,6 +21,7 @@
     record_overdue_attempt,
     schedule_recheck,
 )
+from .consolidation import consolidate_domains
 from .delegation import HelperTable, ShardAssignment, plan_query
 from .hedge_delay import usual_latency_ms
 from .placement import choose_endpoint, has_usable_endpoint
@@ -199,6 +200,8 @@
         if refusal is not None:
             query.done = True
             return [refusal]
+    if helpers is not None:
+        assignments = consolidate_domains(state, now_ms, query.route, assignments)
     plan = plan_query(
         helpers or HelperTable(), now_ms, state.failure_domain, assignments, state.random
     )
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -39,9 +39,9 @@
     chosen: EndpointLoad | None = None
     chosen_ms = float('inf')
     for load in state.table.usable(service):
-        if load.record.endpoint in excluded or load.in_flight_count >= connection_limit_count:
+        if load.record.endpoint in excluded:
             continue
-        if load.breaker.is_open(now_ms):
+        if not is_available(load, now_ms, connection_limit_count):
             continue
         expected_ms = expected_latency_ms(state, now_ms, load, usual_ms)
         if expected_ms < chosen_ms or (
@@ -51,6 +51,11 @@
     return chosen
 
 
+def is_available(load: EndpointLoad, now_ms: float, connection_limit_count: int) -> bool:
+    """Return whether an endpoint has a free connection and its breaker admits an attempt."""
+    return load.in_flight_count < connection_limit_count and not load.breaker.is_open(now_ms)
+
+
 def has_free_connection(state: RoutedState, load: EndpointLoad) -> bool:
     """Return whether an endpoint can take one more attempt."""
     usable = state.table.usable(load.record.service)
--- a/tests/test_gather/test_answer_timing.py
+++ b/tests/test_gather/test_answer_timing.py
@@ -12,6 +12,7 @@
     answer_due_ms,
     answer_transmission_ms,
     elapsed_before_sending_ms,
+    is_past_target,
 )
 from pistachioloft_core.request.attempts import AttemptEnd, AttemptOutcome, DeliverMerged
 
@@ -124,3 +125,26 @@
     due_ms = answer_due_ms(route, 0.0, transit, FASTEST_MS, slow_link_ms)
     assert due_ms == answer_due_ms(route, 0.0, transit, FASTEST_MS) - slow_link_ms
     assert answer_transmission_ms(Simulation().single_route, 10.8) == 0.0
+
+
+def test_request_after_the_latency_target_is_recognized_by_its_deadline() -> None:
+    route = Simulation().gather_route
+    deadlines = CallerDeadlines()
+    for _ in range(40):
+        deadlines.record(LIMIT_MS)
+    for late_ms in (route.latency_target_ms, 333.0, 400.0):
+        deadlines.record(LIMIT_MS - late_ms)
+        assert is_past_target(deadlines, LIMIT_MS - late_ms, route)
+    for early_ms in (0.0, 14.0, route.latency_target_ms - 1.0):
+        deadlines.record(LIMIT_MS - early_ms)
+        assert not is_past_target(deadlines, LIMIT_MS - early_ms, route)
+
+
+def test_callers_with_a_shorter_deadline_do_not_count_as_late() -> None:
+    """Guard against a kind of callers that is always placed behind the others."""
+    route = Simulation().gather_route
+    deadlines = CallerDeadlines()
+    for _ in range(40):
+        deadlines.record(LIMIT_MS)
+        deadlines.record(LIMIT_MS / 2)
+    assert not is_past_target(deadlines, LIMIT_MS / 2, route)
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from pistachioloft_core.messages.fleet import InstanceLocation
 from pistachioloft_core.messages.relay import (
     RelayCancel,
@@ -195,6 +197,30 @@
     run(scenario)
 
 
+def test_queue_waits_at_the_endpoints_are_reported() -> None:
+    """Guard against an instance that sees no load reports and admits too much."""
+
+    async def scenario(pair: Pair) -> None:
+        pair.delegate()
+        await run_loop_turns()
+        (group,) = pair.helping.incoming
+        for number, shard in enumerate(SHARDS):
+            group.query.shard_by_service[shard].queue_wait_ms = 10.4 * number
+            pair.helping.receive_reply(shard, b'1')
+        await run_loop_turns()
+        waits = {reply.service: reply.queue_wait_ms for reply in pair.delegating.reported_waits}
+        assert waits == {'s0': 0, 's1': 10, 's2': 21, 's3': 31}
+
+    run(scenario)
+
+
+def test_replies_of_a_build_without_queue_waits_are_read() -> None:
+    """Guard against messages that one of two builds side by side refuses."""
+    old_reply = ['s0', b'receipt']
+    reply = msgspec.msgpack.decode(msgspec.msgpack.encode(old_reply), type=RelayedReply)
+    assert reply == RelayedReply('s0', b'receipt', 0)
+
+
 def test_shards_without_a_reply_are_reported_as_lost() -> None:
     """Guard against a query that waits for shards that its helper has given up."""
 
