Hedge a queued attempt where the other endpoint has no queue

Change: during an overload, a hedge is left out only if its endpoint has a queue as well. gather.py is split: the state of a query is in gather_state.py, and the first step of a query is divided by what it decides.

--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -26,7 +26,6 @@
 from .hedge_delay import usual_latency_ms
 from .placement import choose_endpoint, has_usable_endpoint
 from .query_admission import (
-    coverage_floor_count,
     is_refusing,
     refuse_if_overloaded,
     refuse_without_connections,
@@ -37,7 +36,7 @@
     from collections.abc import Container, Iterable
 
     from ..connection.endpoint_load import EndpointLoad
-    from ..messages.routes import Gather, Route
+    from .gather_state import GatherState, ShardState
     from .routed_state import RoutedState
 
 # After the answer, an open attempt has this long to finish before its connection is closed:
@@ -64,111 +63,6 @@
 CRASH_SUSPICION_LOST_COUNT = 2
 
 
-class ShardState:
-    """Hold the attempts on one shard of a query."""
-
-    __slots__ = (
-        'attempt_count',
-        'delegated',
-        'exhausted',
-        'hedged',
-        'may_have_run_count',
-        'open_attempts',
-        'queue_wait_ms',
-        'refused_endpoint',
-        'replied',
-        'reply',
-        'retry_at_ms',
-        'service',
-        'tried',
-    )
-
-    def __init__(self, service: str) -> None:
-        self.service = service
-        self.open_attempts: list[Attempt] = []
-        # Endpoints that may have run the request or are unreachable; they are not tried again.
-        self.tried: set[str] = set()
-        self.may_have_run_count = 0
-        self.attempt_count = 0
-        # The endpoint that refused last; it is retried once no untried endpoint is left.
-        self.refused_endpoint = ''
-        self.retry_at_ms = 0.0
-        self.hedged = False
-        # A helper queries this shard.
-        self.delegated = False
-        self.exhausted = False
-        self.replied = False
-        self.reply: Any = None
-        # Queue wait at the endpoints of this shard when it replied.
-        self.queue_wait_ms = 0.0
-
-
-class GatherState:
-    """Hold one query over all shards from its arrival to its answer."""
-
-    __slots__ = (
-        'answer_at_ms',
-        'coverage_floor_count',
-        'deadline_at_ms',
-        'delegated_count',
-        'done',
-        'exhausted_count',
-        'is_group',
-        'lost_count',
-        'past_target',
-        'replied_count',
-        'request_id',
-        'route',
-        'sent_count',
-        'shard_by_attempt_id',
-        'shard_by_service',
-        'shards',
-        'started_ms',
-        'suspected',
-    )
-
-    def __init__(
-        self,
-        request_id: str,
-        route: Route,
-        answer_at_ms: float,
-        deadline_at_ms: float,
-        suspected: bool = False,
-        services: tuple[str, ...] | None = None,
-    ) -> None:
-        """Cover all shards of the route, or those of a group delegated by another instance."""
-        gather = _gather_settings(route)
-        self.request_id = request_id
-        self.route = route
-        # From this time on, a partial answer that reaches the coverage floor is sent.
-        self.answer_at_ms = min(answer_at_ms, deadline_at_ms)
-        self.deadline_at_ms = deadline_at_ms
-        queried_services = gather.shards if services is None else services
-        self.shards = [ShardState(name) for name in queried_services]
-        self.shard_by_service = {shard.service: shard for shard in self.shards}
-        self.shard_by_attempt_id: dict[str, ShardState] = {}
-        # The instance that delegates a group admits the whole query and applies its coverage floor.
-        self.is_group = services is not None
-        self.coverage_floor_count = coverage_floor_count(gather) if services is None else 1
-        self.started_ms = 0.0
-        self.sent_count = 0
-        # Shards that helpers queried or may have queried.
-        self.delegated_count = 0
-        self.replied_count = 0
-        self.exhausted_count = 0
-        self.lost_count = 0
-        # The caller was refused before, so no answer can be within the latency target.
-        self.past_target = False
-        # The same content was in flight at a crash; each shard gets one attempt.
-        self.suspected = suspected
-        self.done = False
-
-    @property
-    def reachable_count(self) -> int:
-        """Return how many shards have replied or still can."""
-        return len(self.shards) - self.exhausted_count
-
-
 def start_gather(
     state: RoutedState, now_ms: float, query: GatherState, helpers: HelperTable | None = None
 ) -> list[RoutedAction]:
@@ -183,18 +77,9 @@
         if refusal is not None:
             query.done = True
             return [refusal]
-        if is_refusing(state, query.route):
-            # Endpoints drop what nobody will use instead of running it before others.
-            usable_until_ms = query.answer_at_ms + ABANDON_DELAY_MS
-            query.deadline_at_ms = min(query.deadline_at_ms, usable_until_ms)
+        _limit_time(state, query)
     query.started_ms = now_ms
-    assignments: list[ShardAssignment] = []
-    for position, shard in enumerate(query.shards):
-        load = _choose_next_endpoint(state, now_ms, query, shard)
-        if load is None:
-            _update_exhausted(state, now_ms, query, shard)
-        else:
-            assignments.append(ShardAssignment(position, shard.service, load))
+    assignments = _assign_shards(state, now_ms, query)
     if not query.is_group:
         refusal = refuse_without_connections(
             state, now_ms, query.route, query.past_target, len(assignments)
@@ -387,9 +272,23 @@
     return due_ms
 
 
-def _gather_settings(route: Route) -> Gather:
-    assert route.gather is not None
-    return route.gather
+def _limit_time(state: RoutedState, query: GatherState) -> None:
+    """Let endpoints drop during an overload what would arrive after the answer."""
+    if is_refusing(state, query.route):
+        usable_until_ms = query.answer_at_ms + ABANDON_DELAY_MS
+        query.deadline_at_ms = min(query.deadline_at_ms, usable_until_ms)
+
+
+def _assign_shards(state: RoutedState, now_ms: float, query: GatherState) -> list[ShardAssignment]:
+    """Choose an endpoint for each shard that has one with a free connection."""
+    assignments: list[ShardAssignment] = []
+    for position, shard in enumerate(query.shards):
+        load = _choose_next_endpoint(state, now_ms, query, shard)
+        if load is None:
+            _update_exhausted(state, now_ms, query, shard)
+        else:
+            assignments.append(ShardAssignment(position, shard.service, load))
+    return assignments
 
 
 def _can_attempt(query: GatherState, shard: ShardState) -> bool:
@@ -469,12 +368,10 @@
         shard.hedged = True
         return []
     late_attempt = shard.open_attempts[-1]
-    if is_refusing(state, query.route) and late_attempt.load.replied_ms > late_attempt.started_ms:
-        # The endpoint replies to others, so this attempt waits in its queue, as it would elsewhere.
-        return []
     load = _choose_next_endpoint(state, now_ms, query, shard)
     if (
         load is None
+        or _would_queue_again(state, now_ms, query, late_attempt, load)
         or _may_crash_endpoints(query)
         or not try_take_hedge(budget_of(state, shard.service), now_ms)
     ):
@@ -488,6 +385,15 @@
     return [LogDecision('hedge', detail), _send(state, now_ms, query, shard, load, hedge=True)]
 
 
+def _would_queue_again(
+    state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, load: EndpointLoad
+) -> bool:
+    """Return whether a hedge would only move a late attempt to the end of another queue."""
+    # An endpoint that replies to others is not silent.
+    is_queued = attempt.load.replied_ms > attempt.started_ms
+    return is_queued and is_refusing(state, query.route) and load.waiting_count(now_ms) >= 1.0
+
+
 def _has_untried_endpoint(
     state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
 ) -> bool:
--- /dev/null
+++ b/packages/core/src/pistachioloft_core/request/gather_state.py
@@ -0,0 +1,117 @@
+"""State of one query over all shards of a route."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from .query_admission import coverage_floor_count
+
+if TYPE_CHECKING:
+    from ..messages.routes import Route
+    from .attempts import Attempt
+
+
+class ShardState:
+    """Hold the attempts on one shard of a query."""
+
+    __slots__ = (
+        'attempt_count',
+        'delegated',
+        'exhausted',
+        'hedged',
+        'may_have_run_count',
+        'open_attempts',
+        'queue_wait_ms',
+        'refused_endpoint',
+        'replied',
+        'reply',
+        'retry_at_ms',
+        'service',
+        'tried',
+    )
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.open_attempts: list[Attempt] = []
+        # Endpoints that may have run the request or are unreachable; they are not tried again.
+        self.tried: set[str] = set()
+        self.may_have_run_count = 0
+        self.attempt_count = 0
+        # The endpoint that refused last; it is retried once no untried endpoint is left.
+        self.refused_endpoint = ''
+        self.retry_at_ms = 0.0
+        self.hedged = False
+        # A helper queries this shard.
+        self.delegated = False
+        self.exhausted = False
+        self.replied = False
+        self.reply: Any = None
+        # Queue wait at the endpoints of this shard when it replied.
+        self.queue_wait_ms = 0.0
+
+
+class GatherState:
+    """Hold one query over all shards from its arrival to its answer."""
+
+    __slots__ = (
+        'answer_at_ms',
+        'coverage_floor_count',
+        'deadline_at_ms',
+        'delegated_count',
+        'done',
+        'exhausted_count',
+        'is_group',
+        'lost_count',
+        'past_target',
+        'replied_count',
+        'request_id',
+        'route',
+        'sent_count',
+        'shard_by_attempt_id',
+        'shard_by_service',
+        'shards',
+        'started_ms',
+        'suspected',
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        route: Route,
+        answer_at_ms: float,
+        deadline_at_ms: float,
+        suspected: bool = False,
+        services: tuple[str, ...] | None = None,
+    ) -> None:
+        """Cover all shards of the route, or those of a group delegated by another instance."""
+        assert route.gather is not None
+        gather = route.gather
+        self.request_id = request_id
+        self.route = route
+        # From this time on, a partial answer that reaches the coverage floor is sent.
+        self.answer_at_ms = min(answer_at_ms, deadline_at_ms)
+        self.deadline_at_ms = deadline_at_ms
+        queried_services = gather.shards if services is None else services
+        self.shards = [ShardState(name) for name in queried_services]
+        self.shard_by_service = {shard.service: shard for shard in self.shards}
+        self.shard_by_attempt_id: dict[str, ShardState] = {}
+        # The instance that delegates a group admits the whole query and applies its coverage floor.
+        self.is_group = services is not None
+        self.coverage_floor_count = coverage_floor_count(gather) if services is None else 1
+        self.started_ms = 0.0
+        self.sent_count = 0
+        # Shards that helpers queried or may have queried.
+        self.delegated_count = 0
+        self.replied_count = 0
+        self.exhausted_count = 0
+        self.lost_count = 0
+        # The caller was refused before, so no answer can be within the latency target.
+        self.past_target = False
+        # The same content was in flight at a crash; each shard gets one attempt.
+        self.suspected = suspected
+        self.done = False
+
+    @property
+    def reachable_count(self) -> int:
+        """Return how many shards have replied or still can."""
+        return len(self.shards) - self.exhausted_count
--- a/packages/daemon/src/pistachioloft_daemon/in_flight.py
+++ b/packages/daemon/src/pistachioloft_daemon/in_flight.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.gather_state import GatherState
 
 if TYPE_CHECKING:
     from pistachioloft_core.request.forward import ForwardState
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -26,7 +26,7 @@
 
     from pistachioloft_core.request.attempts import DelegateGroup
     from pistachioloft_core.request.delegation import Helper
-    from pistachioloft_core.request.gather import GatherState, ShardState
+    from pistachioloft_core.request.gather_state import GatherState, ShardState
 
     from .in_flight import InFlight
     from .loop_timers import LoopTimers
--- a/packages/daemon/src/pistachioloft_daemon/request_log.py
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.request.attempts import DelegateGroup, Refuse, SendAttempt
-from pistachioloft_core.request.gather import GatherState, describe_missing
+from pistachioloft_core.request.gather import describe_missing
+from pistachioloft_core.request.gather_state import GatherState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -37,7 +37,8 @@
 )
 from pistachioloft_core.request.delegation import HelperTable
 from pistachioloft_core.request.forward import ForwardState
-from pistachioloft_core.request.gather import ABANDON_DELAY_MS, GatherState
+from pistachioloft_core.request.gather import ABANDON_DELAY_MS
+from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.hedge_delay import usual_latency_ms
 from pistachioloft_core.request.records import greatest_records
 from pistachioloft_core.request.routed_state import deadlines_of, endpoint_connection_limit
--- a/tests/test_gather/routed_simulation.py
+++ b/tests/test_gather/routed_simulation.py
@@ -34,7 +34,7 @@
     record_withdrawn_attempt,
 )
 from pistachioloft_core.request.forward import ForwardState
-from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.routed_state import RoutedState, SharedLimits, set_routes
 from pistachioloft_core.version.route_table import RouteTable
 
--- a/tests/test_relay/test_delegated_groups.py
+++ b/tests/test_relay/test_delegated_groups.py
@@ -16,7 +16,7 @@
     record_attempt_end,
 )
 from pistachioloft_core.request.delegation import HelperTable, set_helpers
-from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.routed_state import budget_of
 from tests.test_gather.routed_simulation import DOMAIN, Simulation
 
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -20,7 +20,7 @@
 from pistachioloft_core.messages.routes import Gather, Route
 from pistachioloft_core.request import delegation
 from pistachioloft_core.request.attempts import DelegateGroup
-from pistachioloft_core.request.gather import GatherState
+from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_daemon.http1.messages import Request, Response
 from pistachioloft_daemon.in_flight import InFlight
 from pistachioloft_daemon.loop_timers import LoopTimers, monotonic_ms
