--- a/packages/core/src/pistachioloft_core/request/query_admission.py
+++ b/packages/core/src/pistachioloft_core/request/query_admission.py
@@ -20,8 +20,8 @@
 WAIT_LIMIT_RATIO = 0.6
 # A proportional-integral controller as in PIE (RFC 8033). Per unit of pressure, the refused
 # fraction changes by the first gain each second, and by the second one at once.
-INTEGRAL_GAIN_PER_S = 0.3
-PROPORTIONAL_GAIN = 0.1
+INTEGRAL_GAIN_PER_S = 0.1
+PROPORTIONAL_GAIN = 0.03
 UPDATE_INTERVAL_MS = 50.0
 # The controller forgets what it knows after this time without a query.
 IDLE_RESET_MS = 2_000.0
