Refuse new queries of silent endpoints, and let running ones wait

Change: an attempt without a reply for six hedge delays counts as unanswered while it is in flight, if its endpoint has replied to nobody since. So the breaker opens, new queries that need the endpoint are refused as not run, probes find out when it is back, and what runs there goes on.

--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -24,6 +24,10 @@
 # A late attempt that cannot be hedged or retried now is checked again after this fraction of
 # its hedge delay.
 RECHECK_RATIO = 0.25
+# An attempt without a reply for this many hedge delays is on a silent endpoint, unless the endpoint
+# replies to others. A paused endpoint replies sooner.
+SILENT_FACTOR = 6.0
+MIN_SILENT_MS = 400.0
 
 
 class AttemptOutcome(Enum):
@@ -61,6 +65,7 @@
         'route',
         'sent_ms',
         'service',
+        'silent',
         'started_ms',
     )
 
@@ -85,6 +90,8 @@
         self.check_at_ms = started_ms + CONNECT_GRACE_MS + late_after_ms
         self.hedge = hedge
         self.overdue = False
+        # Counted as unanswered while it is still in flight.
+        self.silent = False
 
     def latency_ms(self, now_ms: float) -> float:
         """Return how long the endpoint has held the request, without the round trip."""
@@ -191,6 +198,16 @@
     attempt.load.record_overdue(now_ms, attempt.latency_ms(now_ms), usual_ms)
 
 
+def record_silent_attempt(now_ms: float, attempt: Attempt) -> None:
+    """Count an attempt in flight as unanswered if its endpoint has replied to nobody since."""
+    silent_after_ms = max(MIN_SILENT_MS, SILENT_FACTOR * attempt.late_after_ms)
+    has_replied = attempt.load.replied_ms > attempt.started_ms
+    if attempt.silent or has_replied or now_ms - attempt.started_ms < silent_after_ms:
+        return
+    attempt.silent = True
+    attempt.load.record_unanswered(now_ms, False)
+
+
 def record_attempt_end(
     state: RoutedState, now_ms: float, attempt: Attempt, end: AttemptEnd
 ) -> None:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -19,6 +19,7 @@
     SendAttempt,
     begin_attempt,
     record_overdue_attempt,
+    record_silent_attempt,
     schedule_recheck,
 )
 from .consolidation import consolidate_domains
@@ -52,10 +53,6 @@
 BUSY_RECHECK_MS = 5.0
 # Limits the attempts on one shard within a query, refused ones included.
 MAX_ATTEMPTS_PER_SHARD = 6
-# An attempt without a reply for this many hedge delays is on a silent endpoint, unless the endpoint
-# replies to others. A paused endpoint replies sooner.
-SILENT_FACTOR = 6.0
-MIN_SILENT_MS = 400.0
 # After its answer was due, a query is checked for silent endpoints at this interval.
 SILENCE_CHECK_MS = 100.0
 # When this many attempts were lost before any shard replied, the query itself may crash the
@@ -234,10 +231,9 @@
             record_overdue_attempt(state, now_ms, newest_attempt)
             if not shard.hedged:
                 actions += _hedge(state, now_ms, query, shard)
-    actions += _finish_if_due(now_ms, query)
-    if not query.done and not query.is_group and now_ms >= query.answer_at_ms:
-        actions += _refuse_if_silent(state, now_ms, query)
-    return actions
+    for attempt in [attempt for shard in query.shards for attempt in shard.open_attempts]:
+        record_silent_attempt(now_ms, attempt)
+    return actions + _finish_if_due(now_ms, query)
 
 
 def describe_missing(query: GatherState, name_limit_count: int) -> str:
@@ -259,7 +255,7 @@
     due_ms = query.deadline_at_ms
     if now_ms < query.answer_at_ms:
         due_ms = min(due_ms, query.answer_at_ms)
-    elif not query.is_group:
+    else:
         due_ms = min(due_ms, now_ms + SILENCE_CHECK_MS)
     for shard in query.shards:
         if shard.replied or shard.delegated or shard.hedged or shard.exhausted:
@@ -429,25 +425,6 @@
     return []
 
 
-def _refuse_if_silent(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
-    """Refuse a query that waits for endpoints which have fallen silent."""
-    silent_count = sum(_is_silent(state, now_ms, query, shard) for shard in query.shards)
-    if query.reachable_count - silent_count >= query.coverage_floor_count:
-        return []
-    return _refuse(query, f'the endpoints of {silent_count} shards are silent')
-
-
-def _is_silent(state: RoutedState, now_ms: float, query: GatherState, shard: ShardState) -> bool:
-    if shard.replied or shard.exhausted or not shard.open_attempts:
-        return False
-    for attempt in shard.open_attempts:
-        silent_after_ms = max(MIN_SILENT_MS, SILENT_FACTOR * attempt.late_after_ms)
-        has_replied = attempt.load.replied_ms > attempt.started_ms
-        if has_replied or now_ms - attempt.started_ms < silent_after_ms:
-            return False
-    return not _has_untried_endpoint(state, now_ms, query, shard)
-
-
 def _deliver_answer(query: GatherState) -> list[RoutedAction]:
     query.done = True
     replies = tuple(shard.reply for shard in query.shards if shard.replied)
