--- a/tests/test_tools/test_experiment.py
+++ b/tests/test_tools/test_experiment.py
@@ -127,6 +127,7 @@
             'answered', 'd', 'route=all status=503 code=overloaded ms=0 reason="a b" missing=s1()'
         ),
         log_line('answered', 'e', 'route=one status=504 code=no_answer ms=900', at_s=7.0),
+        log_line('refused', 'f', 'path=/x code=unknown_path reason="no such route"'),
         'a line of the bench',
     ]
     losses = find_losses(lines, {'all': 4})
--- a/tools/experiment/losses.py
+++ b/tools/experiment/losses.py
@@ -11,6 +11,8 @@
     from collections.abc import Iterable
 
 WINDOW_S = 2
+# Such requests are not owed an answer.
+REJECTED_CODES = frozenset(('unknown_path', 'malformed'))
 # The time of the bench, the instance, and the text of a line about a request.
 LINE = re.compile(
     r'^\s*(?P<at_s>[\d.]+) (?P<instance>\S+) .*\[routing\] '
@@ -109,6 +111,8 @@
     event: str, fields: dict[str, str], due_ms: float | None, shard_counts: dict[str, int]
 ) -> tuple[str, str, float]:
     code = fields.get('code', '')
+    if code in REJECTED_CODES:
+        return '', '', 0.0
     if event == 'refused' or (fields.get('status') == '503'):
         return REFUSED, code, 1.0
     if fields.get('status') != STATUS_OK:
