Name the check whether an endpoint has replied to others

Cause: hedging, the detection of silent endpoints and the queue waits each compared the endpoint's last reply with the start of the attempt.

Change: one property of the attempt serves the three; behaviour is the same.

--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -93,6 +93,11 @@
         # Counted as unanswered while it is still in flight.
         self.silent = False
 
+    @property
+    def endpoint_has_replied(self) -> bool:
+        """Return whether the endpoint has replied to another attempt since this one started."""
+        return self.load.replied_ms > self.started_ms
+
     def latency_ms(self, now_ms: float) -> float:
         """Return how long the endpoint has held the request, without the round trip."""
         since_ms = self.started_ms if self.sent_ms is None else self.sent_ms
@@ -201,8 +206,8 @@
 def record_silent_attempt(now_ms: float, attempt: Attempt) -> None:
     """Count an attempt in flight as unanswered if its endpoint has replied to nobody since."""
     silent_after_ms = max(MIN_SILENT_MS, SILENT_FACTOR * attempt.late_after_ms)
-    has_replied = attempt.load.replied_ms > attempt.started_ms
-    if attempt.silent or has_replied or now_ms - attempt.started_ms < silent_after_ms:
+    age_ms = now_ms - attempt.started_ms
+    if attempt.silent or attempt.endpoint_has_replied or age_ms < silent_after_ms:
         return
     attempt.silent = True
     attempt.load.record_unanswered(now_ms, False)
@@ -242,8 +247,8 @@
     usual_ms = usual_latency_ms(state, attempt.route)
     age_ms = attempt.latency_ms(now_ms)
     attempt.load.record_overdue(now_ms, age_ms, usual_ms)
-    if attempt.route.gather is not None:
-        record_withdrawn(state.queue_waits, now_ms, attempt.load, attempt.started_ms, age_ms)
+    if attempt.route.gather is not None and attempt.endpoint_has_replied:
+        record_withdrawn(state.queue_waits, now_ms, attempt.load, age_ms)
     # If the caller leaves early, a missing reply is no fault of the endpoint.
     if age_ms >= attempt.late_after_ms:
         attempt.load.record_unanswered(now_ms, False)
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -386,7 +386,7 @@
 ) -> bool:
     """Return whether a hedge would only move a late attempt to the end of another queue."""
     # An endpoint that replies to others is not silent.
-    is_queued = attempt.load.replied_ms > attempt.started_ms
+    is_queued = attempt.endpoint_has_replied
     return is_queued and is_refusing(state, query.route) and load.waiting_count(now_ms) >= 1.0
 
 
--- a/packages/core/src/pistachioloft_core/request/queue_waits.py
+++ b/packages/core/src/pistachioloft_core/request/queue_waits.py
@@ -79,11 +79,9 @@
         waits.service_ms += SERVICE_TIME_WEIGHT * (latency_ms - waits.service_ms)
 
 
-def record_withdrawn(
-    waits: QueueWaits, now_ms: float, load: EndpointLoad, started_ms: float, age_ms: float
-) -> None:
-    """Record the age of a withdrawn sub-request as queue wait if the endpoint replied meanwhile."""
-    if load.replied_ms > started_ms and waits.service_ms > 0.0:
+def record_withdrawn(waits: QueueWaits, now_ms: float, load: EndpointLoad, age_ms: float) -> None:
+    """Record the age of a withdrawn sub-request as queue wait; its endpoint replied to others."""
+    if waits.service_ms > 0.0:
         wait_ms = age_ms - waits.service_ms * max(1.0, load.slowness(now_ms))
         record = load.record
         if wait_ms > waits.source_wait_ms(record.service, record.endpoint, now_ms):
