Log and count whether an entry instance reaches any endpoint

The logs could not tell an instance that is cut off from endpoints that are down. Endpoints that fail together now raise a suspicion, which new connections to four endpoints decide; a log line, a gauge and a counter of delegated groups by end show the outcome. No decision uses it yet.

--- /dev/null
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -0,0 +1,147 @@
+"""Whether an instance reaches endpoints at all, decided by new connections to several of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from .endpoint_load import EndpointLoad
+
+# This many endpoints that fail at the same time raise a suspicion. Single endpoints crash or pause.
+SUSPICIOUS_COUNT = 3
+# A failure says nothing about the links of this instance after this time.
+FAILURE_LIFETIME_MS = 2_000.0
+# A suspicion is decided by connections to this many endpoints, none of which may succeed.
+PROBE_COUNT = 4
+PROBE_TIMEOUT_MS = 400.0
+# After probes that succeeded, later failures raise a suspicion again.
+SOUND_MS = 1_000.0
+# While cut off, an instance connects to some endpoints at this interval.
+RECOVERY_PROBE_COUNT = 2
+RECOVERY_INTERVAL_MS = 250.0
+# An instance that was cut off has recovered once it has connected to this many endpoints.
+RECOVERED_COUNT = 2
+
+
+class EndpointReach:
+    """Hold the evidence on whether this instance is cut off from all endpoints."""
+
+    __slots__ = (
+        '_failed',
+        '_overdue',
+        '_probed',
+        '_reached',
+        'changed_ms',
+        'cut_off',
+        'probed_ms',
+        'probing',
+        'sound_until_ms',
+    )
+
+    def __init__(self) -> None:
+        self.cut_off = False
+        self.changed_ms = float('-inf')
+        # Whether the outcome of probes decides a suspicion.
+        self.probing = False
+        self.probed_ms = float('-inf')
+        self.sound_until_ms = float('-inf')
+        # Endpoints that failed and have not replied since, by the time of the failure.
+        self._failed: dict[str, float] = {}
+        # Endpoints that are overdue while no endpoint has replied.
+        self._overdue: dict[str, float] = {}
+        self._probed: set[str] = set()
+        self._reached: set[str] = set()
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether failures of endpoints may be failures of this instance's links."""
+        return self.cut_off or self.probing
+
+
+def record_replied(reach: EndpointReach, endpoint: str) -> None:
+    """Record a reply, which says nothing about new connections to other endpoints."""
+    reach._failed.pop(endpoint, None)
+    reach._overdue.clear()
+
+
+def record_overdue(reach: EndpointReach, now_ms: float, endpoint: str) -> None:
+    """Record an endpoint that has not replied in the usual time."""
+    reach._overdue[endpoint] = now_ms
+
+
+def record_failed(reach: EndpointReach, now_ms: float, endpoint: str) -> None:
+    """Record a connection that failed."""
+    reach._failed[endpoint] = now_ms
+    reach._probed.discard(endpoint)
+
+
+def record_connected(reach: EndpointReach, now_ms: float, endpoint: str, known_count: int) -> bool:
+    """Record a new connection; return whether this instance was cut off and is not any more."""
+    reach._failed.pop(endpoint, None)
+    if not reach.cut_off:
+        if reach.probing:
+            _end_suspicion(reach, now_ms)
+        return False
+    reach._reached.add(endpoint)
+    if len(reach._reached) < min(RECOVERED_COUNT, known_count):
+        return False
+    reach.cut_off, reach.changed_ms = False, now_ms
+    _end_suspicion(reach, now_ms)
+    return True
+
+
+def decide_cut_off(reach: EndpointReach, now_ms: float) -> bool:
+    """Return whether the probes have just shown that this instance is cut off."""
+    if not reach.probing or (reach._probed and now_ms < reach.probed_ms + PROBE_TIMEOUT_MS):
+        return False
+    reach.probing = False
+    reach.cut_off, reach.changed_ms = True, now_ms
+    reach._reached.clear()
+    return True
+
+
+def choose_probes(
+    reach: EndpointReach,
+    now_ms: float,
+    endpoints: Iterable[EndpointLoad],
+    random_source: random.Random,
+) -> list[EndpointLoad]:
+    """Return the endpoints to connect to now, to decide a suspicion or to notice a recovery."""
+    if reach.cut_off:
+        if now_ms < reach.probed_ms + RECOVERY_INTERVAL_MS:
+            return []
+        probe_count = RECOVERY_PROBE_COUNT
+    elif reach.probing or now_ms < reach.sound_until_ms or not _is_suspicious(reach, now_ms):
+        return []
+    else:
+        probe_count = PROBE_COUNT
+    candidates = list(endpoints)
+    random_source.shuffle(candidates)
+    # Endpoints that are probably alive tell most.
+    candidates.sort(key=lambda load: load.breaker.broken or load.record.endpoint in reach._failed)
+    probes = candidates[:probe_count]
+    if probes:
+        reach.probed_ms = now_ms
+        reach.probing = not reach.cut_off
+        reach._probed = {load.record.endpoint for load in probes}
+    return probes
+
+
+def _is_suspicious(reach: EndpointReach, now_ms: float) -> bool:
+    return any(
+        sum(now_ms < failed_ms + FAILURE_LIFETIME_MS for failed_ms in failures.values())
+        >= SUSPICIOUS_COUNT
+        for failures in (reach._failed, reach._overdue)
+    )
+
+
+def _end_suspicion(reach: EndpointReach, now_ms: float) -> None:
+    reach.probing = False
+    reach.sound_until_ms = now_ms + SOUND_MS
+    reach._failed.clear()
+    reach._overdue.clear()
+    reach._probed.clear()
+    reach._reached.clear()
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..connection.endpoint_limit import record_stated_limit
+from ..connection.reach import record_failed, record_overdue, record_replied
 from ..process.observed import PROBE_TIMEOUT_MS
 from .hedge_delay import late_after_ms, usual_latency_ms
 from .queue_waits import record_load_report, record_service_time, record_withdrawn
@@ -203,6 +204,7 @@
     if not attempt.overdue:
         attempt.overdue = True
         attempt.load.overdue_count += 1
+        record_overdue(state.reach, now_ms, attempt.load.record.endpoint)
     usual_ms = usual_latency_ms(state, attempt.route)
     attempt.load.record_overdue(now_ms, attempt.latency_ms(now_ms), usual_ms)
 
@@ -223,6 +225,10 @@
     """Record the end of an attempt for its endpoint and its route."""
     load = attempt.load
     release_attempt(attempt)
+    if end.outcome is AttemptOutcome.LOST:
+        record_failed(state.reach, now_ms, load.record.endpoint)
+    elif end.outcome is not AttemptOutcome.NOT_SENT:
+        record_replied(state.reach, load.record.endpoint)
     if end.report is not None:
         load.record_report(now_ms, end.report)
     if end.limit_per_s is not None and record_stated_limit(
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..connection.reach import EndpointReach
 from ..process.budget import BudgetLimits, BudgetState, set_limits
 from ..process.directory import CONNECTION_FRACTION
 from ..process.endpoint_table import EndpointTable
@@ -55,6 +56,7 @@
         'limits',
         'queue_waits',
         'random',
+        'reach',
         'routes',
         'table',
         'wanted_permits',
@@ -73,6 +75,7 @@
         self.random = random_source
         self.routes: RouteTable | None = None
         self.table = EndpointTable()
+        self.reach = EndpointReach()
         self.latencies = LatencyState()
         self.budgets: dict[str, BudgetState] = {}
         self.deadlines: dict[str, CallerDeadlines] = {}
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -49,6 +49,9 @@
     connection_limit: Callable[[AnnouncedEndpoint], int]
     # Called with the name of an endpoint whose address refuses a connection.
     refused: Callable[[str], None]
+    # Called for each connection that was opened, and for each that could not be.
+    connected: Callable[[AnnouncedEndpoint], None] = lambda _record: None
+    connect_failed: Callable[[AnnouncedEndpoint], None] = lambda _record: None
 
 
 class PooledConnection:
@@ -163,6 +166,10 @@
         if not target.open and not target.opening_count:
             self._open(target)
 
+    def probe(self, record: AnnouncedEndpoint) -> None:
+        """Open one more connection to an endpoint, to check whether it can be reached."""
+        self._open(self._target(record))
+
     def close_idle_connections(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that gets no new requests."""
         target = self.targets.get(endpoint)
@@ -289,11 +296,13 @@
                 await loop.create_connection(lambda: connection.http, host, int(port))
         except (OSError, TimeoutError) as error:
             target.opening_count -= 1
+            self.hooks.connect_failed(target.record)
             if isinstance(error, ConnectionRefusedError):
                 self.hooks.refused(target.record.endpoint)
             self._fail_queued(target, f'cannot connect to {target.record.address}: {error!r}')
             return
         target.opening_count -= 1
+        self.hooks.connected(target.record)
         if connection.http.closing:
             self._fail_queued(target, f'{target.record.address} closed a new connection')
             return
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -246,6 +246,11 @@
                 'Permits received for endpoints with a limit',
                 self.requests.permits.granted_count,
             ),
+            (
+                'cut_off',
+                'Whether this instance reaches none of the endpoints',
+                float(self.state.reach.cut_off),
+            ),
             ('endpoint_connections', 'To endpoints', self.requests.pool.connection_count()),
             ('caller_connections', 'From callers', len(self.caller_server.connections)),
             ('peer_sent_bytes', 'Bytes sent to other instances', self.peers.sent_bytes),
@@ -283,6 +288,7 @@
     def _tick(self, now_ms: float) -> None:
         self._update_serving(now_ms)
         self.requests.permits.request_wanted(now_ms)
+        self.requests.reach.check(now_ms)
         due_poll = feed.next_poll(self.feed, now_ms, self._status())
         for given_up in feed.take_given_up(self.feed):
             self._on_control_given_up(given_up)
--- a/packages/daemon/src/pistachioloft_daemon/metrics.py
+++ b/packages/daemon/src/pistachioloft_daemon/metrics.py
@@ -49,6 +49,11 @@
             'Control instances given up by reason',
             registry=self.registry,
         )
+        self.delegated_groups = Counter(
+            'pistachioloft_delegated_groups_total',
+            'Groups delegated to helpers by end',
+            registry=self.registry,
+        )
         # Incrementing a counter of the library takes 5 us, too long to do for each attempt, so
         # attempts are tallied here and set when the metrics are rendered.
         self.attempt_tally: Tally[tuple[str, bool, str]] = Tally()
@@ -69,6 +74,10 @@
         """Count a control instance that is no longer polled."""
         self.given_up_controls.inc({'reason': reason})
 
+    def count_group(self, end: str) -> None:
+        """Count a delegated group that has ended."""
+        self.delegated_groups.inc({'end': end})
+
     def set_gauge(self, name: str, help_text: str, value: float) -> None:
         """Set a gauge, and create it at its first use."""
         gauge = self.gauges.get(name)
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -60,6 +60,8 @@
     withdraw: Callable[[InFlight], None]
     # At the delegating instance: records the queue waits that a helper reports.
     record_waits: Callable[[str, tuple[RelayedReply, ...]], None]
+    # At the delegating instance: counts a group by its end.
+    count_group: Callable[[str], None] = lambda _end: None
 
 
 class OutgoingGroup:
@@ -176,6 +178,8 @@
         if results.done:
             self._forget(results.relay_id, outgoing)
         outgoing.services -= {reply.service for reply in results.replies}
+        if results.done:
+            self.hooks.count_group(_describe_end(results, outgoing))
         if results.refused:
             logger.info(
                 '%s group refused: request=%s helper=%s',
@@ -244,6 +248,7 @@
 
     def _give_up(self, now_ms: float, relay_id: str, outgoing: OutgoingGroup, reason: str) -> None:
         del self.outgoing[relay_id]
+        self.hooks.count_group(reason)
         delegation.record_silent_helper(outgoing.helper, now_ms)
         name = outgoing.helper.instance
         logger.warning(
@@ -340,6 +345,12 @@
         self.hooks.send(group.sender, results)
 
 
+def _describe_end(results: RelayResults, outgoing: OutgoingGroup) -> str:
+    if results.refused:
+        return 'refused'
+    return 'incomplete' if outgoing.services else 'complete'
+
+
 def _unreported_shards(group: IncomingGroup, state: GatherState) -> list[ShardState]:
     return [
         shard for shard in state.shards if shard.replied and shard.service not in group.reported
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -49,6 +49,7 @@
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
 from .permits import Permits
+from .reach import ReachMonitor
 from .relays import RelayHooks, Relays
 from .request_log import (
     log_answered,
@@ -115,12 +116,15 @@
         self.timers = timers
         self.wire = wire
         self.metrics = metrics
+        self.reach = ReachMonitor(state, lambda record: self.pool.probe(record))
         self.pool = EndpointPool(
             PoolHooks(
                 self._decode,
                 self._on_end,
                 lambda record: endpoint_connection_limit(state, record.service),
                 self.on_endpoint_down,
+                self.reach.on_connected,
+                self.reach.on_connect_failed,
             ),
             budget,
         )
@@ -138,6 +142,7 @@
                 self._begin_group,
                 self._withdraw_group,
                 self._record_queue_waits,
+                metrics.count_group,
             ),
             state.random.getrandbits(RELAY_NUMBER_BITS),
         )
