Show that entry instances which are cut off refuse what their peers could serve

Processes whose links to endpoints are cut by a file: connections hang, are reset, or live on while new ones are refused.

--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -14,8 +14,12 @@
 from typing import IO
 
 REPOSITORY = Path(__file__).resolve().parents[2]
-SOURCES = [REPOSITORY / 'packages' / package / 'src' for package in ('core', 'daemon')]
+SOURCES = [
+    *(REPOSITORY / 'packages' / package / 'src' for package in ('core', 'daemon')),
+    REPOSITORY,
+]
 START_CODE = 'from pistachioloft_daemon.platform.program import main; main()'
+CUTTABLE_START_CODE = 'from tools.fleet.cut_links import run; run()'
 FAILURE_DOMAINS = ('north', 'east', 'west')
 STOP_TIMEOUT_S = 12.0
 
@@ -89,15 +93,17 @@
         folder.mkdir(parents=True, exist_ok=True)
         settings = folder / 'settings.toml'
         settings.write_text(self._settings(machine))
+        entry = machine.role == 'entry'
         with self.log_path(machine).open('ab') as log:
             self.processes[machine.name] = subprocess.Popen(
                 # Runs the sources even if built packages exist below target/.
-                [sys.executable, '-c', START_CODE],
+                [sys.executable, '-c', CUTTABLE_START_CODE if entry else START_CODE],
                 stdout=output or log,
                 stderr=log,
                 env={
                     **os.environ,
                     'PISTACHIOLOFT_BOOT': str(settings),
+                    'CUT_LINKS_FILE': str(folder / 'links'),
                     'PYTHONPATH': os.pathsep.join(str(source) for source in SOURCES),
                 },
             )
@@ -108,6 +114,10 @@
         if process.poll() is None:
             process.send_signal(number)
 
+    def cut_links(self, machine: Machine, mode: str) -> None:
+        """Cut the links of an entry machine to all endpoints, or restore them with no mode."""
+        (self.folder / machine.name / 'links').write_text(mode)
+
     def kill(self, machine: Machine) -> None:
         """Kill the process of a machine and wait for its end."""
         self.signal(machine, signal.SIGKILL)
