--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -45,6 +45,10 @@
     done: bool = False
     # The helper has sent nothing to any endpoint and will not.
     refused: bool = False
+    # With the last results: shards without a reply and how many endpoints may have run each, and
+    # shards that were sent to no endpoint.
+    unanswered: tuple[tuple[str, int], ...] = ()
+    untried: tuple[str, ...] = ()
 
 
 class RelayTried(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/request/delegation.py
+++ b/packages/core/src/pistachioloft_core/request/delegation.py
@@ -29,6 +29,8 @@
 PRECONNECT_DELAY_MS = 600.0
 # A helper that sent nothing of a group in time is suspended for this long.
 SUSPENSION_MS = 2_000.0
+# A helper that could query none of the shards of a group is avoided for this long.
+UNABLE_MS = 500.0
 # Round trip to a helper, with the queueing at both ends, and its deviation until both are
 # measured. A group is late after the mean round trip plus four deviations.
 INITIAL_ROUND_TRIP_MS = 4.0
@@ -200,6 +202,11 @@
     helper.suspended_until_ms = now_ms + SUSPENSION_MS
 
 
+def record_unable_helper(helper: Helper, now_ms: float) -> None:
+    """Record that a helper could not query any shard of a group."""
+    helper.suspended_until_ms = max(helper.suspended_until_ms, now_ms + UNABLE_MS)
+
+
 def record_silent_helper(helper: Helper, now_ms: float) -> None:
     """Record that a helper sent nothing at all for a group, and suspend it."""
     record_group_ended(helper)
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -35,7 +35,7 @@
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable
+    from collections.abc import Container, Iterable, Mapping
 
     from ..connection.endpoint_load import EndpointLoad
     from .gather_state import GatherState, ShardState
@@ -141,20 +141,6 @@
     return _finish_if_due(now_ms, query)
 
 
-def on_group_lost(now_ms: float, query: GatherState, services: Iterable[str]) -> list[RoutedAction]:
-    """Mark shards as exhausted whose helper received no reply for them."""
-    if query.done:
-        return []
-    for service in services:
-        shard = query.shard_by_service[service]
-        shard.delegated = False
-        # The helper may have made every attempt that the route allows.
-        shard.may_have_run_count = query.route.attempt_limit
-        shard.exhausted = True
-        query.exhausted_count += 1
-    return _finish_if_due(now_ms, query)
-
-
 def on_helper_lost(
     state: RoutedState,
     now_ms: float,
@@ -163,14 +149,23 @@
     retried_services: Container[str],
 ) -> list[RoutedAction]:
     """Retry the shards of a lost helper from this instance, within the attempt limit."""
+    # The helper sent a first attempt on receiving the group and reported each further one.
+    limit = query.route.attempt_limit
+    run_counts = {service: limit if service in retried_services else 1 for service in services}
+    return on_group_unanswered(state, now_ms, query, run_counts)
+
+
+def on_group_unanswered(
+    state: RoutedState, now_ms: float, query: GatherState, run_counts: Mapping[str, int]
+) -> list[RoutedAction]:
+    """Retry shards without a reply of their helper, given how many endpoints may have run each."""
     if query.done:
         return []
     actions: list[RoutedAction] = []
-    for service in services:
+    for service, run_count in run_counts.items():
         shard = query.shard_by_service[service]
         shard.delegated = False
-        # The helper sent a first attempt on receiving the group and reported each further one.
-        shard.may_have_run_count = query.route.attempt_limit if service in retried_services else 1
+        shard.may_have_run_count = run_count
         actions += _retry(state, now_ms, query, shard, unbudgeted=False)
     return actions + _finish_if_due(now_ms, query)
 
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -50,7 +50,8 @@
     reconnect: Callable[[str], None]
     # At the delegating instance: the outcome of the shards that it delegated to a helper.
     replied: Callable[[InFlight, Replies], None]
-    lost: Callable[[InFlight, list[str], str], None]
+    # Shards without a reply, with the number of endpoints that may have run each.
+    unanswered: Callable[[InFlight, dict[str, int], str], None]
     refused: Callable[[InFlight, list[str]], None]
     # At the delegating instance: the shards without a reply of a lost helper, and the shards that
     # it had sent to a second endpoint.
@@ -76,6 +77,7 @@
         'retried_services',
         'sent_ms',
         'services',
+        'shard_count',
     )
 
     def __init__(
@@ -85,6 +87,7 @@
         self.in_flight = in_flight
         # The services without a reply so far.
         self.services = services
+        self.shard_count = len(services)
         # The services whose sub-requests the helper sent to a second endpoint.
         self.retried_services: set[str] = set()
         self.sent_ms = sent_ms
@@ -180,6 +183,8 @@
         outgoing.services -= {reply.service for reply in results.replies}
         if results.done:
             self.hooks.count_group(_describe_end(results, outgoing))
+        if results.refused or len(results.untried) == outgoing.shard_count:
+            delegation.record_unable_helper(outgoing.helper, now_ms)
         if results.refused:
             logger.info(
                 '%s group refused: request=%s helper=%s',
@@ -193,8 +198,30 @@
             self.hooks.record_waits(outgoing.helper.instance, results.replies)
             self.hooks.replied(outgoing.in_flight, _decode_replies(results))
         if results.done and outgoing.services:
-            detail = f'helper {outgoing.helper.instance} got no reply'
-            self.hooks.lost(outgoing.in_flight, sorted(outgoing.services), detail)
+            self._return_unanswered(outgoing, results)
+
+    def _return_unanswered(self, outgoing: OutgoingGroup, results: RelayResults) -> None:
+        """Return the shards for which a helper has no reply to their query."""
+        name, in_flight = outgoing.helper.instance, outgoing.in_flight
+        # An instance of an earlier build does not state how often a shard may have run.
+        attempt_limit = in_flight.state.route.attempt_limit
+        stated_counts = dict(results.unanswered)
+        run_counts = {
+            service: stated_counts.get(service, attempt_limit)
+            for service in sorted(outgoing.services.difference(results.untried))
+        }
+        if run_counts:
+            self.hooks.unanswered(in_flight, run_counts, f'helper {name} got no reply')
+        untried = sorted(outgoing.services.intersection(results.untried))
+        if untried:
+            logger.info(
+                '%s shards not tried: request=%s helper=%s shards=%s',
+                PREFIX,
+                in_flight.routed.request_id,
+                name,
+                ','.join(untried),
+            )
+            self.hooks.refused(in_flight, untried)
 
     def withdraw(self, in_flight: InFlight, after_ms: float) -> None:
         """Withdraw the groups of a request after a delay in which they may still finish."""
@@ -335,12 +362,19 @@
         new_shards = _unreported_shards(group, state)
         group.reported.update(shard.service for shard in new_shards)
         bodies = [shard.reply.response.body for shard in new_shards]
+        missing = [shard for shard in state.shards if done and not shard.replied]
         results = RelayResults(
             group.request.relay_id,
             tuple(_encode_reply(shard) for shard in new_shards),
             greatest_records(bodies, group.request.top_count),
             monotonic_ms() - group.received_ms,
             done,
+            unanswered=tuple(
+                (shard.service, shard.may_have_run_count)
+                for shard in missing
+                if shard.attempt_count
+            ),
+            untried=tuple(shard.service for shard in missing if not shard.attempt_count),
         )
         self.hooks.send(group.sender, results)
 
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -136,7 +136,7 @@
                 peers.send,
                 peers.reconnect,
                 self._on_group_replies,
-                self._on_group_lost,
+                self._on_group_unanswered,
                 self._on_group_refused,
                 self._on_helper_lost,
                 self._begin_group,
@@ -327,12 +327,16 @@
         for reply in replies:
             waits.record(reply.service, helper, now_ms, float(reply.queue_wait_ms))
 
-    def _on_group_lost(self, in_flight: InFlight, services: list[str], reason: str) -> None:
+    def _on_group_unanswered(
+        self, in_flight: InFlight, run_counts: dict[str, int], reason: str
+    ) -> None:
         now_ms = monotonic_ms()
         state = in_flight.query
         if not state.done:
-            log_decision(in_flight, LogDecision('group lost', f'{reason}: {",".join(services)}'))
-        self._apply_actions(now_ms, in_flight, gather.on_group_lost(now_ms, state, services))
+            log_decision(in_flight, LogDecision('group lost', f'{reason}: {",".join(run_counts)}'))
+        actions = gather.on_group_unanswered(self.state, now_ms, state, run_counts)
+        self._apply_actions(now_ms, in_flight, actions)
+        self._schedule_check(now_ms, in_flight)
 
     def _on_helper_lost(
         self, in_flight: InFlight, services: list[str], retried_services: set[str], reason: str
--- a/tests/test_relay/test_delegated_groups.py
+++ b/tests/test_relay/test_delegated_groups.py
@@ -48,6 +48,11 @@
             )
         return actions
 
+    def end_without_replies(self, number: int) -> list[RoutedAction]:
+        """End a group whose helper made every attempt that the route allows."""
+        run_counts = dict.fromkeys(self.groups[number].services, self.query.route.attempt_limit)
+        return gather.on_group_unanswered(self.simulation.state, 30.0, self.query, run_counts)
+
     def reply(self, services: tuple[str, ...], now_ms: float = 20.0) -> list[RoutedAction]:
         """Return the replies of shards through a helper."""
         return gather.on_group_replies(now_ms, self.query, [(name, name) for name in services])
@@ -93,7 +98,7 @@
     delegating = DelegatingQuery(coverage_floor=0.6)
     delegating.end_direct_attempts()
     delegating.reply(delegating.groups[0].services)
-    (answer,) = gather.on_group_lost(30.0, delegating.query, delegating.groups[1].services)
+    (answer,) = delegating.end_without_replies(1)
     assert isinstance(answer, DeliverMerged)
     assert len(answer.missing) == len(delegating.groups[1].services)
 
@@ -102,7 +107,7 @@
     """Guard against a refusal as not run although a helper may have sent attempts."""
     delegating = DelegatingQuery(coverage_floor=0.95)
     delegating.query.sent_count = 0
-    refusals = gather.on_group_lost(30.0, delegating.query, delegating.groups[1].services)
+    refusals = delegating.end_without_replies(1)
     (refusal,) = [action for action in refusals if isinstance(action, Refuse)]
     assert refusal.code is ResultCode.NO_ANSWER
 
@@ -178,3 +183,22 @@
         actions = gather.on_attempt_end(simulation.state, 10.0, group, send.attempt, end)
     (answer,) = [action for action in actions if isinstance(action, DeliverMerged)]
     assert (answer.replies, answer.missing) == (('r',), ('s0',))
+
+
+def test_shards_that_a_helper_could_not_query_are_queried_here() -> None:
+    """Guard against sound instances that lose the shards of a helper which is cut off."""
+    delegating = DelegatingQuery(coverage_floor=0.95)
+    delegating.end_direct_attempts()
+    delegating.reply(delegating.groups[0].services)
+    state, services = delegating.simulation.state, delegating.groups[1].services
+    before = {name: budget_of(state, name).extra_count for name in services}
+    actions = gather.on_group_unanswered(
+        state, 30.0, delegating.query, dict.fromkeys(services[:5], 1)
+    )
+    actions += gather.reclaim_shards(state, 30.0, delegating.query, services[5:])
+    delegating.sends = [action for action in actions if isinstance(action, SendAttempt)]
+    assert sorted(action.attempt.service for action in delegating.sends) == sorted(services)
+    # Those that the helper sent once already count as extra attempts.
+    extra = [name for name in services if budget_of(state, name).extra_count > before[name]]
+    assert sorted(extra) == sorted(services[:5])
+    assert isinstance(delegating.end_direct_attempts()[-1], DeliverMerged)
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -52,7 +52,7 @@
         self.refusing = False
         self.reconnected: list[str] = []
         self.replied: list[list[tuple[str, EndpointReply]]] = []
-        self.lost: list[str] = []
+        self.lost: dict[str, int] = {}
         self.helper_lost: list[tuple[list[str], set[str]]] = []
         self.refused: list[str] = []
         self.incoming: list[InFlight] = []
@@ -62,7 +62,7 @@
             self.send,
             self.reconnected.append,
             lambda _request, replies: self.replied.append(replies),
-            lambda _request, services, _reason: self.lost.extend(services),
+            lambda _request, run_counts, _reason: self.lost.update(run_counts),
             lambda _request, services: self.refused.extend(services),
             lambda _request, services, retried_services, _reason: self.helper_lost.append(
                 (services, set(retried_services))
@@ -169,7 +169,7 @@
         assert [(name, reply.receipt) for name, reply in replies] == [
             (name, name.encode()) for name in SHARDS
         ]
-        assert pair.delegating.lost == []
+        assert pair.delegating.lost == {}
         assert pair.delegating.relays.outgoing == {}
         assert pair.helping.relays.incoming == {}
         assert pair.helper.open_group_count == 0
@@ -230,15 +230,51 @@
         for shard in SHARDS[:3]:
             pair.helping.receive_reply(shard, b'1')
         (group,) = pair.helping.incoming
-        pair.helping.relays.finish(group.group, group.state)  # type: ignore[arg-type]
+        shard = group.query.shard_by_service['s3']
+        shard.attempt_count, shard.may_have_run_count = 3, 2
+        pair.helping.relays.finish(group.group, group.query)  # type: ignore[arg-type]
         await run_loop_turns()
         assert len(pair.delegating.received_replies()) == 3
-        assert pair.delegating.lost == ['s3']
+        assert pair.delegating.lost == {'s3': 2}
+        assert pair.delegating.refused == []
         assert pair.delegating.relays.outgoing == {}
 
     run(scenario)
 
 
+def test_helper_that_sent_nothing_returns_its_shards_and_is_avoided() -> None:
+    """Guard against shards that count as tried because a helper is cut off."""
+
+    async def scenario(pair: Pair) -> None:
+        pair.delegate()
+        await run_loop_turns()
+        (group,) = pair.helping.incoming
+        pair.helping.relays.finish(group.group, group.query)  # type: ignore[arg-type]
+        await run_loop_turns()
+        assert pair.delegating.lost == {}
+        assert pair.delegating.refused == list(SHARDS)
+        assert pair.helper.suspended_until_ms > monotonic_ms()
+
+    run(scenario)
+
+
+def test_results_of_a_build_that_does_not_count_attempts_are_not_retried() -> None:
+    """Guard against attempts beyond the limit of a route while two builds run side by side."""
+
+    async def scenario(pair: Pair) -> None:
+        pair.delegate()
+        await run_loop_turns()
+        relay_id = next(iter(pair.delegating.relays.outgoing))
+        old_results = [relay_id, [], b'', 1.0, True]
+        pair.delegating.relays.on_results(
+            msgspec.msgpack.decode(msgspec.msgpack.encode(old_results), type=RelayResults)
+        )
+        assert pair.delegating.lost == dict.fromkeys(SHARDS, ROUTE.attempt_limit)
+        assert pair.delegating.refused == []
+
+    run(scenario)
+
+
 def test_helper_that_cannot_query_refuses_the_group() -> None:
     """Guard against shards that are lost because a helper is fenced or stopping."""
 
@@ -247,7 +283,7 @@
         pair.delegate()
         await run_loop_turns()
         assert sorted(pair.delegating.refused) == list(SHARDS)
-        assert pair.delegating.lost == []
+        assert pair.delegating.lost == {}
         assert pair.delegating.relays.outgoing == {}
         assert pair.helper.open_group_count == 0
 
@@ -278,7 +314,7 @@
             pair.helping.receive_reply(shard, b'1')
         pair.helping.connected = False
         await wait_until(lambda: pair.helper.suspended_until_ms > monotonic_ms())
-        assert pair.delegating.lost == []
+        assert pair.delegating.lost == {}
         pair.helping.connected = True
         pair.helping.receive_reply('s3', b'1')
         await run_loop_turns()
