Let an instance that is cut off from all endpoints hand its work over to its peers

Callers of a cut-off instance were refused for as long as the cut lasted, though its peers reached the endpoints: it decided by its own breakers alone. Class of fault: a local observation taken for the state of a remote party. Attempts that wait for replies end at once, and breakers are closed after the cut. A request that may have been sent by its receiver is never said not to have run.

--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -61,6 +61,9 @@
         'RelayResults',
         'RelayTried',
         'RelayCancel',
+        'PassedRequest',
+        'PassedReply',
+        'PassedRefusal',
     ),
     'permits': (
         'PermitRequest',
--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -38,12 +38,14 @@
         'cut_off',
         'probed_ms',
         'probing',
+        'replied_ms',
         'sound_until_ms',
     )
 
     def __init__(self) -> None:
         self.cut_off = False
         self.changed_ms = float('-inf')
+        self.replied_ms = float('-inf')
         # Whether the outcome of probes decides a suspicion.
         self.probing = False
         self.probed_ms = float('-inf')
@@ -60,9 +62,14 @@
         """Return whether failures of endpoints may be failures of this instance's links."""
         return self.cut_off or self.probing
 
+    def has_replies(self, now_ms: float) -> bool:
+        """Return whether connections that were open before still carry replies."""
+        return now_ms < self.replied_ms + PROBE_TIMEOUT_MS
 
-def record_replied(reach: EndpointReach, endpoint: str) -> None:
+
+def record_replied(reach: EndpointReach, now_ms: float, endpoint: str) -> None:
     """Record a reply, which says nothing about new connections to other endpoints."""
+    reach.replied_ms = now_ms
     reach._failed.pop(endpoint, None)
     reach._overdue.clear()
 
--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -1,4 +1,4 @@
-"""Messages by which an entry instance delegates a group of shards to a helper."""
+"""Messages by which an entry instance delegates shards, or passes requests on, to a helper."""
 
 from __future__ import annotations
 
@@ -64,3 +64,38 @@
     relay_id: str
     # Results were due and did not arrive: the helper's connection may carry nothing any more.
     results_overdue: bool = False
+
+
+class PassedRequest(Struct, frozen=True, array_like=True):
+    """Ask a helper to send a request to an endpoint of a service and to pass the reply back."""
+
+    relay_id: str
+    route: str
+    service: str
+    request_id: str
+    head: bytes
+    body: bytes
+    digest: str
+    suspected: bool
+    time_left_ms: float
+
+
+class PassedReply(Struct, frozen=True, array_like=True):
+    """Carry the endpoint's reply to a request that was passed on."""
+
+    relay_id: str
+    receipt: bytes
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class PassedRefusal(Struct, frozen=True, array_like=True):
+    """End a request that was passed on without a reply of an endpoint."""
+
+    relay_id: str
+    code: int
+    detail: str
+    retry_after_ms: float | None = None
+    # The helper cannot serve at all; another one may.
+    declined: bool = False
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -125,6 +125,13 @@
     flush_at_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Pass a request on to another instance, which sends it to an endpoint."""
+
+    receiver: Helper
+
+
 @dataclass(frozen=True, slots=True)
 class AbandonAttempt:
     """Withdraw an attempt whose reply is no longer needed, unless it ends within a delay."""
@@ -166,7 +173,14 @@
 
 
 RoutedAction = (
-    SendAttempt | DelegateGroup | AbandonAttempt | Deliver | DeliverMerged | Refuse | LogDecision
+    SendAttempt
+    | DelegateGroup
+    | PassOn
+    | AbandonAttempt
+    | Deliver
+    | DeliverMerged
+    | Refuse
+    | LogDecision
 )
 
 
@@ -228,7 +242,7 @@
     if end.outcome is AttemptOutcome.LOST:
         record_failed(state.reach, now_ms, load.record.endpoint)
     elif end.outcome is not AttemptOutcome.NOT_SENT:
-        record_replied(state.reach, load.record.endpoint)
+        record_replied(state.reach, now_ms, load.record.endpoint)
     if end.report is not None:
         load.record_report(now_ms, end.report)
     if end.limit_per_s is not None and record_stated_limit(
--- a/packages/core/src/pistachioloft_core/request/delegation.py
+++ b/packages/core/src/pistachioloft_core/request/delegation.py
@@ -150,7 +150,7 @@
     direct: list[ShardAssignment] = []
     groups: list[GroupPlan] = []
     for domain, group in sorted(domains.items()):
-        helpers = _available_helpers(table, now_ms, domain)
+        helpers = _available_in_domain(table, now_ms, domain)
         if domain == own_domain and (table.own_advertised or len(group) > MAX_DIRECT_SHARD_COUNT):
             own_assignments, delegated = _divide_local_group(table, own_domain, helpers, group)
             direct += own_assignments
@@ -213,11 +213,14 @@
     suspend_helper(helper, now_ms)
 
 
-def _available_helpers(table: HelperTable, now_ms: float, domain: str) -> list[Helper]:
+def available_helpers(table: HelperTable, now_ms: float) -> list[Helper]:
+    """Return the helpers that are not suspended."""
+    return [helper for helper in table.helpers.values() if now_ms >= helper.suspended_until_ms]
+
+
+def _available_in_domain(table: HelperTable, now_ms: float, domain: str) -> list[Helper]:
     return [
-        helper
-        for helper in table.helpers.values()
-        if helper.failure_domain == domain and now_ms >= helper.suspended_until_ms
+        helper for helper in available_helpers(table, now_ms) if helper.failure_domain == domain
     ]
 
 
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -13,6 +13,7 @@
     AttemptOutcome,
     Deliver,
     LogDecision,
+    PassOn,
     Refuse,
     RoutedAction,
     SendAttempt,
@@ -21,6 +22,7 @@
     schedule_recheck,
 )
 from .gather import ABANDON_DELAY_MS, UNSERVED_RETRY_MS
+from .handover import choose_receiver
 from .permitted import lacks_only_permits, permitted_at_ms
 from .placement import choose_endpoint, has_usable_endpoint
 from .routed_state import budget_of
@@ -28,6 +30,7 @@
 if TYPE_CHECKING:
     from ..connection.endpoint_load import EndpointLoad
     from ..messages.routes import Route
+    from .delegation import Helper, HelperTable
     from .routed_state import RoutedState
 
 # Limits the attempts of one request, refused ones included.
@@ -46,11 +49,13 @@
     __slots__ = (
         'attempt_count',
         'deadline_at_ms',
+        'declined',
         'done',
         'failure',
         'hedged',
         'may_have_run_count',
         'open_attempts',
+        'receiver',
         'refused_endpoint',
         'request_id',
         'route',
@@ -80,6 +85,9 @@
         self.may_have_run_count = 0
         self.attempt_count = 0
         self.hedged = False
+        # The helper that the request was passed on to, and those that could not take it.
+        self.receiver: Helper | None = None
+        self.declined: set[str] = set()
         # The last error reply of an endpoint; delivered if no attempt succeeds.
         self.failure: Any = None
         # The same content was in flight at a crash; the request runs on one endpoint only.
@@ -90,8 +98,15 @@
         self.done = False
 
 
-def start_forward(state: RoutedState, now_ms: float, request: ForwardState) -> list[RoutedAction]:
+def start_forward(
+    state: RoutedState, now_ms: float, request: ForwardState, helpers: HelperTable | None = None
+) -> list[RoutedAction]:
     """Send the request to an endpoint, or refuse it if none can take it."""
+    request.receiver = choose_receiver(state, helpers, now_ms, request.declined)
+    if request.receiver is not None:
+        # The receiver may send it to an endpoint until it says that it did not.
+        request.may_have_run_count = 1
+        return [PassOn(request.receiver)]
     record_first_attempts(budget_of(state, request.service), now_ms, 1)
     if not has_usable_endpoint(state, now_ms, request.service):
         request.done = True
@@ -117,6 +132,41 @@
     return [Refuse(ResultCode.OVERLOADED, f'service {request.service}: {reason}', retry_after_ms)]
 
 
+def on_declined(
+    state: RoutedState, now_ms: float, request: ForwardState, helpers: HelperTable
+) -> list[RoutedAction]:
+    """Pass the request on to another helper after one that could not take it."""
+    assert request.receiver is not None
+    request.declined.add(request.receiver.instance)
+    request.receiver, request.may_have_run_count = None, 0
+    return [] if request.done else start_forward(state, now_ms, request, helpers)
+
+
+def on_receiver_reply(request: ForwardState, reply: Any) -> list[RoutedAction]:
+    """Deliver the reply that the receiver passes back."""
+    return [] if request.done else _deliver(request, reply)
+
+
+def on_receiver_refusal(request: ForwardState, refusal: Refuse) -> list[RoutedAction]:
+    """End the request as the receiver did."""
+    if request.done:
+        return []
+    request.done = True
+    return [refusal]
+
+
+def on_receiver_lost(request: ForwardState) -> list[RoutedAction]:
+    """End a request whose receiver is gone, which may have sent it to an endpoint."""
+    return [] if request.done else _finish_without_reply(request, 'the receiver is gone')
+
+
+def on_cut_off(request: ForwardState) -> list[RoutedAction]:
+    """End the attempts in flight, whose replies do not arrive any more."""
+    if request.done or not request.open_attempts:
+        return []
+    return _finish_without_reply(request, 'this instance is cut off from all endpoints')
+
+
 def on_attempt_end(
     state: RoutedState, now_ms: float, request: ForwardState, attempt: Attempt, end: AttemptEnd
 ) -> list[RoutedAction]:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -24,6 +24,7 @@
 )
 from .consolidation import consolidate_domains
 from .delegation import HelperTable, ShardAssignment, plan_query
+from .handover import plan_handover
 from .hedge_delay import usual_latency_ms
 from .permitted import refuse_without_permits
 from .placement import choose_endpoint, has_usable_endpoint
@@ -35,9 +36,10 @@
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Mapping
+    from collections.abc import Collection, Container, Iterable, Mapping
 
     from ..connection.endpoint_load import EndpointLoad
+    from .delegation import GroupPlan
     from .gather_state import GatherState, ShardState
     from .routed_state import RoutedState
 
@@ -65,6 +67,9 @@
     state: RoutedState, now_ms: float, query: GatherState, helpers: HelperTable | None = None
 ) -> list[RoutedAction]:
     """Query each shard, directly or through a helper, or refuse the query."""
+    groups = plan_handover(state, helpers, now_ms, query.shard_by_service, query.declined)
+    if groups:
+        return _hand_over(state, now_ms, query, groups)
     served_count = sum(has_usable_endpoint(state, now_ms, shard.service) for shard in query.shards)
     if served_count < query.coverage_floor_count:
         query.done = True
@@ -94,30 +99,55 @@
     plan = plan_query(
         helpers or HelperTable(), now_ms, state.failure_domain, assignments, state.random
     )
+    actions = _delegate(now_ms, query, plan.groups)
+    for assignment in plan.direct:
+        shard = query.shard_by_service[assignment.service]
+        actions.append(_send_first(state, now_ms, query, shard, assignment.load))
+    return actions + _finish_if_due(now_ms, query)
+
+
+def _hand_over(
+    state: RoutedState, now_ms: float, query: GatherState, groups: Iterable[GroupPlan]
+) -> list[RoutedAction]:
+    """Delegate all shards because this instance reaches no endpoint."""
+    refusal = refuse_if_overloaded(state, now_ms, query.route, query.past_target)
+    if refusal is not None:
+        query.done = True
+        return [refusal]
+    _limit_time(state, query)
+    query.started_ms = now_ms
+    return _delegate(now_ms, query, groups)
+
+
+def _delegate(now_ms: float, query: GatherState, groups: Iterable[GroupPlan]) -> list[RoutedAction]:
     actions: list[RoutedAction] = []
-    for group in plan.groups:
+    for group in groups:
         for service in group.services:
             query.shard_by_service[service].delegated = True
         query.delegated_count += len(group.services)
         flush_at_ms = max(now_ms, query.answer_at_ms - group.helper.overhead_ms())
         actions.append(DelegateGroup(group.helper, group.services, flush_at_ms))
-    for assignment in plan.direct:
-        shard = query.shard_by_service[assignment.service]
-        actions.append(_send_first(state, now_ms, query, shard, assignment.load))
-    return actions + _finish_if_due(now_ms, query)
+    return actions
 
 
 def reclaim_shards(
-    state: RoutedState, now_ms: float, query: GatherState, services: Iterable[str]
+    state: RoutedState,
+    now_ms: float,
+    query: GatherState,
+    services: Collection[str],
+    helpers: HelperTable | None = None,
 ) -> list[RoutedAction]:
-    """Query shards from this instance that their helper did not and will not query."""
+    """Query shards that their helper did not and will not query, from here if possible."""
     if query.done:
         return []
+    query.delegated_count -= len(services)
+    groups = plan_handover(state, helpers, now_ms, services, query.declined)
+    if groups:
+        return _delegate(now_ms, query, groups)
     actions: list[RoutedAction] = []
     for service in services:
         shard = query.shard_by_service[service]
         shard.delegated = False
-        query.delegated_count -= 1
         load = _choose_next_endpoint(state, now_ms, query, shard)
         if load is None:
             _update_exhausted(state, now_ms, query, shard)
@@ -165,7 +195,9 @@
     for service, run_count in run_counts.items():
         shard = query.shard_by_service[service]
         shard.delegated = False
-        shard.may_have_run_count = run_count
+        # An instance that is cut off cannot retry them, and a helper would not know their count.
+        attempt_limit = query.route.attempt_limit
+        shard.may_have_run_count = attempt_limit if state.reach.cut_off else run_count
         actions += _retry(state, now_ms, query, shard, unbudgeted=False)
     return actions + _finish_if_due(now_ms, query)
 
@@ -236,6 +268,20 @@
     return actions + _finish_if_due(now_ms, query)
 
 
+def on_cut_off(now_ms: float, query: GatherState) -> list[RoutedAction]:
+    """End the attempts in flight, whose replies do not arrive any more."""
+    if query.done:
+        return []
+    actions: list[RoutedAction] = []
+    for shard in query.shards:
+        if shard.replied or shard.delegated or shard.exhausted:
+            continue
+        actions += [AbandonAttempt(attempt, 0.0) for attempt in shard.open_attempts]
+        shard.exhausted = True
+        query.exhausted_count += 1
+    return _finish_if_due(now_ms, query) or actions
+
+
 def describe_missing(query: GatherState, name_limit_count: int) -> str:
     """List the shards without a reply, each with the endpoints that were tried."""
     missing = [shard for shard in query.shards if not shard.replied]
--- a/packages/core/src/pistachioloft_core/request/gather_state.py
+++ b/packages/core/src/pistachioloft_core/request/gather_state.py
@@ -57,6 +57,7 @@
         'answer_at_ms',
         'coverage_floor_count',
         'deadline_at_ms',
+        'declined',
         'delegated_count',
         'done',
         'exhausted_count',
@@ -102,6 +103,8 @@
         self.sent_count = 0
         # Shards that helpers queried or may have queried.
         self.delegated_count = 0
+        # Helpers that could not query shards of this query.
+        self.declined: set[str] = set()
         self.replied_count = 0
         self.exhausted_count = 0
         self.lost_count = 0
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -176,6 +176,11 @@
         if target is not None:
             self._close_connections(target.idle)
 
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for target in self._all_targets():
+            self._close_connections(target.idle)
+
     def close_aged(self) -> None:
         """Close the connections that have reached their idle limit."""
         now_s = monotonic_ms() / 1000.0
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -10,7 +10,15 @@
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
 from pistachioloft_core.messages.permits import PermitGrant, PermitRequest
-from pistachioloft_core.messages.relay import RelayCancel, RelayRequest, RelayResults, RelayTried
+from pistachioloft_core.messages.relay import (
+    PassedRefusal,
+    PassedReply,
+    PassedRequest,
+    RelayCancel,
+    RelayRequest,
+    RelayResults,
+    RelayTried,
+)
 from pistachioloft_core.process import endpoint_table, feed
 from pistachioloft_core.process.crash_watch import on_crash_reports
 from pistachioloft_core.request.delegation import (
@@ -103,7 +111,7 @@
         self.requests.report_crashes = self._report_crashes
         self.requests.feed_age_ms = self._confirmation_age_ms
         self.requests.can_serve = self.serving
-        self.peers.on_left = self.requests.relays.on_peer_left
+        self.peers.on_left = self._on_peer_left
         self.stopping = False
         self.advertised = False
         self.advertised_locations: tuple[InstanceLocation, ...] = ()
@@ -339,12 +347,24 @@
                 self.requests.relays.record_extra_attempt(message)
             case RelayCancel():
                 self.requests.relays.on_cancel(sender, message)
+                self.requests.passed.on_cancel(sender, message)
+            case PassedRequest():
+                self._connect_entry(sender)
+                self.requests.passed.on_request(sender, message)
+            case PassedReply():
+                self.requests.passed.on_reply(message)
+            case PassedRefusal():
+                self.requests.passed.on_refusal(message)
             case PermitRequest():
                 self._connect_entry(sender)
                 self.requests.permits.on_request(sender, message)
             case PermitGrant():
                 self.requests.permits.on_grant(message)
 
+    def _on_peer_left(self, instance: str) -> None:
+        self.requests.relays.on_peer_left(instance)
+        self.requests.passed.on_peer_left(instance)
+
     def _report_crashes(self, crashes: tuple[RequestCrash, ...]) -> None:
         feed.report_crashes(self.feed, crashes)
         feed.request_poll(self.feed, monotonic_ms())
--- a/packages/daemon/src/pistachioloft_daemon/in_flight.py
+++ b/packages/daemon/src/pistachioloft_daemon/in_flight.py
@@ -10,6 +10,7 @@
     from pistachioloft_core.request.forward import ForwardState
 
     from .http1.server import Respond
+    from .passed_requests import IncomingRequest
     from .relays import IncomingGroup
     from .routed_messages import RoutedRequest
 
@@ -22,6 +23,7 @@
         'check_at_ms',
         'group',
         'number',
+        'passed',
         'relay_ids',
         'respond',
         'route_version',
@@ -47,7 +49,9 @@
         # None once the caller has its answer or has left, and for a group of another instance.
         self.respond = respond
         self.group: IncomingGroup | None = None
-        # Groups that were delegated to helpers for this request.
+        # Set if another instance passed this request on.
+        self.passed: IncomingRequest | None = None
+        # What was delegated or passed on to helpers for this request.
         self.relay_ids: list[str] = []
         self.arrived_ms = arrived_ms
         self.route_version = route_version
@@ -62,3 +66,14 @@
         """Return the state of a query or of a delegated group."""
         assert isinstance(self.state, GatherState)
         return self.state
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether a caller or another instance waits for the outcome."""
+        return self.respond is not None or self.group is not None or self.passed is not None
+
+    @property
+    def single(self) -> ForwardState:
+        """Return the state of a request that goes to one endpoint."""
+        assert not isinstance(self.state, GatherState)
+        return self.state
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -52,7 +52,7 @@
     replied: Callable[[InFlight, Replies], None]
     # Shards without a reply, with the number of endpoints that may have run each.
     unanswered: Callable[[InFlight, dict[str, int], str], None]
-    refused: Callable[[InFlight, list[str]], None]
+    refused: Callable[[InFlight, list[str], str], None]
     # At the delegating instance: the shards without a reply of a lost helper, and the shards that
     # it had sent to a second endpoint.
     helper_lost: Callable[[InFlight, list[str], set[str], str], None]
@@ -192,7 +192,8 @@
                 outgoing.in_flight.routed.request_id,
                 outgoing.helper.instance,
             )
-            self.hooks.refused(outgoing.in_flight, sorted(outgoing.services))
+            name = outgoing.helper.instance
+            self.hooks.refused(outgoing.in_flight, sorted(outgoing.services), name)
             return
         if results.replies:
             self.hooks.record_waits(outgoing.helper.instance, results.replies)
@@ -221,7 +222,7 @@
                 name,
                 ','.join(untried),
             )
-            self.hooks.refused(in_flight, untried)
+            self.hooks.refused(in_flight, untried, name)
 
     def withdraw(self, in_flight: InFlight, after_ms: float) -> None:
         """Withdraw the groups of a request after a delay in which they may still finish."""
--- a/packages/daemon/src/pistachioloft_daemon/request_log.py
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from pistachioloft_core.request.attempts import DelegateGroup, Refuse, SendAttempt
+from pistachioloft_core.request.attempts import DelegateGroup, PassOn, Refuse, SendAttempt
 from pistachioloft_core.request.gather import describe_missing
 from pistachioloft_core.request.gather_state import GatherState
 
@@ -94,6 +94,16 @@
     )
 
 
+def log_passed_ended(in_flight: InFlight, elapsed_ms: float) -> None:
+    """Log the end of a request that another instance passed on."""
+    logger.info(
+        '%s passed request ended: request=%s ms=%.1f',
+        PREFIX,
+        in_flight.routed.request_id,
+        elapsed_ms,
+    )
+
+
 def log_decision(in_flight: InFlight, decision: LogDecision) -> None:
     """Log a decision about a request, such as a hedge or a retry."""
     request_id = in_flight.routed.request_id
@@ -145,7 +155,10 @@
     return ','.join(attempt.load.record.endpoint for attempt in sends) or 'none'
 
 
-def _format_helpers(actions: Iterable[RoutedAction]) -> str:
+def _format_helpers(actions: list[RoutedAction]) -> str:
     groups = [action for action in actions if isinstance(action, DelegateGroup)]
+    receivers = [action.receiver.instance for action in actions if isinstance(action, PassOn)]
+    if receivers:
+        return f' passed_to={receivers[0]}'
     names = ','.join(f'{group.helper.instance}:{len(group.services)}' for group in groups)
     return f' helpers={names}' if names else ''
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -30,6 +30,7 @@
     Deliver,
     DeliverMerged,
     LogDecision,
+    PassOn,
     Refuse,
     SendAttempt,
     record_attempt_end,
@@ -48,6 +49,7 @@
 from .http1.messages import Request
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
+from .passed_requests import PassedHooks, PassedRequests
 from .permits import Permits
 from .reach import ReachMonitor
 from .relays import RelayHooks, Relays
@@ -57,18 +59,19 @@
     log_decision,
     log_group_ended,
     log_group_placed,
+    log_passed_ended,
     log_placed,
     log_refused,
     log_stated_limit,
     log_suspected,
 )
-from .routed_messages import MergedReply, RoutedRequest, UnreadableRequest
+from .routed_messages import EndpointReply, MergedReply, RoutedRequest, UnreadableRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pistachioloft_core.messages.fleet import RequestCrash
-    from pistachioloft_core.messages.relay import RelayedReply, RelayRequest
+    from pistachioloft_core.messages.relay import PassedRequest, RelayedReply, RelayRequest
     from pistachioloft_core.messages.routes import Route
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
     from pistachioloft_core.request.routed_state import RoutedState
@@ -79,6 +82,7 @@
     from .http1.server import Cancel, Respond
     from .loop_timers import LoopTimers
     from .metrics import Metrics
+    from .passed_requests import IncomingRequest
     from .relays import IncomingGroup, Replies
     from .wire import WireFormat
 
@@ -146,6 +150,20 @@
             ),
             state.random.getrandbits(RELAY_NUMBER_BITS),
         )
+        self.passed = PassedRequests(
+            state.instance,
+            PassedHooks(
+                peers.send,
+                self._on_receiver_reply,
+                self._on_receiver_refusal,
+                self._on_declined,
+                self._on_receiver_lost,
+                self._begin_passed,
+                self._withdraw_passed,
+            ),
+            state.random.getrandbits(RELAY_NUMBER_BITS),
+        )
+        self.reach.changed = self._on_reach_changed
         self.permits = Permits(state, peers.send, peers.reconnect)
         self.splits = SplitState()
         self.crashes = CrashWatch()
@@ -159,6 +177,8 @@
         self.can_serve: Callable[[], bool] = lambda: True
         # Returns the age of the quorum confirmation on which placements are based.
         self.feed_age_ms: Callable[[], float] = lambda: 0.0
+        # Called when this instance is cut off from all endpoints, and when it is not any more.
+        self.on_reach_changed: Callable[[], None] = lambda: None
         self.report_crashes: Callable[[tuple[RequestCrash, ...]], None] = lambda _: None
 
     def handle(self, request: Request, respond: Respond) -> Cancel | None:
@@ -189,10 +209,7 @@
 
     def in_flight_count(self) -> int:
         """Count the unanswered requests, including groups of other instances."""
-        return sum(
-            in_flight.respond is not None or in_flight.group is not None
-            for in_flight in self.requests.values()
-        )
+        return sum(in_flight.is_unanswered for in_flight in self.requests.values())
 
     def _usable_routes(self) -> Refuse | RouteTable:
         """Return the routes for a new request, or the refusal if none is accepted."""
@@ -262,7 +279,7 @@
             actions = gather.start_gather(self.state, now_ms, state, self.helpers)
             log_placed(now_ms, in_flight, state.answer_at_ms, self.feed_age_ms(), actions)
         else:
-            actions = forward.start_forward(self.state, now_ms, state)
+            actions = forward.start_forward(self.state, now_ms, state, self.helpers)
             log_placed(now_ms, in_flight, deadline_at_ms, self.feed_age_ms(), actions)
         self._apply_actions(now_ms, in_flight, actions)
         self._schedule_check(now_ms, in_flight)
@@ -281,26 +298,104 @@
             return False
         return is_past_target(deadlines_of(self.state, route.name), routed.time_left_ms, route)
 
+    def _helping_route(self, name: str) -> tuple[Route, int] | None:
+        """Return a route and its version, None if this instance cannot help others with it."""
+        routes = self._usable_routes()
+        if isinstance(routes, Refuse) or self.state.reach.cut_off:
+            return None
+        route = routes.find_by_name(name)
+        return None if route is None else (route, routes.version)
+
+    def _is_suspected(self, now_ms: float, request: RelayRequest | PassedRequest) -> bool:
+        level = classify_request(self.crashes, now_ms, request.digest)
+        return request.suspected or level is not SuspicionLevel.CLEAR
+
+    def _begin_passed(self, incoming: IncomingRequest) -> InFlight | None:
+        """Send a request to an endpoint that another instance passed on to this one."""
+        now_ms = monotonic_ms()
+        request = incoming.request
+        found = self._helping_route(request.route)
+        if found is None or found[0].gather is not None:
+            return None
+        route, version = found
+        self.number += 1
+        state = ForwardState(
+            str(self.number),
+            route,
+            request.service,
+            now_ms + max(0.0, request.time_left_ms),
+            self._is_suspected(now_ms, request),
+        )
+        in_flight = InFlight(
+            self.number, _relayed_request(request), state, None, now_ms, version, 0.0
+        )
+        in_flight.passed = incoming
+        self.requests[self.number] = in_flight
+        actions = forward.start_forward(self.state, now_ms, state)
+        log_group_placed(in_flight, incoming.sender, self.feed_age_ms(), actions)
+        self._apply_actions(now_ms, in_flight, actions)
+        self._schedule_check(now_ms, in_flight)
+        return in_flight
+
+    def _withdraw_passed(self, in_flight: InFlight) -> None:
+        actions = forward.cancel_forward(in_flight.single)
+        self._apply_actions(monotonic_ms(), in_flight, actions)
+        self._finish(in_flight)
+
+    def _on_receiver_reply(self, in_flight: InFlight, reply: EndpointReply) -> None:
+        actions = forward.on_receiver_reply(in_flight.single, reply)
+        self._apply_actions(monotonic_ms(), in_flight, actions)
+
+    def _on_receiver_refusal(self, in_flight: InFlight, refusal: Refuse) -> None:
+        actions = forward.on_receiver_refusal(in_flight.single, refusal)
+        self._apply_actions(monotonic_ms(), in_flight, actions)
+
+    def _on_receiver_lost(self, in_flight: InFlight) -> None:
+        actions = forward.on_receiver_lost(in_flight.single)
+        self._apply_actions(monotonic_ms(), in_flight, actions)
+
+    def _on_declined(self, in_flight: InFlight) -> None:
+        now_ms = monotonic_ms()
+        actions = forward.on_declined(self.state, now_ms, in_flight.single, self.helpers)
+        self._apply_actions(now_ms, in_flight, actions)
+        self._schedule_check(now_ms, in_flight)
+
+    def _on_reach_changed(self, cut_off: bool) -> None:
+        """Give up what waits for endpoints that are not reached, or use all endpoints again."""
+        self.on_reach_changed()
+        if not cut_off:
+            for load in self.state.table.endpoints.values():
+                load.breaker.reset()
+            return
+        now_ms = monotonic_ms()
+        if self.state.reach.has_replies(now_ms):
+            # Open connections live on.
+            return
+        self.pool.close_idle()
+        for in_flight in list(self.requests.values()):
+            state = in_flight.state
+            if isinstance(state, GatherState):
+                actions = gather.on_cut_off(now_ms, state)
+            else:
+                actions = forward.on_cut_off(state)
+            self._apply_actions(now_ms, in_flight, actions)
+
     def _begin_group(self, group: IncomingGroup) -> InFlight | None:
         """Query the shards that another instance delegated to this one."""
         now_ms = monotonic_ms()
         request = group.request
-        routes = self._usable_routes()
-        if isinstance(routes, Refuse):
-            return None
-        route = routes.find_by_name(request.route)
-        if route is None or route.gather is None:
+        found = self._helping_route(request.route)
+        if found is None or found[0].gather is None:
             return None
+        route, version = found
         self.number += 1
-        suspected = request.suspected or (
-            classify_request(self.crashes, now_ms, request.digest) is not SuspicionLevel.CLEAR
-        )
+        suspected = self._is_suspected(now_ms, request)
         deadline_at_ms = now_ms + max(0.0, request.time_left_ms)
         state = GatherState(
             str(self.number), route, deadline_at_ms, deadline_at_ms, suspected, request.services
         )
         in_flight = InFlight(
-            self.number, _relayed_request(request), state, None, now_ms, routes.version, 0.0
+            self.number, _relayed_request(request), state, None, now_ms, version, 0.0
         )
         in_flight.group = group
         self.requests[self.number] = in_flight
@@ -349,10 +444,11 @@
         self._apply_actions(now_ms, in_flight, actions)
         self._schedule_check(now_ms, in_flight)
 
-    def _on_group_refused(self, in_flight: InFlight, services: list[str]) -> None:
+    def _on_group_refused(self, in_flight: InFlight, services: list[str], helper: str) -> None:
         now_ms = monotonic_ms()
         state = in_flight.query
-        actions = gather.reclaim_shards(self.state, now_ms, state, services)
+        state.declined.add(helper)
+        actions = gather.reclaim_shards(self.state, now_ms, state, services, self.helpers)
         self._apply_actions(now_ms, in_flight, actions)
         self._schedule_check(now_ms, in_flight)
 
@@ -438,6 +534,7 @@
             actions = forward.cancel_forward(state)
         self._apply_actions(monotonic_ms(), in_flight, actions)
         self.relays.withdraw(in_flight, 0.0)
+        self.passed.withdraw(in_flight)
         self._finish(in_flight)
 
     def _apply_actions(
@@ -451,6 +548,9 @@
                     self._send(in_flight, action)
                 case DelegateGroup():
                     self._delegate(now_ms, in_flight, action)
+                case PassOn():
+                    if not self.passed.pass_on(in_flight, action.receiver, in_flight.single):
+                        self._on_declined(in_flight)
                 case AbandonAttempt():
                     self._abandon(now_ms, action)
                 case LogDecision():
@@ -459,10 +559,8 @@
                     self._answer(now_ms, in_flight, action)
 
     def _delegate(self, now_ms: float, in_flight: InFlight, action: DelegateGroup) -> None:
-        state = in_flight.query
         if not self.relays.delegate(in_flight, action):
-            actions = gather.reclaim_shards(self.state, now_ms, state, action.services)
-            self._apply_actions(now_ms, in_flight, actions)
+            self._on_group_refused(in_flight, list(action.services), action.helper.instance)
 
     def _send(self, in_flight: InFlight, action: SendAttempt) -> None:
         attempt = action.attempt
@@ -493,6 +591,12 @@
             self.relays.finish(in_flight.group, in_flight.query)
             self._finish(in_flight)
             return
+        if in_flight.passed is not None:
+            assert not isinstance(action, DeliverMerged)
+            log_passed_ended(in_flight, now_ms - in_flight.arrived_ms)
+            self.passed.finish(in_flight.passed, action)
+            self._finish(in_flight)
+            return
         code = ResultCode.COMPLETE
         match action:
             case Deliver():
@@ -512,6 +616,7 @@
         log_answered(in_flight, response.status, code, elapsed_ms, refusal)
         self.metrics.count_request(code, elapsed_ms)
         self.relays.withdraw(in_flight, ABANDON_DELAY_MS if refusal is None else 0.0)
+        self.passed.withdraw(in_flight)
         self._finish(in_flight)
 
     def _merge(self, in_flight: InFlight, action: DeliverMerged) -> MergedReply:
@@ -535,8 +640,8 @@
         return self.wire.decode_reply(in_flight.routed.request_id, response)
 
 
-def _relayed_request(request: RelayRequest) -> RoutedRequest:
-    """Build a routed request from another instance's group, for the encoder of attempts."""
+def _relayed_request(request: RelayRequest | PassedRequest) -> RoutedRequest:
+    """Build a routed request from another instance's one, for the encoder of attempts."""
     empty_request = Request(b'', b'', ())
     return RoutedRequest(
         request.request_id,
--- a/tests/test_gather/routed_simulation.py
+++ b/tests/test_gather/routed_simulation.py
@@ -130,6 +130,9 @@
         self.single_route = Route(
             'one', 'h', '/one/', True, 4_000.0, 400.0, 2, attempt_limit, (WeightedService('s0'),)
         )
+        self.run_once_route = Route(
+            'unsafe', 'h', '/unsafe/', False, 4_000.0, 400.0, 2, 2, self.single_route.services
+        )
         rules = tuple(ServiceRule(shard, '/health', 20) for shard in shards)
         set_routes(
             self.state,
@@ -181,9 +184,7 @@
         self, idempotent: bool = True, limit_ms: float = 4_000.0, suspected: bool = False
     ) -> SimulatedRequest:
         """Start a request that is forwarded to one endpoint."""
-        route = self.single_route
-        if not idempotent:
-            route = Route('unsafe', 'h', '/unsafe/', False, 4_000.0, 400.0, 2, 2, route.services)
+        route = self.single_route if idempotent else self.run_once_route
         name = f'r{next(self._numbers)}'
         state = ForwardState(name, route, 's0', self.now_ms + limit_ms, suspected)
         simulated = SimulatedRequest(state, self.now_ms)
--- a/tests/test_reach/test_reach.py
+++ b/tests/test_reach/test_reach.py
@@ -91,7 +91,7 @@
     links.reachable = set()
     for name in NAMES[:3]:
         record_failed(links.reach, links.now_ms, name)
-        record_replied(links.reach, 'e19')
+        record_replied(links.reach, links.now_ms, 'e19')
     links.run(200.0)
     assert links.reach.cut_off
 
@@ -102,7 +102,7 @@
     for first, second in pairwise(NAMES):
         record_overdue(links.reach, links.now_ms, first)
         record_overdue(links.reach, links.now_ms, second)
-        record_replied(links.reach, 'e19')
+        record_replied(links.reach, links.now_ms, 'e19')
         assert links.tick() == []
     for name in NAMES[:3]:
         record_overdue(links.reach, links.now_ms, name)
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -63,7 +63,7 @@
             self.reconnected.append,
             lambda _request, replies: self.replied.append(replies),
             lambda _request, run_counts, _reason: self.lost.update(run_counts),
-            lambda _request, services: self.refused.extend(services),
+            lambda _request, services, _helper: self.refused.extend(services),
             lambda _request, services, retried_services, _reason: self.helper_lost.append(
                 (services, set(retried_services))
             ),
