Do not take a refused connection for a crash while this instance is cut off

When the links of an instance are reset, all its requests in flight are lost and the connections that replace them are refused, which looks as if each request had crashed its endpoints. Their contents were condemned for 600 s by all instances: tests/test_fleet_processes/test_cut_off_entries.py[reset] served 0 of 68 queries. A refused connection now counts as a crash 0.15 s later, unless a suspicion that the instance is cut off is open or confirmed by then; an endpoint that really crashed is told apart by connections to the others. The test passes, and so do those of crashing requests.

--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -57,11 +57,6 @@
         self._probed: set[str] = set()
         self._reached: set[str] = set()
 
-    @property
-    def is_doubtful(self) -> bool:
-        """Return whether failures of endpoints may be failures of this instance's links."""
-        return self.cut_off or self.probing
-
     def has_replies(self, now_ms: float) -> bool:
         """Return whether connections that were open before still carry replies."""
         return now_ms < self.replied_ms + PROBE_TIMEOUT_MS
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -92,6 +92,8 @@
 NO_ROUTES_RETRY_MS = 500.0
 STOPPING_RETRY_MS = 10.0
 IN_FLIGHT_LIMIT_COUNT = 1_000
+# If an endpoint refuses a connection because this instance is cut off, others do so in this time.
+CRASH_CHECK_DELAY_MS = 150.0
 # Wide enough that a restarted process does not reuse the numbers of the previous one.
 RELAY_NUMBER_BITS = 48
 
@@ -126,7 +128,7 @@
                 self._decode,
                 self._on_end,
                 lambda record: endpoint_connection_limit(state, record.service),
-                self.on_endpoint_down,
+                self._on_connection_refused,
                 self.reach.on_connected,
                 self.reach.on_connect_failed,
             ),
@@ -367,6 +369,8 @@
             for load in self.state.table.endpoints.values():
                 load.breaker.reset()
             return
+        # What was lost with the links is no sign that an endpoint crashed.
+        self.crashes.lost.clear()
         now_ms = monotonic_ms()
         if self.state.reach.has_replies(now_ms):
             # Open connections live on.
@@ -486,6 +490,20 @@
             # A crashed endpoint refuses the connection; with a live one it is ready for reuse.
             self.pool.preconnect(attempt.load.record)
 
+    def _on_connection_refused(self, endpoint: str) -> None:
+        """Take an endpoint for crashed unless this instance turns out to be cut off."""
+        due_ms = monotonic_ms() + CRASH_CHECK_DELAY_MS
+        self.timers.at(due_ms, lambda _ms: self._confirm_crash(endpoint))
+
+    def _confirm_crash(self, endpoint: str) -> None:
+        reach = self.state.reach
+        if reach.cut_off:
+            self.crashes.lost.pop(endpoint, None)
+        elif reach.probing:
+            self._on_connection_refused(endpoint)
+        else:
+            self.on_endpoint_down(endpoint)
+
     def on_endpoint_down(self, endpoint: str) -> None:
         """Suspect the requests that were lost on an endpoint that has crashed."""
         crashes = on_endpoint_down(self.crashes, monotonic_ms(), endpoint)
