Send callers and groups to instances that reach endpoints while others are cut off

An instance that was cut off stayed advertised: callers kept coming, each of their requests took one more hop, and the connections and budgets of the endpoints stayed divided among instances that could not use them. Entry instances now report whether they are cut off, control instances advertise the others as long as there are any, and 'pistachioloft fleet status' shows it. With the change to the directory taken out, the processes test fails since the cut-off instances are advertised; messages of earlier builds are read as before.

--- a/packages/cli/src/pistachioloft_cli/fleet_commands.py
+++ b/packages/cli/src/pistachioloft_cli/fleet_commands.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from pistachioloft_core.messages.report import AnnouncedReport
+    from pistachioloft_core.messages.report import AnnouncedReport, EntryReport
 
 WATCH_VARIABLE = 'PISTACHIOLOFT_WATCH_AT'
 REPORT_ANSWER_TIMEOUT_MS = 2_500
@@ -136,7 +136,7 @@
         entry.instance: (
             entry.instance,
             entry.failure_domain,
-            'stopping' if entry.stopping else 'ready' if entry.ready else 'not ready',
+            _entry_state(entry),
             'yes' if entry.chosen else 'no',
             entry.route_version,
             entry.in_flight_count,
@@ -149,6 +149,14 @@
     return ('', *format_table(header, list(rows.values()))) if rows else ()
 
 
+def _entry_state(entry: EntryReport) -> str:
+    if entry.stopping:
+        return 'stopping'
+    if entry.ready and entry.cut_off:
+        return 'cut off'
+    return 'ready' if entry.ready else 'not ready'
+
+
 def _endpoint_table(reports: Iterable[FleetReport], list_all: bool) -> tuple[str, ...]:
     rows = []
     for report in reports:
--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -50,6 +50,8 @@
     age_ms: float = 0.0
     # Increases with each report of this incarnation, since polls can arrive out of order.
     sequence: int = 0
+    # It reaches none of the endpoints and hands its work over to other entry instances.
+    cut_off: bool = False
 
 
 class ControlStatus(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/messages/report.py
+++ b/packages/core/src/pistachioloft_core/messages/report.py
@@ -21,6 +21,7 @@
     route_version: int
     in_flight_count: int
     age_ms: float
+    cut_off: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/process/directory.py
+++ b/packages/core/src/pistachioloft_core/process/directory.py
@@ -40,6 +40,8 @@
 ) -> tuple[EntryStatus, ...]:
     """Choose the advertised entry instances, spread over the failure domains."""
     ready = [entry for entry in entries if entry.ready and not entry.stopping]
+    # Without any that reaches endpoints, the endpoints are probably down and not the links.
+    ready = [entry for entry in ready if not entry.cut_off] or ready
     if entry_limit_count is None or len(ready) <= entry_limit_count:
         return tuple(ready)
     # The order is stable: the loss of an instance does not change the choice of the others.
--- a/packages/core/src/pistachioloft_core/process/known_entries.py
+++ b/packages/core/src/pistachioloft_core/process/known_entries.py
@@ -37,10 +37,15 @@
 class _SharedEntry:
     """Hold what was last shared about an entry instance."""
 
-    __slots__ = ('changed_ms', 'content', 'shared_ms')
+    __slots__ = ('changed_ms', 'content', 'full_until_ms', 'in_full', 'shared_ms')
 
-    def __init__(self, content: tuple[int, bool, bool, int], now_ms: float) -> None:
+    def __init__(
+        self, content: tuple[int, bool, bool, int], in_full: tuple[int, bool], now_ms: float
+    ) -> None:
         self.content = content
+        # Fields that no renewal carries; the whole status is shared for a while when they change.
+        self.in_full = in_full
+        self.full_until_ms = now_ms
         self.changed_ms = now_ms
         self.shared_ms = now_ms
 
@@ -115,9 +120,17 @@
             continue
         state.silent.pop(name, None)
         content = (status.incarnation, status.ready, status.stopping, status.route_version)
+        in_full = (status.incarnation, status.cut_off)
         shared = state.shared.get(name)
-        if shared is None or shared.content[0] != status.incarnation:
-            state.shared[name] = _SharedEntry(content, now_ms)
+        if shared is None:
+            shared = state.shared[name] = _SharedEntry(content, in_full, now_ms)
+            new.append(status_with_age(entry, now_ms))
+            continue
+        if shared.in_full != in_full:
+            shared.content, shared.changed_ms = content, now_ms
+            shared.in_full, shared.full_until_ms = in_full, now_ms + REPEAT_MS
+        if now_ms < shared.full_until_ms:
+            shared.shared_ms = now_ms
             new.append(status_with_age(entry, now_ms))
             continue
         if shared.content != content:
@@ -177,6 +190,6 @@
     )
 
 
-def _advertised_fields(status: EntryStatus) -> tuple[bool, bool, str]:
+def _advertised_fields(status: EntryStatus) -> tuple[bool, bool, bool, str]:
     """Return the fields that decide whether and how an entry instance is advertised."""
-    return status.ready, status.stopping, status.caller_address
+    return status.ready, status.stopping, status.cut_off, status.caller_address
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -111,6 +111,8 @@
         self.requests.report_crashes = self._report_crashes
         self.requests.feed_age_ms = self._confirmation_age_ms
         self.requests.can_serve = self.serving
+        # Callers and groups are directed elsewhere once the control instances know.
+        self.requests.on_reach_changed = lambda: feed.request_poll(self.feed, monotonic_ms())
         self.peers.on_left = self._on_peer_left
         self.stopping = False
         self.advertised = False
@@ -208,6 +210,7 @@
             self.stopping,
             routes.version if routes is not None else 0,
             self.requests.in_flight_count(),
+            cut_off=self.state.reach.cut_off,
         )
 
     def _gauges(self) -> list[tuple[str, str, float]]:
--- a/packages/daemon/src/pistachioloft_daemon/reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/reports.py
@@ -116,6 +116,7 @@
                 entry.route_version,
                 entry.in_flight_count,
                 entry.age_ms,
+                entry.cut_off,
             )
             for entry in entries
         ),
--- a/tests/test_fleet/test_directory.py
+++ b/tests/test_fleet/test_directory.py
@@ -4,6 +4,8 @@
 
 from collections import Counter
 
+from msgspec.structs import replace
+
 from pistachioloft_core.messages.fleet import EntryStatus
 from pistachioloft_core.messages.routes import (
     Gather,
@@ -78,3 +80,13 @@
 def test_unready_instances_are_not_advertised() -> None:
     """Guard against callers that are sent to an instance without a configuration."""
     assert advertised_entries([entry(1, 'a', ready=False)], None) == ()
+
+
+def test_instances_that_are_cut_off_are_advertised_only_without_others() -> None:
+    """Guard against callers that are sent to instances which reach no endpoint."""
+    cut_off = [replace(entry_status, cut_off=True) for entry_status in FLEET[:50]]
+    advertised = advertised_entries([*cut_off, *FLEET[50:]], 16)
+    assert len(advertised) == 16
+    assert not any(entry_status.cut_off for entry_status in advertised)
+    # If all endpoints are down, all instances find themselves cut off.
+    assert len(advertised_entries(cut_off, 16)) == 16
--- a/tests/test_fleet/test_known_entries.py
+++ b/tests/test_fleet/test_known_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from msgspec.structs import replace
 
 from pistachioloft_core.codec import encode_peer
@@ -122,3 +123,32 @@
     for until_ms in range(3_300, 9_000, 100):
         controls.run(until_ms)
         assert [controls.live(number) for number in range(3)] == [1, 1, 1]
+
+
+def test_cut_off_instance_is_known_everywhere_within_a_second() -> None:
+    """Guard against instances that are advertised by the control instances they do not poll."""
+    controls = Controls(5)
+    add_entries(controls, 20)
+    controls.run(5_000)
+    entry = next(iter(controls.polled_control))
+
+    def known() -> list[bool]:
+        return [state.entries.by_name[entry.instance].status.cut_off for state in controls.states]
+
+    for cut_off in (True, False):
+        polled = controls.polled_control.pop(entry)
+        entry = replace(entry, cut_off=cut_off)
+        controls.polled_control[entry] = polled
+        # The first share after the change is lost.
+        controls.run(controls.now_ms + 400, shares_delivered=False)
+        controls.run(controls.now_ms + 400)
+        assert known() == [cut_off] * 5
+        controls.run(controls.now_ms + 3_000)
+        assert known() == [cut_off] * 5
+
+
+def test_status_of_a_build_without_the_field_is_read() -> None:
+    """Guard against polls that one of two builds side by side refuses."""
+    old_fields = msgspec.msgpack.decode(msgspec.msgpack.encode(ENTRY))[:-1]
+    decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(old_fields), type=EntryStatus)
+    assert decoded == ENTRY
--- a/tests/test_fleet_processes/test_cut_off_entries.py
+++ b/tests/test_fleet_processes/test_cut_off_entries.py
@@ -59,6 +59,8 @@
         await first_tries(site, site.fleet.entries)
         await asyncio.sleep(max(0.0, SETTLED_AFTER_S - LOAD_S))
         answers = await first_tries(site, site.fleet.entries)
+        advertised = await site.addresses()
+        assert sorted(advertised) == sorted(site.fleet.caller_address(each) for each in sound)
         for path in PATHS:
             cut_off_answers = [answer for each in cut_off for answer in answers[each.name, path]]
             sound_answers = [answer for each in sound for answer in answers[each.name, path]]
