Read, log and count what an endpoint says about its rest and that it leaves

The logs named refusals of endpoints and not what these ask for. Replies now carry one statement of their endpoint: limit, rest, leaving; what still applies is held in one place for each run of an endpoint, and a change is logged. Rests are read as seconds or as a date, and bad values end no attempt. No decision uses rest and leaving yet.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -6,10 +6,11 @@
 from typing import TYPE_CHECKING
 
 from ..process.observed import Breaker
-from .endpoint_limit import EndpointLimit
+from .statements import EndpointStatements
 
 if TYPE_CHECKING:
     from ..messages.fleet import AnnouncedEndpoint
+    from .endpoint_limit import EndpointLimit
 
 # Weight of the newest reply in the slowness estimate, which covers about the last 4 replies.
 SLOWNESS_WEIGHT = 0.25
@@ -56,23 +57,29 @@
         'breaker',
         'cold_until_ms',
         'in_flight_count',
-        'limit',
         'overdue_count',
         'record',
         'replied_ms',
         'report',
         'report_ms',
         'round_trip_ms',
+        'statements',
     )
 
-    def __init__(self, record: AnnouncedEndpoint, cold_until_ms: float) -> None:
+    def __init__(
+        self,
+        record: AnnouncedEndpoint,
+        cold_until_ms: float,
+        statements: EndpointStatements | None = None,
+    ) -> None:
         self.record = record
+        # Kept while this run of the endpoint is announced with changes.
+        self.statements = statements or EndpointStatements()
         self.cold_until_ms = cold_until_ms
         self.in_flight_count = 0
         # Attempts in flight for longer than the hedge delay.
         self.overdue_count = 0
         self.breaker = Breaker()
-        self.limit = EndpointLimit()
         self.replied_ms = float('-inf')
         self.report: LoadReport | None = None
         self.report_ms = 0.0
@@ -85,6 +92,11 @@
         self._shed = 0.0
         self._shed_updated_ms = 0.0
 
+    @property
+    def limit(self) -> EndpointLimit:
+        """Return the limit that the endpoint states."""
+        return self.statements.limit
+
     def slowness(self, now_ms: float) -> float:
         """Return the latency of this endpoint as a multiple of its route's median."""
         factor = SLOWNESS_HALF_LIFE_FACTOR ** max(0, self._slow_streak - 1)
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -6,8 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from ..connection.endpoint_limit import record_stated_limit
 from ..connection.reach import record_failed, record_overdue, record_replied
+from ..connection.statements import record_statement
 from ..process.observed import PROBE_TIMEOUT_MS
 from .hedge_delay import late_after_ms, usual_latency_ms
 from .queue_waits import record_load_report, record_service_time, record_withdrawn
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from ..connection.endpoint_load import EndpointLoad, LoadReport
+    from ..connection.statements import Statement
     from ..errors import ResultCode
     from ..messages.routes import Route
     from .delegation import Helper
@@ -52,8 +53,8 @@
     report: LoadReport | None = None
     # The endpoint's address refused the connection or now belongs to another endpoint.
     wrong_endpoint: bool = False
-    # The limit that the endpoint states, UNLIMITED without one; None if there is no such reply.
-    limit_per_s: float | None = None
+    # What the reply says about its endpoint; None without a reply.
+    statement: Statement | None = None
 
 
 class Attempt:
@@ -245,10 +246,10 @@
         record_replied(state.reach, now_ms, load.record.endpoint)
     if end.report is not None:
         load.record_report(now_ms, end.report)
-    if end.limit_per_s is not None and record_stated_limit(
-        load.limit, now_ms, attempt.sent_ms or attempt.started_ms, end.limit_per_s
+    if end.statement is not None and record_statement(
+        load.statements, now_ms, attempt.sent_ms or attempt.started_ms, end.statement
     ):
-        state.changed_limits.append(load)
+        state.changed_statements.append(load)
         if load.limit.is_limited:
             state.limited_endpoints.add(load.record.endpoint)
         else:
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -46,7 +46,7 @@
     __slots__ = (
         'admissions',
         'budgets',
-        'changed_limits',
+        'changed_statements',
         'deadlines',
         'entry_count',
         'failure_domain',
@@ -82,9 +82,9 @@
         self.queue_waits = QueueWaits()
         # By set of shards.
         self.admissions: dict[tuple[str, ...], QueryAdmission] = {}
-        # Endpoints that state a limit, and those whose change of it was not logged yet.
+        # Endpoints that state a limit, and those with statements that were not logged yet.
         self.limited_endpoints: set[str] = set()
-        self.changed_limits: list[EndpointLoad] = []
+        self.changed_statements: list[EndpointLoad] = []
         # Endpoints that placements wanted to use and had no permit for.
         self.wanted_permits: dict[str, EndpointLoad] = {}
         # Number of instances that share the allowances and the endpoints' connections.
--- a/packages/daemon/src/pistachioloft_daemon/platform/names.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/names.py
@@ -14,9 +14,12 @@
 LOAD = b'X-Server-Load'
 # How many requests a second an endpoint takes from all instances together.
 ENDPOINT_LIMIT = b'Server-Limit'
+# The endpoint leaves and wants no new requests.
+ENDPOINT_LEAVING = b'Server-Leaving'
 # The receipts of all merged replies, and the number of missing shards.
 RECEIPTS = b'X-Part-Stamps'
 MISSING_COUNT = b'X-Missing-Parts'
+# In seconds or as a date: in our refusals, and in those of an endpoint that wants no requests.
 RETRY_AFTER = b'Retry-After'
 
 # Paths.
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
+from email.utils import parsedate_to_datetime
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.connection.endpoint_limit import UNLIMITED
 from pistachioloft_core.connection.endpoint_load import LoadReport
+from pistachioloft_core.connection.statements import Statement
 from pistachioloft_core.errors import RESULTS, ResultCode
 from pistachioloft_core.request.attempts import AttemptEnd, AttemptOutcome, Refuse
 
@@ -19,6 +22,7 @@
     request_digest,
 )
 from .names import (
+    ENDPOINT_LEAVING,
     ENDPOINT_LIMIT,
     EXPECTED_ENDPOINT,
     MISSING_COUNT,
@@ -35,6 +39,7 @@
 # Statuses by which the platform recognizes that a request has not run and never will.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _MISDIRECTED = 421
+_BUSY = 503
 # A condemned request is valid and has not run, which only one of these statuses expresses.
 _STATUS_OVERRIDES = {ResultCode.CONDEMNED: 503}
 # A failure of the gateway itself, which leaves open whether the request has run.
@@ -93,7 +98,12 @@
     if echoed is not None and echoed != request_id.encode('latin-1'):
         return None
     end = _decode_end(response, headers)
-    return replace(end, limit_per_s=_stated_limit(headers.get(ENDPOINT_LIMIT.lower())))
+    statement = Statement(
+        _stated_limit(headers.get(ENDPOINT_LIMIT.lower())),
+        _stated_rest_ms(headers.get(RETRY_AFTER.lower())) if response.status == _BUSY else None,
+        headers.get(ENDPOINT_LEAVING.lower()) == b'1',
+    )
+    return replace(end, statement=statement)
 
 
 def _decode_end(response: Response, headers: dict[bytes, bytes]) -> AttemptEnd:
@@ -153,6 +163,21 @@
     return limit_per_s if 0.0 <= limit_per_s < UNLIMITED else None
 
 
+def _stated_rest_ms(value: bytes | None) -> float | None:
+    """Decode for how long an endpoint wants no requests, None if it does not say so."""
+    if value is None:
+        return None
+    text = value.decode('latin-1')
+    try:
+        seconds = float(text)
+    except ValueError:
+        try:
+            seconds = parsedate_to_datetime(text).timestamp() - time.time()
+        except (ValueError, OverflowError):
+            return None
+    return seconds * 1000.0 if 0.0 < seconds < float('inf') else None
+
+
 def _load_report(value: bytes | None) -> LoadReport | None:
     if value is None:
         return None
--- a/packages/daemon/src/pistachioloft_daemon/request_log.py
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from pistachioloft_core.connection.endpoint_limit import EndpointLimit
+    from pistachioloft_core.connection.statements import EndpointStatements
     from pistachioloft_core.errors import ResultCode
     from pistachioloft_core.messages.fleet import RequestCrash
     from pistachioloft_core.request.attempts import LogDecision, RoutedAction
@@ -38,9 +38,15 @@
     )
 
 
-def log_stated_limit(endpoint: str, limit: EndpointLimit) -> None:
-    """Log that an endpoint states another limit, or none any more."""
-    logger.info('[placement] endpoint limit: endpoint=%s per_s=%.1f', endpoint, limit.per_s)
+def log_statements(now_ms: float, endpoint: str, statements: EndpointStatements) -> None:
+    """Log what an endpoint says about itself after it has changed."""
+    logger.info(
+        '[placement] endpoint states: endpoint=%s limit_per_s=%.1f rest_ms=%.0f leaving=%s',
+        endpoint,
+        statements.limit.per_s,
+        max(0.0, statements.rest_until_ms - now_ms),
+        str(statements.is_leaving).lower(),
+    )
 
 
 def log_placed(
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -62,7 +62,7 @@
     log_passed_ended,
     log_placed,
     log_refused,
-    log_stated_limit,
+    log_statements,
     log_suspected,
 )
 from .routed_messages import EndpointReply, MergedReply, RoutedRequest, UnreadableRequest
@@ -460,9 +460,9 @@
         now_ms = monotonic_ms()
         self.metrics.count_attempt(now_ms, attempt, end)
         record_attempt_end(self.state, now_ms, attempt, end)
-        for load in self.state.changed_limits:
-            log_stated_limit(load.record.endpoint, load.limit)
-        self.state.changed_limits.clear()
+        for load in self.state.changed_statements:
+            log_statements(now_ms, load.record.endpoint, load.statements)
+        self.state.changed_statements.clear()
         in_flight = self.in_flight_by_attempt.pop(attempt.attempt_id, None)
         if in_flight is None:
             return
--- a/tests/test_platform/test_traffic.py
+++ b/tests/test_platform/test_traffic.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import time
+from email.utils import formatdate
+
 import pytest
 
 from pistachioloft_core.errors import RESULTS, ResultCode, RunStatus
@@ -250,4 +253,60 @@
     headers = () if value is None else ((b'Server-Limit', value),)
     end = decode_reply('q1', reply(200, (b'X-Response-Stamp', b'r'), *headers))
     assert end is not None
-    assert (end.outcome, end.limit_per_s) == (AttemptOutcome.ANSWERED, limit_per_s)
+    assert end.statement is not None
+    assert (end.outcome, end.statement.limit_per_s) == (AttemptOutcome.ANSWERED, limit_per_s)
+
+
+def date_in(seconds: float) -> bytes:
+    return formatdate(time.time() + seconds, usegmt=True).encode()
+
+
+@pytest.mark.parametrize(
+    ('value', 'lowest_ms', 'highest_ms'),
+    [
+        (b'3', 3_000.0, 3_000.0),
+        (b'0.25', 250.0, 250.0),
+        (b' 2 ', 2_000.0, 2_000.0),
+        (b'3600', 3_600_000.0, 3_600_000.0),
+        (date_in(60.0), 50_000.0, 60_000.0),
+        (date_in(-60.0), None, None),
+        (b'0', None, None),
+        (b'-1', None, None),
+        (b'nan', None, None),
+        (b'inf', None, None),
+        (b'soon', None, None),
+        (b'', None, None),
+        (b'\xff\xfe', None, None),
+    ],
+)
+def test_rest_that_an_endpoint_asks_for(
+    value: bytes, lowest_ms: float | None, highest_ms: float | None
+) -> None:
+    """Guard against a rest that is not recognized, and unreadable ones that end an attempt."""
+    end = decode_reply('q1', reply(503, (b'X-Not-Executed', b'1'), (b'Retry-After', value)))
+    assert end is not None
+    assert end.outcome is AttemptOutcome.NOT_RUN
+    assert end.statement is not None
+    if lowest_ms is None or highest_ms is None:
+        assert end.statement.rest_ms is None
+    else:
+        assert end.statement.rest_ms is not None
+        assert lowest_ms <= end.statement.rest_ms <= highest_ms
+
+
+def test_only_a_refusal_asks_for_a_rest() -> None:
+    """Guard against an endpoint that gets nothing because of a header that means another thing."""
+    end = decode_reply('q1', reply(200, (b'X-Response-Stamp', b'r'), (b'Retry-After', b'3')))
+    assert end is not None
+    assert end.statement is not None
+    assert end.statement.rest_ms is None
+
+
+@pytest.mark.parametrize(('value', 'leaving'), [(b'1', True), (b'0', False), (b'', False)])
+def test_endpoint_that_leaves_says_so_in_any_reply(value: bytes, leaving: bool) -> None:
+    """Guard against an endpoint that gets new requests although it has said that it leaves."""
+    for status in (200, 500, 503):
+        end = decode_reply('q1', reply(status, (b'Server-Leaving', value)))
+        assert end is not None
+        assert end.statement is not None
+        assert end.statement.is_leaving == leaving
