--- a/tools/fleet/cut_links.py
+++ b/tools/fleet/cut_links.py
@@ -11,6 +11,8 @@
 
 # Names the file with one of the modes; a missing or empty file means sound links.
 FILE_VARIABLE = 'CUT_LINKS_FILE'
+# Connections come from this address, by which endpoints tell instances apart.
+IP_VARIABLE = 'INSTANCE_IP'
 # Open connections carry nothing any more, and new ones are never established.
 HANG = 'hang'
 # Open connections are reset, and new ones are refused.
@@ -23,8 +25,9 @@
 class LinkCutter:
     """Hold the connections that this process opens, which all lead to endpoints."""
 
-    def __init__(self, file: Path) -> None:
+    def __init__(self, file: Path, ip: str) -> None:
         self.file = file
+        self.ip = ip
         self.mode = ''
         self.transports: set[asyncio.Transport] = set()
         self.watching: asyncio.Task[None] | None = None
@@ -39,7 +42,9 @@
             await asyncio.sleep(3_600.0)
         if self.mode:
             raise ConnectionRefusedError('the links are cut')
-        transport, protocol = await self.create_connection(loop, factory, host, port)
+        transport, protocol = await self.create_connection(
+            loop, factory, host, port, local_addr=(self.ip, 0)
+        )
         self.transports = {other for other in self.transports if not other.is_closing()}
         self.transports.add(transport)
         return transport, protocol
@@ -69,7 +74,7 @@
 
 def run() -> None:
     """Run the instance with links that can be cut."""
-    cutter = LinkCutter(Path(os.environ[FILE_VARIABLE]))
+    cutter = LinkCutter(Path(os.environ[FILE_VARIABLE]), os.environ[IP_VARIABLE])
 
     async def connect(loop: Any, factory: Any, host: Any = None, port: Any = None) -> Any:
         return await cutter.connect(loop, factory, host, port)
--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -104,6 +104,7 @@
                     **os.environ,
                     'PISTACHIOLOFT_BOOT': str(settings),
                     'CUT_LINKS_FILE': str(folder / 'links'),
+                    'INSTANCE_IP': machine.ip,
                     'PYTHONPATH': os.pathsep.join(str(source) for source in SOURCES),
                 },
             )
--- a/tools/fleet/searcher.py
+++ b/tools/fleet/searcher.py
@@ -26,6 +26,7 @@
     body: bytes
     at_s: float
     ran: bool
+    sender_ip: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,10 @@
         self.crashing_target = ''
         # Requests per second that it states to take from all instances; None states nothing.
         self.limit_per_s: float | None = None
+        # Refuses all requests and asks the sender of each for a rest of this length.
+        self.rest_s: float | None = None
+        # Says in its replies that it leaves.
+        self.is_leaving = False
         self.crashed_at_s: list[float] = []
         self.running_count = 0
         self.cancelled_count = 0
@@ -122,7 +127,8 @@
             return web.Response()
         plan = self.behaviour(request_id)
         body = await request.read()
-        is_refused = expected != self.endpoint or plan.not_run
+        wants_rest = self.rest_s is not None
+        is_refused = expected != self.endpoint or plan.not_run or wants_rest
         self.received_requests.append(
             ReceivedRequest(
                 request_id,
@@ -132,14 +138,20 @@
                 body,
                 time.monotonic(),
                 not is_refused,
+                self._sender_ip(request),
             )
         )
         if expected != self.endpoint:
             return web.Response(status=421, headers={'X-Instance-Id': self.endpoint})
-        if plan.not_run:
+        if plan.not_run or wants_rest:
             return web.Response(status=503, headers=self._headers(request_id, not_run=True))
         return await self._run_in_slot(request, request_id, plan)
 
+    @staticmethod
+    def _sender_ip(request: web.BaseRequest) -> str:
+        assert request.transport is not None
+        return str(request.transport.get_extra_info('peername')[0])
+
     def _crash(self, request: web.BaseRequest) -> None:
         self.crashed_at_s.append(time.monotonic())
         assert request.transport is not None
@@ -181,6 +193,10 @@
             'X-Request-Id': request_id,
             'X-Server-Load': f'{self.running_count},0,{self.slot_count}',
         }
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
+        if self.rest_s is not None:
+            headers['Retry-After'] = str(self.rest_s)
         if self.limit_per_s is not None:
             headers['Server-Limit'] = str(self.limit_per_s)
         if not_run:
