Send nothing to an endpoint while it rests

An endpoint that answered 503 with Retry-After went on getting requests: the statement only raised the estimate of what it sheds, which fades in seconds. Class of fault: an explicit statement of a remote party treated as one more observation. Limit, rest and leaving are now one state of each run of an endpoint, with scope and end, and one function of placement asks it, so first attempts, retries, hedges and groups of other instances all keep to it; attempts that wait for a connection are placed anew. The later of two rests counts, and the state outlives changed announcements. If too few shards are left, the query is refused at once with the time until enough have rested. After a rest an instance sends one attempt at first, and the instances do not return in the same moment.

--- a/packages/core/src/pistachioloft_core/connection/endpoint_load.py
+++ b/packages/core/src/pistachioloft_core/connection/endpoint_load.py
@@ -30,6 +30,8 @@
 LOAD_REPORT_LIFETIME_MS = 500.0
 # One lost reply does not indicate a crash; two without a reply in between do.
 UNANSWERED_LIMIT = 2
+# An endpoint is used like a cold one for this long after it has rested.
+COLD_AFTER_REST_MS = 2_000.0
 # Factors outside these bounds make no difference to which endpoint is preferred.
 SLOWNESS_RANGE = (0.5, 20.0)
 
@@ -150,6 +152,11 @@
         """Record an attempt whose connection broke after it was sent."""
         self._add_outcome(now_ms, 1.0)
 
+    def prepare_return(self, from_ms: float) -> None:
+        """Use the endpoint from a time on like a cold one, and at first with one attempt only."""
+        self.cold_until_ms = max(self.cold_until_ms, from_ms + COLD_AFTER_REST_MS)
+        self.breaker.require_probe()
+
     def record_report(self, now_ms: float, report: LoadReport) -> None:
         """Record the load that the endpoint reported."""
         self.report, self.report_ms = report, now_ms
--- a/packages/core/src/pistachioloft_core/connection/statements.py
+++ b/packages/core/src/pistachioloft_core/connection/statements.py
@@ -38,6 +38,18 @@
         """Return whether the endpoint has asked for a rest that is not over."""
         return now_ms < self.rest_until_ms
 
+    def wants_requests(self, now_ms: float) -> bool:
+        """Return whether the endpoint takes requests of this instance, within its limit."""
+        return not self.is_resting(now_ms)
+
+    def wanted_at_ms(self, now_ms: float) -> float:
+        """Return from when on it takes requests of this instance, infinity if it leaves."""
+        return max(now_ms, self.rest_until_ms)
+
+    def usable_at_ms(self, now_ms: float) -> float:
+        """Return from when on a request may be sent, as far as that is known."""
+        return max(self.wanted_at_ms(now_ms), self.limit.usable_at_ms(now_ms))
+
 
 def record_statement(
     statements: EndpointStatements, now_ms: float, sent_ms: float, statement: Statement
--- a/packages/core/src/pistachioloft_core/process/endpoint_table.py
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -16,12 +16,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..connection.statements import EndpointStatements
     from ..messages.fleet import AnnouncedEndpoint, ReceivedEndpoint
 
 _FINAL_STATES = (ENDPOINT_DRAINING, ENDPOINT_LEFT)
 # A lapsed endpoint is still used for this long after its last reply, because a reply to this
 # instance is stronger evidence than a missing announcement.
 REPLY_VALID_MS = 2_000.0
+# Endpoints that are no longer announced and whose statements are remembered.
+REMEMBERED_LIMIT_COUNT = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,13 +38,15 @@
 class EndpointTable:
     """Hold the load of the known endpoints and the usable endpoints of each service."""
 
-    __slots__ = ('endpoints', 'services', 'usable_count')
+    __slots__ = ('endpoints', 'remembered', 'services', 'usable_count')
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointLoad] = {}
         # Usable endpoints only; draining, departed and lapsed ones get no new requests.
         self.services: dict[str, list[EndpointLoad]] = {}
         self.usable_count = 0
+        # By endpoint that is no longer announced: its start and what it said about itself.
+        self.remembered: dict[str, tuple[int, EndpointStatements]] = {}
 
     def usable(self, service: str) -> list[EndpointLoad]:
         """Return the endpoints of a service that may receive new requests."""
@@ -60,7 +65,7 @@
             continue
         if current is None and record.endpoint_state != ENDPOINT_READY:
             # Kept as a tombstone: an unsynchronized sender may still announce the endpoint.
-            table.endpoints[record.endpoint] = EndpointLoad(record, now_ms)
+            table.endpoints[record.endpoint] = _make_load(table, None, record, now_ms)
             continue
         changes += _apply_record(table, now_ms, current, received)
     return changes
@@ -75,8 +80,11 @@
     changes = []
     for name in removed:
         load = table.endpoints.pop(name)
+        table.remembered[name] = (load.record.born_ms, load.statements)
         if _withdraw(table, load):
             changes.append(EndpointChange(name, 'no longer announced'))
+    while len(table.remembered) > REMEMBERED_LIMIT_COUNT:
+        del table.remembered[next(iter(table.remembered))]
     return changes
 
 
@@ -117,7 +125,7 @@
     else:
         if current is not None:
             _withdraw(table, current)
-        load = EndpointLoad(record, cold_until_ms)
+        load = _make_load(table, current, record, cold_until_ms)
         table.endpoints[record.endpoint] = load
     load.cold_until_ms = cold_until_ms
     is_replying = now_ms < load.replied_ms + REPLY_VALID_MS
@@ -138,6 +146,19 @@
     return [EndpointChange(record.endpoint, detail)]
 
 
+def _make_load(
+    table: EndpointTable,
+    current: EndpointLoad | None,
+    record: AnnouncedEndpoint,
+    cold_until_ms: float,
+) -> EndpointLoad:
+    """Make the load of an endpoint with what this run of it has said about itself."""
+    born_ms, statements = table.remembered.pop(record.endpoint, (None, None))
+    if current is not None:
+        born_ms, statements = current.record.born_ms, current.statements
+    return EndpointLoad(record, cold_until_ms, statements if born_ms == record.born_ms else None)
+
+
 def _is_same_start(current: AnnouncedEndpoint, record: AnnouncedEndpoint) -> bool:
     return (current.born_ms, current.address, current.service) == (
         record.born_ms,
--- a/packages/core/src/pistachioloft_core/process/observed.py
+++ b/packages/core/src/pistachioloft_core/process/observed.py
@@ -64,6 +64,11 @@
         self.unanswered_count = 0
         self.probe_until_ms = 0.0
 
+    def require_probe(self) -> None:
+        """Allow one attempt at a time until one succeeds."""
+        if not self.broken:
+            self.broken, self.open_until_ms, self.probe_until_ms = True, 0.0, 0.0
+
     def count_unanswered(self, now_ms: float, limit: int) -> None:
         """Count an attempt without a result and open at the limit."""
         self.unanswered_count += 1
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +31,8 @@
 # replies to others. A paused endpoint replies sooner.
 SILENT_FACTOR = 6.0
 MIN_SILENT_MS = 400.0
+# Factors of the rest that an endpoint asks for.
+REST_SPREAD = (1.0, 1.1)
 
 
 class AttemptOutcome(Enum):
@@ -246,14 +248,8 @@
         record_replied(state.reach, now_ms, load.record.endpoint)
     if end.report is not None:
         load.record_report(now_ms, end.report)
-    if end.statement is not None and record_statement(
-        load.statements, now_ms, attempt.sent_ms or attempt.started_ms, end.statement
-    ):
-        state.changed_statements.append(load)
-        if load.limit.is_limited:
-            state.limited_endpoints.add(load.record.endpoint)
-        else:
-            state.limited_endpoints.discard(load.record.endpoint)
+    if end.statement is not None:
+        _record_statement(state, now_ms, attempt, end.statement)
     latency_ms = attempt.latency_ms(now_ms)
     if end.report is not None and attempt.route.gather is not None:
         if end.outcome is AttemptOutcome.ANSWERED and end.report.waiting_count == 0:
@@ -268,12 +264,33 @@
             load.record_shed(now_ms)
     elif end.outcome is AttemptOutcome.NOT_RUN and not end.wrong_endpoint:
         load.record_shed(now_ms)
-    else:
+    elif end.outcome is not AttemptOutcome.NOT_SENT or end.wrong_endpoint:
         load.record_unanswered(now_ms, end.wrong_endpoint)
         if end.outcome is AttemptOutcome.LOST:
             load.record_broken_connection(now_ms)
 
 
+def _record_statement(
+    state: RoutedState, now_ms: float, attempt: Attempt, statement: Statement
+) -> None:
+    """Record what an endpoint says about itself with a reply."""
+    load = attempt.load
+    if statement.rest_ms is not None:
+        # Not all instances return in the same moment.
+        rest_ms = statement.rest_ms * state.random.uniform(*REST_SPREAD)
+        statement = replace(statement, rest_ms=rest_ms)
+    sent_ms = attempt.sent_ms or attempt.started_ms
+    if not record_statement(load.statements, now_ms, sent_ms, statement):
+        return
+    state.changed_statements.append(load)
+    if load.statements.is_resting(now_ms):
+        load.prepare_return(load.statements.rest_until_ms)
+    if load.limit.is_limited:
+        state.limited_endpoints.add(load.record.endpoint)
+    else:
+        state.limited_endpoints.discard(load.record.endpoint)
+
+
 def record_withdrawn_attempt(state: RoutedState, now_ms: float, attempt: Attempt) -> None:
     """Record an attempt that was withdrawn without a reply."""
     release_attempt(attempt)
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -21,10 +21,10 @@
     record_overdue_attempt,
     schedule_recheck,
 )
-from .gather import ABANDON_DELAY_MS, UNSERVED_RETRY_MS
+from .gather import ABANDON_DELAY_MS
 from .handover import choose_receiver
-from .permitted import lacks_only_permits, permitted_at_ms
-from .placement import choose_endpoint, has_usable_endpoint
+from .permitted import lacks_only_permits, permitted_at_ms, unserved_retry_ms
+from .placement import choose_endpoint, served_at_ms
 from .routed_state import budget_of
 
 if TYPE_CHECKING:
@@ -108,10 +108,13 @@
         request.may_have_run_count = 1
         return [PassOn(request.receiver)]
     record_first_attempts(budget_of(state, request.service), now_ms, 1)
-    if not has_usable_endpoint(state, now_ms, request.service):
+    served_ms = served_at_ms(state, now_ms, request.service)
+    if served_ms > now_ms:
         request.done = True
-        detail = f'service {request.service} has no endpoint'
-        return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
+        wanted = '' if served_ms == float('inf') else ' that wants requests now'
+        detail = f'service {request.service} has no endpoint{wanted}'
+        retry_after_ms = unserved_retry_ms(state, now_ms, served_ms)
+        return [Refuse(ResultCode.NO_ENDPOINT, detail, retry_after_ms)]
     request.wait_until_ms = min(request.deadline_at_ms, now_ms + PERMIT_WAIT_MS)
     return _send_or_wait(state, now_ms, request)
 
@@ -275,7 +278,11 @@
     if load is None or not (
         unbudgeted or try_take_retry(budget_of(state, request.service), now_ms)
     ):
-        return _finish_without_reply(request, _describe_no_retry(request, load))
+        served_ms = served_at_ms(state, now_ms, request.service)
+        retry_after_ms = REFUSED_RETRY_MS
+        if now_ms < served_ms < float('inf'):
+            retry_after_ms = unserved_retry_ms(state, now_ms, served_ms)
+        return _finish_without_reply(request, _describe_no_retry(request, load), retry_after_ms)
     return [_send(state, now_ms, request, load, hedge=False)]
 
 
@@ -297,12 +304,14 @@
     ]
 
 
-def _finish_without_reply(request: ForwardState, reason: str) -> list[RoutedAction]:
+def _finish_without_reply(
+    request: ForwardState, reason: str, retry_after_ms: float = REFUSED_RETRY_MS
+) -> list[RoutedAction]:
     if request.failure is not None:
         return _deliver(request, request.failure)
     request.done = True
     detail = f'{reason}; asked {", ".join(sorted(request.tried)) or "none"}'
     if request.may_have_run_count == 0 and not request.open_attempts:
-        return [Refuse(ResultCode.NOT_STARTED, detail, REFUSED_RETRY_MS)]
+        return [Refuse(ResultCode.NOT_STARTED, detail, retry_after_ms)]
     code = ResultCode.NO_ANSWER if request.route.idempotent else ResultCode.OUTCOME_UNKNOWN
     return [Refuse(code, detail), *(AbandonAttempt(other, 0.0) for other in request.open_attempts)]
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -26,8 +26,8 @@
 from .delegation import HelperTable, ShardAssignment, plan_query
 from .handover import plan_handover
 from .hedge_delay import usual_latency_ms
-from .permitted import refuse_without_permits
-from .placement import choose_endpoint, has_usable_endpoint
+from .permitted import UNSERVED_RETRY_MS, refuse_unserved, refuse_without_permits
+from .placement import choose_endpoint
 from .query_admission import (
     is_refusing,
     refuse_if_overloaded,
@@ -46,9 +46,6 @@
 # After the answer, an open attempt has this long to finish before its connection is closed:
 # a pausing endpoint recovers by itself, and a new connection occupies one of its slots.
 ABANDON_DELAY_MS = 150.0
-# Retry-after time where shards have no endpoint: about how long a crashed endpoint takes to
-# restart and to be announced.
-UNSERVED_RETRY_MS = 1_000.0
 # An endpoint that refused is retried after this fraction of the usual latency, about the time
 # until one of its slots becomes free.
 REFUSED_RETRY_RATIO = 0.5
@@ -70,12 +67,7 @@
     groups = plan_handover(state, helpers, now_ms, query.shard_by_service, query.declined)
     if groups:
         return _hand_over(state, now_ms, query, groups)
-    served_count = sum(has_usable_endpoint(state, now_ms, shard.service) for shard in query.shards)
-    if served_count < query.coverage_floor_count:
-        query.done = True
-        detail = f'{served_count} of {len(query.shards)} shards have an endpoint'
-        return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
-    refusal = refuse_without_permits(state, now_ms, query)
+    refusal = refuse_unserved(state, now_ms, query) or refuse_without_permits(state, now_ms, query)
     if refusal is not None:
         query.done = True
         return [refusal]
@@ -440,7 +432,9 @@
     state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
 ) -> bool:
     return _can_attempt(query, shard) and any(
-        load.record.endpoint not in shard.tried and not load.breaker.is_open(now_ms)
+        load.record.endpoint not in shard.tried
+        and not load.breaker.is_open(now_ms)
+        and load.statements.wanted_at_ms(now_ms) <= max(now_ms, query.answer_at_ms)
         for load in state.table.usable(shard.service)
     )
 
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -66,8 +66,12 @@
 
 
 def has_capacity(load: EndpointLoad, now_ms: float, connection_limit_count: int) -> bool:
-    """Return whether an endpoint has a free connection and its breaker admits an attempt."""
-    return load.in_flight_count < connection_limit_count and not load.breaker.is_open(now_ms)
+    """Return whether an endpoint wants requests and could take one if it had stated no limit."""
+    return (
+        load.in_flight_count < connection_limit_count
+        and load.statements.wants_requests(now_ms)
+        and not load.breaker.is_open(now_ms)
+    )
 
 
 def has_free_connection(state: RoutedState, load: EndpointLoad) -> bool:
@@ -78,9 +82,16 @@
     )
 
 
-def has_usable_endpoint(state: RoutedState, now_ms: float, service: str) -> bool:
-    """Return whether a service has an endpoint that can be tried now or once it has capacity."""
-    return any(not load.breaker.is_open(now_ms) for load in state.table.usable(service))
+def served_at_ms(state: RoutedState, now_ms: float, service: str) -> float:
+    """Return from when on an endpoint of a service wants requests, infinity without any."""
+    return min(
+        (
+            load.statements.wanted_at_ms(now_ms)
+            for load in state.table.usable(service)
+            if not load.breaker.is_open(now_ms)
+        ),
+        default=float('inf'),
+    )
 
 
 def expected_latency_ms(
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -170,6 +170,15 @@
         """Open one more connection to an endpoint, to check whether it can be reached."""
         self._open(self._target(record))
 
+    def return_queued(self, endpoint: str, detail: str) -> None:
+        """End the attempts that wait for a connection to an endpoint as not sent."""
+        target = self.targets.get(endpoint)
+        if target is None:
+            return
+        for attempt, _ in list(target.queue.values()):
+            if self.abandon(attempt):
+                self.hooks.ended(attempt, AttemptEnd(AttemptOutcome.NOT_SENT, detail))
+
     def close_idle_connections(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that gets no new requests."""
         target = self.targets.get(endpoint)
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -460,9 +460,7 @@
         now_ms = monotonic_ms()
         self.metrics.count_attempt(now_ms, attempt, end)
         record_attempt_end(self.state, now_ms, attempt, end)
-        for load in self.state.changed_statements:
-            log_statements(now_ms, load.record.endpoint, load.statements)
-        self.state.changed_statements.clear()
+        self._apply_statements(now_ms)
         in_flight = self.in_flight_by_attempt.pop(attempt.attempt_id, None)
         if in_flight is None:
             return
@@ -478,6 +476,15 @@
         if in_flight.group is not None and not state.done:
             self.relays.on_progress(in_flight.group, in_flight.query)
 
+    def _apply_statements(self, now_ms: float) -> None:
+        """Place anew what waits for endpoints that want no requests any more."""
+        changed, self.state.changed_statements = self.state.changed_statements, []
+        for load in changed:
+            endpoint, statements = load.record.endpoint, load.statements
+            log_statements(now_ms, endpoint, statements)
+            if not statements.wants_requests(now_ms):
+                self.pool.return_queued(endpoint, 'the endpoint wants no requests')
+
     def _update_crash_watch(
         self, now_ms: float, in_flight: InFlight, attempt: Attempt, end: AttemptEnd
     ) -> None:
