Send no new request to an endpoint that says it leaves

An endpoint says in its replies that it leaves, also when the control instances cannot be reached or still announce it as ready. The statement holds for the rest of the run: feeds, changed announcements and removal from the feed do not undo it, running requests finish, and a successor under the same id starts afresh. Other instances learn of it from the announcement; a hint of their own was weighed and left out, as the statement comes with their first reply.

--- a/packages/core/src/pistachioloft_core/connection/statements.py
+++ b/packages/core/src/pistachioloft_core/connection/statements.py
@@ -40,11 +40,11 @@
 
     def wants_requests(self, now_ms: float) -> bool:
         """Return whether the endpoint takes requests of this instance, within its limit."""
-        return not self.is_resting(now_ms)
+        return not self.is_leaving and not self.is_resting(now_ms)
 
     def wanted_at_ms(self, now_ms: float) -> float:
         """Return from when on it takes requests of this instance, infinity if it leaves."""
-        return max(now_ms, self.rest_until_ms)
+        return float('inf') if self.is_leaving else max(now_ms, self.rest_until_ms)
 
     def usable_at_ms(self, now_ms: float) -> float:
         """Return from when on a request may be sent, as far as that is known."""
--- a/packages/core/src/pistachioloft_core/process/endpoint_table.py
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -88,6 +88,11 @@
     return changes
 
 
+def withdraw_leaving(table: EndpointTable, load: EndpointLoad) -> None:
+    """Withdraw an endpoint that says it leaves, whatever is announced of this run of it."""
+    _withdraw(table, load)
+
+
 def withdraw_silent(table: EndpointTable, now_ms: float) -> list[EndpointChange]:
     """Withdraw endpoints that lapsed and do not reply either."""
     silent = [
@@ -129,7 +134,7 @@
         table.endpoints[record.endpoint] = load
     load.cold_until_ms = cold_until_ms
     is_replying = now_ms < load.replied_ms + REPLY_VALID_MS
-    if record.endpoint_state == ENDPOINT_READY:
+    if record.endpoint_state == ENDPOINT_READY and not load.statements.is_leaving:
         usable = table.services.setdefault(record.service, [])
         if load not in usable:
             usable.append(load)
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -8,6 +8,7 @@
 
 from ..connection.reach import record_failed, record_overdue, record_replied
 from ..connection.statements import record_statement
+from ..process.endpoint_table import withdraw_leaving
 from ..process.observed import PROBE_TIMEOUT_MS
 from .hedge_delay import late_after_ms, usual_latency_ms
 from .queue_waits import record_load_report, record_service_time, record_withdrawn
@@ -285,6 +286,8 @@
     state.changed_statements.append(load)
     if load.statements.is_resting(now_ms):
         load.prepare_return(load.statements.rest_until_ms)
+    if load.statements.is_leaving:
+        withdraw_leaving(state.table, load)
     if load.limit.is_limited:
         state.limited_endpoints.add(load.record.endpoint)
     else:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -484,6 +484,8 @@
             log_statements(now_ms, endpoint, statements)
             if not statements.wants_requests(now_ms):
                 self.pool.return_queued(endpoint, 'the endpoint wants no requests')
+            if statements.is_leaving:
+                self.pool.close_idle_connections(endpoint)
 
     def _update_crash_watch(
         self, now_ms: float, in_flight: InFlight, attempt: Attempt, end: AttemptEnd
