Refuse announcements that cannot be passed on or used

Operators of similar systems reported machines that ended, or stopped following the list of searchers, because of one odd entry. Here an announcement with a number over 64 bits was accepted, and from then on the control instance could not encode any share or feed that named it: entry instances went on with the list of before. An id that fits no header could not be sent, or smuggled in a header.

--- a/packages/daemon/src/pistachioloft_daemon/platform/documents.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/documents.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+import re
+from typing import Annotated, Any
 
 import msgspec
 
@@ -23,6 +24,14 @@
 )
 from pistachioloft_core.util.names import is_address
 
+# Messages between instances and stored records carry integers of 64 bits.
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Text = Annotated[str, msgspec.Meta(max_length=256)]
+# The id of an endpoint is sent as the value of a header.
+_ENDPOINT_ID = re.compile('[!-~]{1,256}')
+# A longer cold start makes no difference to where requests are placed.
+_COLD_LIMIT_MS = 3_600_000.0
 _IDEMPOTENT = 'idempotent'
 _ENDPOINT_STATES = {'ready': ENDPOINT_READY, 'draining': ENDPOINT_DRAINING}
 
@@ -39,53 +48,53 @@
     route_kind: str
     timeout_ms: float
     target_latency_ms: float = 0.0
-    priority: int = 0
-    attempts: int = 1
+    priority: _Integer = 0
+    attempts: _Integer = 1
     service: str | None = None
     # The services that share the requests, with their weights.
     split: list[_SplitEntry] | None = None
     # The services that each hold one shard.
     gather: list[str] | None = None
-    top_k: int = 0
+    top_k: _Integer = 0
     min_coverage: float = 0.0
 
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
     health_path: str = '/health'
-    max_conns: int = 1
+    max_conns: _Integer = 1
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = DEFAULT_LIMITS.header_limit_bytes
-    max_body_bytes: int = DEFAULT_LIMITS.body_limit_bytes
+    max_header_bytes: _Integer = DEFAULT_LIMITS.header_limit_bytes
+    max_body_bytes: _Integer = DEFAULT_LIMITS.body_limit_bytes
     header_timeout_ms: float = DEFAULT_LIMITS.header_timeout_ms
     idle_timeout_ms: float = DEFAULT_LIMITS.idle_timeout_ms
 
 
 class _Config(msgspec.Struct, rename='camel'):
-    version: int
+    version: _Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Announcement(msgspec.Struct, rename='camel'):
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: _Count
     # 'ready' or 'draining'.
-    state: str
-    seq: int
-    version: str = ''
+    state: _Text
+    seq: _Count
+    version: _Text = ''
     cold_left_ms: float = 0.0
     # When the endpoint's process started, in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
 
 
 class _Departure(msgspec.Struct):
-    born: int = 0
+    born: _Count = 0
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -120,12 +129,10 @@
     if (
         endpoint_state is None
         or not is_address(decoded.address)
-        or not endpoint
+        or _ENDPOINT_ID.fullmatch(endpoint) is None
         or not decoded.service
     ):
         raise CodedError(ResultCode.WRONG_TYPE, 'state, address, service or id is not usable')
-    if decoded.slots < 0 or decoded.seq < 0 or decoded.born < 0:
-        raise CodedError(ResultCode.OUT_OF_RANGE, 'a count or time is negative')
     return AnnouncedEndpoint(
         endpoint,
         decoded.service,
@@ -135,7 +142,7 @@
         endpoint_state,
         decoded.seq,
         decoded.born,
-        max(0.0, decoded.cold_left_ms),
+        min(_COLD_LIMIT_MS, max(0.0, decoded.cold_left_ms)),
         decoded.version,
     )
 
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -7,10 +7,12 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pistachioloft_core.codec import decode_peer, encode_peer
 from pistachioloft_core.errors import CodedError, ResultCode
+from pistachioloft_core.messages.fleet import FeedReply, ReceivedEndpoint
 from pistachioloft_core.messages.routes import Gather, WeightedService
 from pistachioloft_core.version.route_table import check_routes
 from pistachioloft_daemon.platform.documents import (
@@ -176,6 +178,14 @@
         {'seq': -1},
         {'born': -1},
         {'zone': None},
+        {'address': '10.0.0.4:65536'},
+        {'address': '10.0.0.4:0'},
+        {'seq': 2**63},
+        {'seq': 10**400},
+        {'born': 2**64},
+        {'slots': 10**30},
+        {'zone': 'x' * 257},
+        {'service': 's' * 10_000},
     ],
 )
 def test_invalid_announcement_is_refused(change: dict[str, Any]) -> None:
@@ -184,6 +194,50 @@
         decode_announcement('i-1', encoded({**ANNOUNCEMENT, **change}))
 
 
+@pytest.mark.parametrize('endpoint', ['', 'i\r\nX-A: 1', 'i 1', '\u4e2d', '\x00', 'i' * 257])
+def test_endpoint_id_that_fits_no_header_is_refused(endpoint: str) -> None:
+    """Guard against requests that cannot be encoded, and against headers that an id smuggles in."""
+    with pytest.raises(CodedError):
+        decode_announcement(endpoint, encoded(ANNOUNCEMENT))
+
+
+@pytest.mark.parametrize('depth', [10_000, 1_000_000])
+def test_deeply_nested_announcement_is_refused(depth: int) -> None:
+    """Guard against an announcement that ends the process that reads it."""
+    body = encoded(ANNOUNCEMENT)[:-1] + b',"later":' + b'[' * depth + b']' * depth + b'}'
+    with pytest.raises(CodedError):
+        decode_announcement('i-1', body)
+
+
+@pytest.mark.parametrize('number', [2**63, 10**30])
+def test_numbers_that_no_message_can_carry_are_refused(number: int) -> None:
+    """Guard against a document that is accepted and then cannot be passed on or stored."""
+    with pytest.raises(CodedError):
+        decode_departure(encoded({'born': number}))
+    with pytest.raises(CodedError):
+        decode_routes(encoded({**CONFIG, 'version': number}))
+
+
+ANY_VALUE = st.one_of(
+    st.integers(), st.floats(), st.text(max_size=8), st.just('x' * 300), st.none(), st.booleans()
+)
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.dictionaries(st.sampled_from(list(ANNOUNCEMENT)), ANY_VALUE))
+def test_whatever_is_accepted_can_be_passed_on(changes: dict[str, Any]) -> None:
+    """Guard against one entry that keeps the control instances from sharing the others."""
+    try:
+        record = decode_announcement('i-1', encoded({**ANNOUNCEMENT, **changes}))
+    except CodedError:
+        return
+    share = FeedReply(
+        1, 1, True, True, True, 0, 1, (ReceivedEndpoint(record, 1.0),), 1, b'', (), ()
+    )
+    _, (decoded,) = decode_peer(encode_peer('a', [share]))
+    assert decoded == share
+
+
 def test_departure_start_time_is_optional() -> None:
     """Guard against a late departure that removes a later incarnation of the endpoint."""
     assert decode_departure(b'{"born": 12}') == 12
