Answer every request before an instance that stops ends

Operators of similar systems reported requests that came late in the grace time of a planned stop, were passed on, and were cut with no answer at its end. What still runs at the end is answered: queries with what has arrived, if that is enough, everything else as unknown.

--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -163,6 +163,11 @@
     return [] if request.done else _finish_without_reply(request, 'the receiver is gone')
 
 
+def end_early(request: ForwardState) -> list[RoutedAction]:
+    """End a request without a reply, because this instance ends."""
+    return [] if request.done else _finish_without_reply(request, 'this instance ends')
+
+
 def on_cut_off(request: ForwardState) -> list[RoutedAction]:
     """End the attempts in flight, whose replies do not arrive any more."""
     if request.done or not request.open_attempts:
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -260,6 +260,14 @@
     return actions + _finish_if_due(now_ms, query)
 
 
+def end_early(now_ms: float, query: GatherState) -> list[RoutedAction]:
+    """Answer with what has arrived, because this instance ends."""
+    if query.done:
+        return []
+    query.answer_at_ms = query.deadline_at_ms = now_ms
+    return _finish_if_due(now_ms, query)
+
+
 def on_cut_off(now_ms: float, query: GatherState) -> list[RoutedAction]:
     """End the attempts in flight, whose replies do not arrive any more."""
     if query.done:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -156,6 +156,7 @@
         started_s = monotonic_ms() / 1000.0
         grace_s = self.settings.bounds.grace_ms / 1000.0
         self.stopping = True
+        self.requests.ends_at_ms = (started_s + STOP_EXIT_FRACTION * grace_s) * 1000.0
         self.caller_server.closing = True
         feed.request_poll(self.feed, monotonic_ms())
         self._tick(monotonic_ms())
@@ -165,6 +166,7 @@
             if elapsed_s >= STOP_SERVING_FRACTION * grace_s:
                 self.requests.refusing = True
             if elapsed_s >= STOP_EXIT_FRACTION * grace_s:
+                self.requests.end_all()
                 break
             if self.requests.refusing and self.requests.in_flight_count() == 0:
                 self.caller_server.stop_listening()
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -44,6 +44,7 @@
 from pistachioloft_core.request.records import greatest_records
 from pistachioloft_core.request.routed_state import deadlines_of, endpoint_connection_limit
 from pistachioloft_core.request.split import SplitState, choose_service
+from pistachioloft_core.request.stopping import needed_time_ms
 
 from .endpoint_pool import EndpointPool, PoolHooks
 from .http1.messages import Request
@@ -175,6 +176,8 @@
         # `fenced`: the quorum confirmation of the routes is too old; `refusing`: late in a stop.
         self.fenced = True
         self.refusing = False
+        # When this instance ends, once it is stopping.
+        self.ends_at_ms = float('inf')
         # Called at each use: after a pause of the process, requests are read before timers run.
         self.can_serve: Callable[[], bool] = lambda: True
         # Returns the age of the quorum confirmation on which placements are based.
@@ -226,6 +229,23 @@
             return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
         return routes
 
+    def end_all(self) -> None:
+        """Answer everything that is in flight, because this instance ends."""
+        now_ms = monotonic_ms()
+        for in_flight in list(self.requests.values()):
+            state = in_flight.state
+            if isinstance(state, GatherState):
+                actions = gather.end_early(now_ms, state)
+            else:
+                actions = forward.end_early(state)
+            self._apply_actions(now_ms, in_flight, actions)
+
+    def _ends_too_early(self, now_ms: float, route: Route) -> bool:
+        """Return whether this instance probably ends before a new request would."""
+        if self.ends_at_ms == float('inf'):
+            return False
+        return now_ms + needed_time_ms(self.state, route) > self.ends_at_ms
+
     def _find_route(self, routed: RoutedRequest) -> Refuse | Route:
         routes = self._usable_routes()
         if isinstance(routes, Refuse):
@@ -233,6 +253,9 @@
         route = routes.find(routed.host, routed.path)
         if route is None:
             return Refuse(ResultCode.UNKNOWN_PATH, f'version {routes.version} has no such route')
+        if self._ends_too_early(monotonic_ms(), route):
+            detail = 'this instance stops before the request would end'
+            return Refuse(ResultCode.STOPPING, detail, STOPPING_RETRY_MS)
         if (
             classify_request(self.crashes, monotonic_ms(), routed.digest)
             is SuspicionLevel.CONDEMNED
@@ -306,7 +329,9 @@
         if isinstance(routes, Refuse) or self.state.reach.cut_off:
             return None
         route = routes.find_by_name(name)
-        return None if route is None else (route, routes.version)
+        if route is None or self._ends_too_early(monotonic_ms(), route):
+            return None
+        return route, routes.version
 
     def _is_suspected(self, now_ms: float, request: RelayRequest | PassedRequest) -> bool:
         level = classify_request(self.crashes, now_ms, request.digest)
