--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -132,6 +132,7 @@
         self.incoming: dict[str, IncomingGroup] = {}
         # A random first number keeps results for an earlier incarnation from matching a group.
         self.number = first_number
+        self.checked_ms = monotonic_ms()
         timers.every(CHECK_INTERVAL_MS, self._check_helpers)
 
     # Groups delegated to helpers.
@@ -254,7 +255,12 @@
         del self.outgoing[relay_id]
         delegation.record_group_ended(outgoing.helper)
 
+    def stall_ms(self) -> float:
+        """Return for how long this process may have been paused before the current message."""
+        return max(0.0, monotonic_ms() - self.checked_ms - CHECK_INTERVAL_MS)
+
     def _check_helpers(self, now_ms: float) -> None:
+        self.checked_ms = now_ms
         for relay_id, outgoing in list(self.outgoing.items()):
             if self.outgoing.get(relay_id) is not outgoing:
                 # Giving up an earlier group of the same query withdrew this one.
@@ -305,6 +311,11 @@
     def on_request(self, sender: str, request: RelayRequest) -> None:
         """Query the shards of a group unless it is withdrawn in the same turn of the loop."""
         # After a stall of the connection, a group and its cancellation arrive together.
+        if self.stall_ms() > request.flush_after_ms + GIVE_UP_DELAY_MS:
+            # It may have waited here until the other instance gave it up and queried the shards.
+            logger.info('%s old group refused: request=%s', PREFIX, request.request_id)
+            self._refuse(sender, request.relay_id)
+            return
         key = (sender, request.relay_id)
         self.starting[key] = IncomingGroup(sender, request)
         asyncio.get_running_loop().call_soon(self._start, key)
@@ -318,12 +329,15 @@
         group.in_flight = self.hooks.begin(group)
         if group.in_flight is None:
             del self.incoming[request.relay_id]
-            refusal = RelayResults(request.relay_id, (), b'', 0.0, done=True, refused=True)
-            self.hooks.send(group.sender, refusal)
+            self._refuse(group.sender, request.relay_id)
         elif request.relay_id in self.incoming:
             flush_at_ms = group.received_ms + request.flush_after_ms
             self.timers.at(flush_at_ms, lambda _ms: self._on_flush_time(group))
 
+    def _refuse(self, sender: str, relay_id: str) -> None:
+        refusal = RelayResults(relay_id, (), b'', 0.0, done=True, refused=True)
+        self.hooks.send(sender, refusal)
+
     def on_cancel(self, sender: str, cancel: RelayCancel) -> None:
         """Withdraw a group of another instance."""
         if cancel.results_overdue:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -350,7 +350,8 @@
             str(self.number),
             route,
             request.service,
-            now_ms + max(0.0, request.time_left_ms),
+            # It may have waited here while this process was paused.
+            now_ms + max(0.0, request.time_left_ms - self.relays.stall_ms()),
             self._is_suspected(now_ms, request),
         )
         in_flight = InFlight(
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -449,3 +449,18 @@
         assert pair.helper.open_group_count == 0
 
     run(scenario)
+
+
+def test_group_that_waited_while_its_helper_was_paused_is_refused() -> None:
+    """Guard against a helper that queries shards which the other instance has queried meanwhile."""
+
+    async def scenario(pair: Pair) -> None:
+        # The process was paused: its timers are late, and the group is read before they run.
+        pair.helping.relays.checked_ms -= FLUSH_AFTER_MS + 1_000.0
+        pair.delegate()
+        while not pair.delegating.refused:
+            await asyncio.sleep(0)
+        assert pair.helping.incoming == []
+        assert pair.delegating.refused == list(SHARDS)
+
+    run(scenario)
