--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -21,11 +21,11 @@
     record_overdue_attempt,
     schedule_recheck,
 )
-from .gather import ABANDON_DELAY_MS
 from .handover import choose_receiver
 from .permitted import lacks_only_permits, permitted_at_ms, unserved_retry_ms
 from .placement import choose_endpoint, served_at_ms
 from .routed_state import budget_of
+from .shard_attempts import ABANDON_DELAY_MS
 
 if TYPE_CHECKING:
     from ..connection.endpoint_load import EndpointLoad
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -4,20 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from ..errors import ResultCode
-from ..process.budget import record_first_attempts, try_take_hedge, try_take_retry
 from .attempts import (
     AbandonAttempt,
     Attempt,
     AttemptEnd,
     AttemptOutcome,
     DelegateGroup,
-    DeliverMerged,
     LogDecision,
-    Refuse,
     RoutedAction,
-    SendAttempt,
-    begin_attempt,
     record_overdue_attempt,
     record_silent_attempt,
     schedule_recheck,
@@ -26,38 +20,37 @@
 from .delegation import HelperTable, ShardAssignment, plan_query
 from .handover import plan_handover
 from .hedge_delay import usual_latency_ms
-from .permitted import UNSERVED_RETRY_MS, refuse_unserved, refuse_without_permits
-from .placement import choose_endpoint
+from .permitted import refuse_unserved, refuse_without_permits
 from .query_admission import (
     is_refusing,
     refuse_if_overloaded,
     refuse_without_connections,
 )
-from .routed_state import budget_of
+from .shard_attempts import (
+    ABANDON_DELAY_MS,
+    abandon_open_attempts,
+    choose_next_endpoint,
+    finish_if_due,
+    hedge_shard,
+    retry_shard,
+    send_first,
+    update_exhausted,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Container, Iterable, Mapping
 
-    from ..connection.endpoint_load import EndpointLoad
     from .delegation import GroupPlan
-    from .gather_state import GatherState, ShardState
+    from .gather_state import GatherState
     from .routed_state import RoutedState
 
-# After the answer, an open attempt has this long to finish before its connection is closed:
-# a pausing endpoint recovers by itself, and a new connection occupies one of its slots.
-ABANDON_DELAY_MS = 150.0
 # An endpoint that refused is retried after this fraction of the usual latency, about the time
 # until one of its slots becomes free.
 REFUSED_RETRY_RATIO = 0.5
 # A shard whose endpoints are all busy is checked again after this time, about one request.
 BUSY_RECHECK_MS = 5.0
-# Limits the attempts on one shard within a query, refused ones included.
-MAX_ATTEMPTS_PER_SHARD = 6
 # After its answer was due, a query is checked for silent endpoints at this interval.
 SILENCE_CHECK_MS = 100.0
-# When this many attempts were lost before any shard replied, the query itself may crash the
-# endpoints; no further replica is tried until a shard replies.
-CRASH_SUSPICION_LOST_COUNT = 2
 
 
 def start_gather(
@@ -94,8 +87,8 @@
     actions = _delegate(now_ms, query, plan.groups)
     for assignment in plan.direct:
         shard = query.shard_by_service[assignment.service]
-        actions.append(_send_first(state, now_ms, query, shard, assignment.load))
-    return actions + _finish_if_due(now_ms, query)
+        actions.append(send_first(state, now_ms, query, shard, assignment.load))
+    return actions + finish_if_due(now_ms, query)
 
 
 def _hand_over(
@@ -140,12 +133,12 @@
     for service in services:
         shard = query.shard_by_service[service]
         shard.delegated = False
-        load = _choose_next_endpoint(state, now_ms, query, shard)
+        load = choose_next_endpoint(state, now_ms, query, shard)
         if load is None:
-            _update_exhausted(state, now_ms, query, shard)
+            update_exhausted(state, now_ms, query, shard)
         else:
-            actions.append(_send_first(state, now_ms, query, shard, load))
-    return actions + _finish_if_due(now_ms, query)
+            actions.append(send_first(state, now_ms, query, shard, load))
+    return actions + finish_if_due(now_ms, query)
 
 
 def on_group_replies(
@@ -160,7 +153,7 @@
         shard.replied = True
         shard.reply = reply
         query.replied_count += 1
-    return _finish_if_due(now_ms, query)
+    return finish_if_due(now_ms, query)
 
 
 def on_helper_lost(
@@ -190,8 +183,8 @@
         # An instance that is cut off cannot retry them, and a helper would not know their count.
         attempt_limit = query.route.attempt_limit
         shard.may_have_run_count = attempt_limit if state.reach.cut_off else run_count
-        actions += _retry(state, now_ms, query, shard, unbudgeted=False)
-    return actions + _finish_if_due(now_ms, query)
+        actions += retry_shard(state, now_ms, query, shard, unbudgeted=False)
+    return actions + finish_if_due(now_ms, query)
 
 
 def on_attempt_end(
@@ -199,7 +192,7 @@
 ) -> list[RoutedAction]:
     """Record a shard's reply, or try another endpoint after a failure."""
     actions = _handle_attempt_end(state, now_ms, query, attempt, end)
-    return actions if query.done else actions + _finish_if_due(now_ms, query)
+    return actions if query.done else actions + finish_if_due(now_ms, query)
 
 
 def _handle_attempt_end(
@@ -233,7 +226,7 @@
         shard.refused_endpoint = endpoint
         shard.retry_at_ms = now_ms + usual_latency_ms(state, query.route) * REFUSED_RETRY_RATIO
     unbudgeted = end.outcome is AttemptOutcome.NOT_SENT
-    return [decision, *_retry(state, now_ms, query, shard, unbudgeted=unbudgeted)]
+    return [decision, *retry_shard(state, now_ms, query, shard, unbudgeted=unbudgeted)]
 
 
 def on_gather_timer(state: RoutedState, now_ms: float, query: GatherState) -> list[RoutedAction]:
@@ -248,16 +241,16 @@
             if shard.attempt_count == 0:
                 held_ms = now_ms - query.started_ms
                 state.queue_waits.record_hold(shard.service, now_ms, held_ms)
-            actions += _retry(state, now_ms, query, shard, unbudgeted=shard.attempt_count == 0)
+            actions += retry_shard(state, now_ms, query, shard, unbudgeted=shard.attempt_count == 0)
         elif now_ms >= shard.open_attempts[-1].check_at_ms:
             newest_attempt = shard.open_attempts[-1]
             schedule_recheck(newest_attempt, now_ms)
             record_overdue_attempt(state, now_ms, newest_attempt)
             if not shard.hedged:
-                actions += _hedge(state, now_ms, query, shard)
+                actions += hedge_shard(state, now_ms, query, shard)
     for attempt in [attempt for shard in query.shards for attempt in shard.open_attempts]:
         record_silent_attempt(now_ms, attempt)
-    return actions + _finish_if_due(now_ms, query)
+    return actions + finish_if_due(now_ms, query)
 
 
 def end_early(now_ms: float, query: GatherState) -> list[RoutedAction]:
@@ -265,7 +258,7 @@
     if query.done:
         return []
     query.answer_at_ms = query.deadline_at_ms = now_ms
-    return _finish_if_due(now_ms, query)
+    return finish_if_due(now_ms, query)
 
 
 def on_cut_off(now_ms: float, query: GatherState) -> list[RoutedAction]:
@@ -279,7 +272,7 @@
         actions += [AbandonAttempt(attempt, 0.0) for attempt in shard.open_attempts]
         shard.exhausted = True
         query.exhausted_count += 1
-    return _finish_if_due(now_ms, query) or actions
+    return finish_if_due(now_ms, query) or actions
 
 
 def describe_missing(query: GatherState, name_limit_count: int) -> str:
@@ -293,7 +286,7 @@
 def cancel_gather(query: GatherState) -> list[RoutedAction]:
     """Withdraw all open attempts at once because the caller left."""
     query.done = True
-    return _abandon_open_attempts(query, 0.0)
+    return abandon_open_attempts(query, 0.0)
 
 
 def next_check_ms(now_ms: float, query: GatherState) -> float:
@@ -325,169 +318,9 @@
     """Choose an endpoint for each shard that has one with a free connection."""
     assignments: list[ShardAssignment] = []
     for position, shard in enumerate(query.shards):
-        load = _choose_next_endpoint(state, now_ms, query, shard)
+        load = choose_next_endpoint(state, now_ms, query, shard)
         if load is None:
-            _update_exhausted(state, now_ms, query, shard)
+            update_exhausted(state, now_ms, query, shard)
         else:
             assignments.append(ShardAssignment(position, shard.service, load))
     return assignments
-
-
-def _can_attempt(query: GatherState, shard: ShardState) -> bool:
-    limit = 1 if query.suspected else query.route.attempt_limit
-    return shard.may_have_run_count < limit and shard.attempt_count < MAX_ATTEMPTS_PER_SHARD
-
-
-def _may_crash_endpoints(query: GatherState) -> bool:
-    return query.replied_count == 0 and query.lost_count >= CRASH_SUSPICION_LOST_COUNT
-
-
-def _choose_next_endpoint(
-    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
-) -> EndpointLoad | None:
-    if not _can_attempt(query, shard):
-        return None
-    excluded = shard.tried | {shard.refused_endpoint} if shard.refused_endpoint else shard.tried
-    load = choose_endpoint(state, now_ms, query.route, shard.service, excluded)
-    if load is None and shard.refused_endpoint and now_ms >= shard.retry_at_ms:
-        load = choose_endpoint(state, now_ms, query.route, shard.service, shard.tried)
-    return load
-
-
-def _send(
-    state: RoutedState,
-    now_ms: float,
-    query: GatherState,
-    shard: ShardState,
-    load: EndpointLoad,
-    hedge: bool,
-) -> SendAttempt:
-    query.sent_count += 1
-    attempt_id = f'{query.request_id}.{query.sent_count}'
-    attempt = begin_attempt(state, now_ms, attempt_id, query.route, shard.service, load, hedge)
-    if shard.attempt_count == 0:
-        state.queue_waits.record_hold(shard.service, now_ms, now_ms - query.started_ms)
-    shard.tried.add(load.record.endpoint)
-    shard.open_attempts.append(attempt)
-    shard.may_have_run_count += 1
-    shard.attempt_count += 1
-    query.shard_by_attempt_id[attempt_id] = shard
-    if shard.exhausted:
-        shard.exhausted = False
-        query.exhausted_count -= 1
-    return SendAttempt(attempt, query.deadline_at_ms - now_ms)
-
-
-def _send_first(
-    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState, load: EndpointLoad
-) -> SendAttempt:
-    record_first_attempts(budget_of(state, shard.service), now_ms, 1)
-    return _send(state, now_ms, query, shard, load, hedge=False)
-
-
-def _retry(
-    state: RoutedState,
-    now_ms: float,
-    query: GatherState,
-    shard: ShardState,
-    unbudgeted: bool,
-) -> list[RoutedAction]:
-    if shard.open_attempts or _may_crash_endpoints(query):
-        return []
-    load = _choose_next_endpoint(state, now_ms, query, shard)
-    if load is None or not (unbudgeted or try_take_retry(budget_of(state, shard.service), now_ms)):
-        _update_exhausted(state, now_ms, query, shard)
-        return []
-    return [_send(state, now_ms, query, shard, load, hedge=False)]
-
-
-def _hedge(
-    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
-) -> list[RoutedAction]:
-    usual_ms = usual_latency_ms(state, query.route)
-    if query.replied_count >= query.coverage_floor_count and now_ms + usual_ms > query.answer_at_ms:
-        # The reply to a hedge would arrive after the answer was sent.
-        shard.hedged = True
-        return []
-    late_attempt = shard.open_attempts[-1]
-    load = _choose_next_endpoint(state, now_ms, query, shard)
-    if (
-        load is None
-        or _would_queue_again(state, now_ms, query, late_attempt, load)
-        or _may_crash_endpoints(query)
-        or not try_take_hedge(budget_of(state, shard.service), now_ms)
-    ):
-        return []
-    shard.hedged = True
-    age_ms = now_ms - late_attempt.started_ms
-    detail = (
-        f'{shard.service}: {late_attempt.load.record.endpoint} late after {age_ms:.0f} ms, '
-        f'also {load.record.endpoint}'
-    )
-    return [LogDecision('hedge', detail), _send(state, now_ms, query, shard, load, hedge=True)]
-
-
-def _would_queue_again(
-    state: RoutedState, now_ms: float, query: GatherState, attempt: Attempt, load: EndpointLoad
-) -> bool:
-    """Return whether a hedge would only move a late attempt to the end of another queue."""
-    # An endpoint that replies to others is not silent.
-    is_queued = attempt.endpoint_has_replied
-    return is_queued and is_refusing(state, query.route) and load.waiting_count(now_ms) >= 1.0
-
-
-def _has_untried_endpoint(
-    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
-) -> bool:
-    return _can_attempt(query, shard) and any(
-        load.record.endpoint not in shard.tried
-        and not load.breaker.is_open(now_ms)
-        and load.statements.wanted_at_ms(now_ms) <= max(now_ms, query.answer_at_ms)
-        for load in state.table.usable(shard.service)
-    )
-
-
-def _update_exhausted(
-    state: RoutedState, now_ms: float, query: GatherState, shard: ShardState
-) -> None:
-    """Record whether any endpoint of a shard can still take an attempt."""
-    can_still_attempt = _has_untried_endpoint(state, now_ms, query, shard)
-    if can_still_attempt == shard.exhausted:
-        shard.exhausted = not can_still_attempt
-        query.exhausted_count += 1 if shard.exhausted else -1
-
-
-def _finish_if_due(now_ms: float, query: GatherState) -> list[RoutedAction]:
-    """Answer the query or refuse it, unless further replies may still improve the answer."""
-    if query.replied_count >= query.coverage_floor_count:
-        if query.replied_count >= query.reachable_count or now_ms >= query.answer_at_ms:
-            return _deliver_answer(query)
-    elif query.reachable_count < query.coverage_floor_count:
-        return _refuse(query, 'too few shards can still answer')
-    elif _may_crash_endpoints(query) and not any(
-        shard.open_attempts or shard.delegated for shard in query.shards
-    ):
-        return _refuse(query, 'each endpoint that ran it was lost')
-    elif now_ms >= query.deadline_at_ms:
-        return _refuse(query, 'the time limit is reached')
-    return []
-
-
-def _deliver_answer(query: GatherState) -> list[RoutedAction]:
-    query.done = True
-    replies = tuple(shard.reply for shard in query.shards if shard.replied)
-    missing = tuple(shard.service for shard in query.shards if not shard.replied)
-    return [DeliverMerged(replies, missing), *_abandon_open_attempts(query, ABANDON_DELAY_MS)]
-
-
-def _refuse(query: GatherState, reason: str) -> list[RoutedAction]:
-    query.done = True
-    detail = f'{reason}: {query.replied_count} of {len(query.shards)} answered'
-    if query.sent_count == 0 and query.delegated_count == 0:
-        return [Refuse(ResultCode.NO_ENDPOINT, detail, UNSERVED_RETRY_MS)]
-    return [Refuse(ResultCode.NO_ANSWER, detail), *_abandon_open_attempts(query, 0.0)]
-
-
-def _abandon_open_attempts(query: GatherState, after_ms: float) -> list[RoutedAction]:
-    attempts = [attempt for shard in query.shards for attempt in shard.open_attempts]
-    return [AbandonAttempt(attempt, after_ms) for attempt in attempts]
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -26,7 +26,6 @@
     set_helpers,
     should_preconnect,
 )
-from pistachioloft_core.request.query_admission import refused_fraction
 from pistachioloft_core.request.routed_state import (
     RoutedState,
     SharedLimits,
@@ -37,13 +36,15 @@
 
 from .control_calls import CheckReadiness, Done
 from .descriptors import descriptor_shares
+from .gauges import entry_gauges
 from .http1.receive_budget import memory_budget
 from .http1.server import HttpServer, ServerLimits
 from .loop_timers import LoopTimers, monotonic_ms, wall_clock_ms
 from .metrics import Metrics
 from .monitoring_interface import MonitoringInterface
+from .peer_work import PeerHooks
 from .peers import DIAL_CHECK_MS, Peers
-from .routed_requests import PeerHooks, RoutedRequests
+from .routed_requests import RoutedRequests
 from .routes_document import unpack_document
 
 if TYPE_CHECKING:
@@ -108,8 +109,8 @@
             budget,
         )
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, random_source)
-        self.requests.report_crashes = self._report_crashes
-        self.requests.feed_age_ms = self._confirmation_age_ms
+        self.requests.crashes.report = self._report_crashes
+        self.requests.feed_age_ms = self.confirmation_age_ms
         self.requests.can_serve = self.serving
         # Callers and groups are directed elsewhere once the control instances know.
         self.requests.on_reach_changed = lambda: feed.request_poll(self.feed, monotonic_ms())
@@ -127,7 +128,7 @@
         )
         self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
         self.monitoring = MonitoringInterface(
-            settings.metrics_address, self.metrics, self._gauges, self._report
+            settings.metrics_address, self.metrics, lambda: entry_gauges(self), self._report
         )
         self.was_serving = False
 
@@ -215,61 +216,6 @@
             cut_off=self.state.reach.cut_off,
         )
 
-    def _gauges(self) -> list[tuple[str, str, float]]:
-        budgets = self.state.budgets.values()
-        routes = self.state.routes
-        count = self.requests.in_flight_count()
-        return [
-            ('in_flight_requests', 'Requests without a reply', count),
-            ('serving', 'Whether new work is taken', float(self.serving())),
-            ('chosen', 'Whether callers are sent here', float(self.advertised)),
-            ('route_version', 'Version of the routes in force', routes.version if routes else 0),
-            (
-                'refused_query_fraction',
-                'Fraction of the queries that is refused because of overload',
-                refused_fraction(self.state),
-            ),
-            (
-                'confirmed_age_ms',
-                'Time since a quorum confirmed the routes',
-                self._confirmation_age_ms(),
-            ),
-            (
-                'first_tries_10s',
-                'First tries in 10 s',
-                sum(budget.first_count for budget in budgets),
-            ),
-            (
-                'extra_tries_10s',
-                'Hedges and retries',
-                sum(budget.extra_count for budget in budgets),
-            ),
-            (
-                'limited_endpoints',
-                'Endpoints that state a limit',
-                len(self.state.limited_endpoints),
-            ),
-            (
-                'requested_permits',
-                'Permits requested for endpoints with a limit',
-                self.requests.permits.requested_count,
-            ),
-            (
-                'granted_permits',
-                'Permits received for endpoints with a limit',
-                self.requests.permits.granted_count,
-            ),
-            (
-                'cut_off',
-                'Whether this instance reaches none of the endpoints',
-                float(self.state.reach.cut_off),
-            ),
-            ('endpoint_connections', 'To endpoints', self.requests.pool.connection_count()),
-            ('caller_connections', 'From callers', len(self.caller_server.connections)),
-            ('peer_sent_bytes', 'Bytes sent to other instances', self.peers.sent_bytes),
-            ('peer_received_bytes', 'Bytes from other instances', self.peers.received_bytes),
-        ]
-
     def _report(self) -> FleetReport:
         # Imported at its first use to shorten a start: while all instances restart, no request is
         # served.
@@ -277,7 +223,8 @@
 
         return report_entry(self)
 
-    def _confirmation_age_ms(self) -> float:
+    def confirmation_age_ms(self) -> float:
+        """Return the time since a quorum confirmed the routes."""
         return feed.confirmation_age_ms(self.feed, monotonic_ms())
 
     def _update_serving(self, now_ms: float) -> None:
@@ -295,7 +242,7 @@
             str(serving).lower(),
             self.state.routes.version if self.state.routes is not None else 0,
             self.feed.target,
-            self._confirmation_age_ms(),
+            self.confirmation_age_ms(),
         )
 
     def _tick(self, now_ms: float) -> None:
@@ -385,7 +332,7 @@
     def _on_feed(self, sender: str, reply: FeedReply) -> None:
         now_ms = monotonic_ms()
         has_update = feed.on_feed(self.feed, now_ms, sender, reply)
-        on_crash_reports(self.requests.crashes, now_ms, reply.crashes)
+        on_crash_reports(self.requests.crashes.watch, now_ms, reply.crashes)
         if reply.document:
             self._adopt_routes(reply.route_version, reply.document)
         if has_update:
@@ -398,7 +345,7 @@
         for received in reply.endpoints:
             load = table.endpoints.get(received.record.endpoint)
             if load is not None and received.record.born_ms > load.record.born_ms:
-                self.requests.on_endpoint_down(received.record.endpoint)
+                self.requests.crashes.on_endpoint_down(received.record.endpoint)
         changes = endpoint_table.apply_update(table, now_ms, reply.endpoints, reply.synchronized)
         if reply.full and reply.synchronized:
             changes += endpoint_table.remove_missing_endpoints(table, reply.endpoints)
--- a/packages/daemon/src/pistachioloft_daemon/reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/reports.py
@@ -51,7 +51,7 @@
     now_ms = monotonic_ms()
     settings, state = instance.settings, instance.state
     confirmation_age_ms = feed.confirmation_age_ms(instance.feed, now_ms)
-    suspects = instance.requests.crashes.suspects
+    suspects = instance.requests.crashes.watch.suspects
     suspicion_levels = {
         digest: suspicion_level(suspects, now_ms, caller, digest)
         for caller, digest in suspects.entries
--- a/tests/test_fleet/test_entry_instance.py
+++ b/tests/test_fleet/test_entry_instance.py
@@ -123,10 +123,10 @@
         instance, sent = make_instance(tmp_path)
         instance._tick(monotonic_ms())
         instance._on_message(SEED, reply(sent[-1], True, pack_document(b'{}')))
-        assert not isinstance(instance.requests._usable_routes(), Refuse)
+        assert not isinstance(instance.requests.usable_routes(), Refuse)
         resumed_ms = monotonic_ms() + 60_000.0
         monkeypatch.setattr(entry_instance, 'monotonic_ms', lambda: resumed_ms)
-        refusal = instance.requests._usable_routes()
+        refusal = instance.requests.usable_routes()
         assert isinstance(refusal, Refuse)
         assert refusal.code is ResultCode.FENCED
 
--- a/tests/test_fleet/test_silent_connections.py
+++ b/tests/test_fleet/test_silent_connections.py
@@ -125,6 +125,6 @@
         network.silent = {(control, to) for control in CONTROLS for to in directions}
         await network.run(SILENCE_MS + APPLY_BOUND_MS)
         assert network.version_in_force() == 2
-        assert network.instance._confirmation_age_ms() < APPLY_BOUND_MS
+        assert network.instance.confirmation_age_ms() < APPLY_BOUND_MS
 
     asyncio.run(scenario())
--- a/tests/test_gather/test_query_admission.py
+++ b/tests/test_gather/test_query_admission.py
@@ -7,10 +7,10 @@
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.request import gather, query_admission
 from pistachioloft_core.request.attempts import DeliverMerged, Refuse
-from pistachioloft_core.request.gather import ABANDON_DELAY_MS
 from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.query_admission import RETRY_SPREAD, QueryAdmission
 from pistachioloft_core.request.routed_state import set_routes
+from pistachioloft_core.request.shard_attempts import ABANDON_DELAY_MS
 from tests.test_gather.queueing_endpoint import QueueingEndpoint
 from tests.test_gather.routed_simulation import (
     SimulatedRequest,
--- a/tests/test_relay/test_helping.py
+++ b/tests/test_relay/test_helping.py
@@ -19,8 +19,9 @@
 from pistachioloft_daemon.http1.receive_budget import ReceiveBudget
 from pistachioloft_daemon.loop_timers import LoopTimers
 from pistachioloft_daemon.metrics import Metrics
+from pistachioloft_daemon.peer_work import PeerHooks
 from pistachioloft_daemon.routed_messages import EndpointReply
-from pistachioloft_daemon.routed_requests import PeerHooks, RoutedRequests
+from pistachioloft_daemon.routed_requests import RoutedRequests
 from pistachioloft_daemon.wire import WireFormat
 
 if TYPE_CHECKING:
