Refuse the backlog of a pause also after the first timers have run

A pause is now remembered for 1 s, in which messages may have waited since its beginning; requests that were passed on are declined then. Failures of endpoints that no longer exist are forgotten as well.

--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -133,11 +133,14 @@
 
 
 def _is_suspicious(reach: EndpointReach, now_ms: float) -> bool:
-    return any(
-        sum(now_ms < failed_ms + FAILURE_LIFETIME_MS for failed_ms in failures.values())
-        >= SUSPICIOUS_COUNT
-        for failures in (reach._failed, reach._overdue)
-    )
+    for failures in (reach._failed, reach._overdue):
+        for name in [name for name, at_ms in failures.items() if _is_old(now_ms, at_ms)]:
+            del failures[name]
+    return max(len(reach._failed), len(reach._overdue)) >= SUSPICIOUS_COUNT
+
+
+def _is_old(now_ms: float, failed_ms: float) -> bool:
+    return now_ms >= failed_ms + FAILURE_LIFETIME_MS
 
 
 def _end_suspicion(reach: EndpointReach, now_ms: float) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -16,7 +16,7 @@
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
 from .passed_requests import PassedHooks, PassedRequests
-from .relays import RelayHooks, Relays
+from .relays import GIVE_UP_DELAY_MS, RelayHooks, Relays
 from .request_log import log_decision, log_group_placed
 from .routed_messages import EndpointReply, RoutedRequest
 
@@ -110,14 +110,16 @@
         found = self._helping_route(request.route)
         if found is None or found[0].gather is not None:
             return None
+        if self.relays.stall_ms() > GIVE_UP_DELAY_MS:
+            # Its caller may have been answered while it waited here.
+            return None
         route, version = found
         number = self.requests.next_number()
         state = ForwardState(
             str(number),
             route,
             request.service,
-            # It may have waited here while this process was paused.
-            now_ms + max(0.0, request.time_left_ms - self.relays.stall_ms()),
+            now_ms + max(0.0, request.time_left_ms),
             self._is_suspected(now_ms, request),
         )
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -38,6 +38,8 @@
 # are due, the helper has ended or is stalled.
 GIVE_UP_DELAY_MS = 250.0
 CHECK_INTERVAL_MS = 100.0
+# After a pause of this process, messages that waited meanwhile are read for up to this long.
+BACKLOG_MS = 1_000.0
 
 Replies = list[tuple[str, EndpointReply]]
 
@@ -133,6 +135,9 @@
         # A random first number keeps results for an earlier incarnation from matching a group.
         self.number = first_number
         self.checked_ms = monotonic_ms()
+        # When the last pause of this process began, and until when its backlog is read.
+        self.paused_ms = self.checked_ms
+        self.backlog_until_ms = self.checked_ms
         timers.every(CHECK_INTERVAL_MS, self._check_helpers)
 
     # Groups delegated to helpers.
@@ -256,10 +261,14 @@
         delegation.record_group_ended(outgoing.helper)
 
     def stall_ms(self) -> float:
-        """Return for how long this process may have been paused before the current message."""
-        return max(0.0, monotonic_ms() - self.checked_ms - CHECK_INTERVAL_MS)
+        """Return for how long a message that is read now may have waited in this process."""
+        now_ms = monotonic_ms()
+        since_ms = self.paused_ms if now_ms < self.backlog_until_ms else self.checked_ms
+        return max(0.0, now_ms - since_ms - CHECK_INTERVAL_MS)
 
     def _check_helpers(self, now_ms: float) -> None:
+        if now_ms - self.checked_ms > CHECK_INTERVAL_MS + GIVE_UP_DELAY_MS:
+            self.paused_ms, self.backlog_until_ms = self.checked_ms, now_ms + BACKLOG_MS
         self.checked_ms = now_ms
         for relay_id, outgoing in list(self.outgoing.items()):
             if self.outgoing.get(relay_id) is not outgoing:
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+import pytest
 
 from pistachioloft_core.messages.fleet import InstanceLocation
 from pistachioloft_core.messages.relay import (
@@ -451,16 +452,23 @@
     run(scenario)
 
 
-def test_group_that_waited_while_its_helper_was_paused_is_refused() -> None:
+@pytest.mark.parametrize('timers_first', [False, True])
+def test_group_that_waited_while_its_helper_was_paused_is_refused(timers_first: bool) -> None:
     """Guard against a helper that queries shards which the other instance has queried meanwhile."""
 
     async def scenario(pair: Pair) -> None:
-        # The process was paused: its timers are late, and the group is read before they run.
-        pair.helping.relays.checked_ms -= FLUSH_AFTER_MS + 1_000.0
+        relays = pair.helping.relays
+        relays.checked_ms -= FLUSH_AFTER_MS + 1_000.0
+        if timers_first:
+            relays._check_helpers(monotonic_ms())
         pair.delegate()
-        while not pair.delegating.refused:
-            await asyncio.sleep(0)
+        await run_loop_turns()
         assert pair.helping.incoming == []
         assert pair.delegating.refused == list(SHARDS)
+        # Once the backlog is read, groups are taken again.
+        relays.checked_ms, relays.backlog_until_ms = monotonic_ms(), 0.0
+        pair.delegate()
+        await run_loop_turns()
+        assert len(pair.helping.incoming) == 1
 
     run(scenario)
