Let the soak cut links of entry instances and endpoints state things about themselves

The soak played neither links that are cut in three ways nor searchers that state limits, ask for rests or leave by their replies.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from ..fleet.cut_links import HANG, REFUSE, RESET
 from ..fleet.searcher import STATUS_DROP, ReplyPlan
 from .proxy import NO_FAULT, Fault
 
@@ -85,6 +87,32 @@
     searcher.behaviour = lambda _id: ReplyPlan()
 
 
+async def cut_links(site: SoakSite, random_source: random.Random) -> None:
+    """Cut the links of an entry instance to all searchers."""
+    machine = random_source.choice(site.fleet.entries)
+    async with site.entry_fault_lock:
+        site.fleet.cut_links(machine, random_source.choice((HANG, RESET, REFUSE)))
+        await asyncio.sleep(random_source.uniform(0.5, 2 * MAX_FAULT_S))
+        site.fleet.cut_links(machine, '')
+
+
+async def state_something(site: SoakSite, random_source: random.Random) -> None:
+    """Let one searcher state a limit, ask for rests, or say that it leaves until it restarts."""
+    searcher = random_source.choice(site.searchers)
+    kind = random_source.randrange(3)
+    if kind == 0:
+        searcher.limit_per_s = random_source.uniform(1.0, 20.0)
+    elif kind == 1:
+        searcher.rest_s = random_source.uniform(0.2, MAX_FAULT_S)
+    else:
+        searcher.is_leaving = True
+    await asyncio.sleep(random_source.uniform(0.2, MAX_FAULT_S))
+    searcher.limit_per_s = searcher.rest_s = None
+    if searcher.is_leaving:
+        searcher.is_leaving = False
+        searcher.born_ms, searcher.sequence = time.time_ns() // 1_000_000, 0
+
+
 async def change_routes(site: SoakSite, _source: random.Random) -> None:
     """Submit a newer version of the routes and wait until it is acknowledged."""
     async with site.submission_lock:
@@ -98,6 +126,8 @@
     pause,
     disturb_connections,
     disturb_searcher,
+    cut_links,
+    state_something,
     change_routes,
 )
 
