Give probes their time after a pause, and show operators what endpoints say

An instance that was frozen while it probed endpoints took the pause for their silence: its timers ran before it read that the connections had been opened, so it ended everything in flight and handed its work over for a moment. Probes now get their time anew after a late check; test_pause_of_the_process_is_no_cut fails without that. 'pistachioloft fleet status' shows endpoints that rest, leave or state a limit, and entry instances that are cut off.

--- a/packages/cli/src/pistachioloft_cli/fleet_commands.py
+++ b/packages/cli/src/pistachioloft_cli/fleet_commands.py
@@ -164,7 +164,7 @@
             announced for announced in report.endpoints if list_all or _needs_attention(announced)
         ]
         for announced in sorted(listed, key=lambda item: (item.service, item.endpoint)):
-            state = 'avoided' if announced.breaker_open else announced.standing
+            state = _endpoint_state(announced)
             cells = (
                 announced.endpoint,
                 announced.service,
@@ -179,8 +179,27 @@
     return ('', *format_table((*header, 'SEEN BY'), rows)) if rows else ()
 
 
+def _endpoint_state(endpoint: AnnouncedReport) -> str:
+    if endpoint.leaving:
+        return 'leaving'
+    if endpoint.rest_left_ms > 0.0:
+        return f'rests {endpoint.rest_left_ms / 1000.0:.1f} s'
+    if endpoint.breaker_open:
+        return 'avoided'
+    if endpoint.limit_per_s is not None and endpoint.usable:
+        return f'limit {endpoint.limit_per_s:.1f}/s'
+    return endpoint.standing
+
+
 def _needs_attention(endpoint: AnnouncedReport) -> bool:
-    return not endpoint.usable or endpoint.breaker_open or endpoint.overdue_count > 0
+    return (
+        not endpoint.usable
+        or endpoint.breaker_open
+        or endpoint.overdue_count > 0
+        or endpoint.leaving
+        or endpoint.rest_left_ms > 0.0
+        or endpoint.limit_per_s is not None
+    )
 
 
 def _budget_table(reports: Iterable[FleetReport]) -> tuple[str, ...]:
--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -17,6 +17,8 @@
 # A suspicion is decided by connections to this many endpoints, none of which may succeed.
 PROBE_COUNT = 4
 PROBE_TIMEOUT_MS = 400.0
+# Checks are made more often than this unless the process is paused or has no processor time.
+LATE_CHECK_MS = 200.0
 # After probes that succeeded, later failures raise a suspicion again.
 SOUND_MS = 1_000.0
 # While cut off, an instance connects to some endpoints at this interval.
@@ -35,6 +37,7 @@
         '_probed',
         '_reached',
         'changed_ms',
+        'checked_ms',
         'cut_off',
         'probed_ms',
         'probing',
@@ -49,6 +52,7 @@
         # Whether the outcome of probes decides a suspicion.
         self.probing = False
         self.probed_ms = float('-inf')
+        self.checked_ms = float('-inf')
         self.sound_until_ms = float('-inf')
         # Endpoints that failed and have not replied since, by the time of the failure.
         self._failed: dict[str, float] = {}
@@ -97,6 +101,10 @@
 
 def decide_cut_off(reach: EndpointReach, now_ms: float) -> bool:
     """Return whether the probes have just shown that this instance is cut off."""
+    if now_ms - reach.checked_ms >= LATE_CHECK_MS:
+        # This process was paused; what its probes achieved meanwhile is not known yet.
+        reach.probed_ms = now_ms if reach.probing else reach.probed_ms
+    reach.checked_ms = now_ms
     if not reach.probing or (reach._probed and now_ms < reach.probed_ms + PROBE_TIMEOUT_MS):
         return False
     reach.probing = False
--- a/packages/core/src/pistachioloft_core/messages/report.py
+++ b/packages/core/src/pistachioloft_core/messages/report.py
@@ -37,6 +37,10 @@
     in_flight_count: int = 0
     overdue_count: int = 0
     breaker_open: bool = False
+    # What the endpoint says about itself to an entry instance.
+    limit_per_s: float | None = None
+    rest_left_ms: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pistachioloft_daemon/reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/reports.py
@@ -144,4 +144,7 @@
         in_flight_count=load.in_flight_count,
         overdue_count=load.overdue_count,
         breaker_open=load.breaker.is_open(now_ms),
+        limit_per_s=load.limit.per_s if load.limit.is_limited else None,
+        rest_left_ms=max(0.0, load.statements.rest_until_ms - now_ms),
+        leaving=load.statements.is_leaving,
     )
--- a/tests/test_cli/test_fleet_commands.py
+++ b/tests/test_cli/test_fleet_commands.py
@@ -105,3 +105,28 @@
     document = run('fleet', 'status', '--json', '--at', serve(make_instance, ENTRY)).document
     assert document['reports'][0]['route_version'] == 6
     assert run('fleet', 'status', '--at', unreachable).exit_code == 5
+
+
+def test_what_endpoints_say_and_cut_off_instances_are_shown(
+    run: Run, make_instance: MakeInstance
+) -> None:
+    """Guard against hiding why an endpoint gets no requests, or an instance no callers."""
+    sound = AnnouncedReport('i-1', 's1', 'north', '10.3.0.1:80', 'ready', True)
+    entry = replace(
+        ENTRY,
+        endpoints=(
+            sound,
+            replace(sound, endpoint='i-2', rest_left_ms=2_140.0, breaker_open=True),
+            replace(sound, endpoint='i-3', leaving=True, usable=False),
+            replace(sound, endpoint='i-4', limit_per_s=7.5),
+        ),
+    )
+    control = replace(CONTROL, entries=(replace(CONTROL.entries[0], cut_off=True),), endpoints=())
+    addresses = serve(make_instance, entry), serve(make_instance, control)
+    result = run('fleet', 'status', '--at', addresses[0], '--at', addresses[1])
+    lines = [' '.join(line.split()) for line in result.out.splitlines()]
+    assert not any(line.startswith('i-1') for line in lines)
+    assert any(line.startswith('i-2') and 'rests 2.1 s' in line for line in lines)
+    assert any(line.startswith('i-3') and 'leaving' in line for line in lines)
+    assert any(line.startswith('i-4') and 'limit 7.5/s' in line for line in lines)
+    assert any(line.startswith('10.1.0.9 north cut off') for line in lines)
--- a/tests/test_reach/test_reach.py
+++ b/tests/test_reach/test_reach.py
@@ -116,3 +116,19 @@
     for name in NAMES[:3]:
         record_failed(links.reach, links.now_ms, name)
     assert links.run(10_000.0) <= 4 + 2 * 40
+
+
+def test_pause_of_the_process_is_no_cut() -> None:
+    """Guard against an instance that takes the time of a pause for the silence of its probes."""
+    links = Links()
+    links.reachable, links.hanging = set(), True
+    for name in NAMES[:3]:
+        record_failed(links.reach, links.now_ms, name)
+    probed = links.tick()
+    assert len(probed) == 4
+    # The process is frozen; its timers run before it reads that the probes were connected.
+    links.now_ms += 3_000.0
+    links.tick()
+    record_connected(links.reach, links.now_ms, probed[0], len(LOADS))
+    links.run(1_000.0)
+    assert not links.cut_off_ms
