Keep returned shards within the budget until their query is answered

Whether the next attempt is the first of any instance is now a property of the shard. Shards that are returned too late for a reply are not retried. Both tests failed before.

--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -177,12 +177,14 @@
     if query.done:
         return []
     actions: list[RoutedAction] = []
+    # An instance that is cut off cannot retry them, and a helper would not know their count.
+    can_retry = not state.reach.cut_off and (
+        now_ms + usual_latency_ms(state, query.route) < query.deadline_at_ms
+    )
     for service, run_count in run_counts.items():
         shard = query.shard_by_service[service]
-        shard.delegated = False
-        # An instance that is cut off cannot retry them, and a helper would not know their count.
-        attempt_limit = query.route.attempt_limit
-        shard.may_have_run_count = attempt_limit if state.reach.cut_off else run_count
+        shard.delegated, shard.tried_by_helper = False, True
+        shard.may_have_run_count = run_count if can_retry else query.route.attempt_limit
         actions += retry_shard(state, now_ms, query, shard, unbudgeted=False)
     return actions + finish_if_due(now_ms, query)
 
@@ -241,7 +243,7 @@
             if shard.attempt_count == 0:
                 held_ms = now_ms - query.started_ms
                 state.queue_waits.record_hold(shard.service, now_ms, held_ms)
-            actions += retry_shard(state, now_ms, query, shard, unbudgeted=shard.attempt_count == 0)
+            actions += retry_shard(state, now_ms, query, shard, unbudgeted=shard.needs_no_budget)
         elif now_ms >= shard.open_attempts[-1].check_at_ms:
             newest_attempt = shard.open_attempts[-1]
             schedule_recheck(newest_attempt, now_ms)
--- a/packages/core/src/pistachioloft_core/request/gather_state.py
+++ b/packages/core/src/pistachioloft_core/request/gather_state.py
@@ -28,6 +28,7 @@
         'retry_at_ms',
         'service',
         'tried',
+        'tried_by_helper',
     )
 
     def __init__(self, service: str) -> None:
@@ -41,14 +42,20 @@
         self.refused_endpoint = ''
         self.retry_at_ms = 0.0
         self.hedged = False
-        # A helper queries this shard.
+        # A helper queries this shard, or has queried it, so that further attempts are extra.
         self.delegated = False
+        self.tried_by_helper = False
         self.exhausted = False
         self.replied = False
         self.reply: Any = None
         # Queue wait at the endpoints of this shard when it replied.
         self.queue_wait_ms = 0.0
 
+    @property
+    def needs_no_budget(self) -> bool:
+        """Return whether the next attempt is the first one of any instance."""
+        return self.attempt_count == 0 and not self.tried_by_helper
+
 
 class GatherState:
     """Hold one query over all shards from its arrival to its answer."""
--- a/tests/test_relay/test_delegated_groups.py
+++ b/tests/test_relay/test_delegated_groups.py
@@ -202,3 +202,27 @@
     extra = [name for name in services if budget_of(state, name).extra_count > before[name]]
     assert sorted(extra) == sorted(services[:5])
     assert isinstance(delegating.end_direct_attempts()[-1], DeliverMerged)
+
+
+def test_budget_binds_returned_shards_until_the_answer() -> None:
+    """Guard against extra attempts without budget after a helper has returned its shards."""
+    delegating = DelegatingQuery(coverage_floor=0.95)
+    state, services = delegating.simulation.state, delegating.groups[1].services
+    for name in services:
+        budget_of(state, name).balance = 0.0
+    actions = gather.on_group_unanswered(state, 30.0, delegating.query, dict.fromkeys(services, 0))
+    for now_ms in range(35, 90, 5):
+        actions += gather.on_gather_timer(state, float(now_ms), delegating.query)
+    sent = {action.attempt.service for action in actions if isinstance(action, SendAttempt)}
+    assert sent.isdisjoint(services)
+
+
+def test_shards_that_are_returned_too_late_are_not_retried() -> None:
+    """Guard against attempts whose replies cannot arrive before the time limit."""
+    delegating = DelegatingQuery(coverage_floor=0.95)
+    delegating.end_direct_attempts()
+    run_counts = dict.fromkeys(delegating.groups[1].services, 1)
+    actions = gather.on_group_unanswered(
+        delegating.simulation.state, 999.0, delegating.query, run_counts
+    )
+    assert not any(isinstance(action, SendAttempt) for action in actions)
