Take a refused connection for a crash only after a new connection to another endpoint

Time is no evidence: a connection that was opened after the refusal now confirms a crash, and where there is none, probes are made whatever was found before. Connections that are refused without a lost request confirm nothing and cause no probes.

--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -38,7 +38,9 @@
         '_reached',
         'changed_ms',
         'checked_ms',
+        'connected_ms',
         'cut_off',
+        'probe_wanted',
         'probed_ms',
         'probing',
         'replied_ms',
@@ -49,6 +51,10 @@
         self.cut_off = False
         self.changed_ms = float('-inf')
         self.replied_ms = float('-inf')
+        # When a connection was last opened to any endpoint.
+        self.connected_ms = float('-inf')
+        # Whether probes are needed without a suspicion, to tell a crash from a cut.
+        self.probe_wanted = False
         # Whether the outcome of probes decides a suspicion.
         self.probing = False
         self.probed_ms = float('-inf')
@@ -86,6 +92,7 @@
 
 def record_connected(reach: EndpointReach, now_ms: float, endpoint: str, known_count: int) -> bool:
     """Record a new connection; return whether this instance was cut off and is not any more."""
+    reach.connected_ms = now_ms
     reach._failed.pop(endpoint, None)
     if not reach.cut_off:
         if reach.probing:
@@ -124,7 +131,7 @@
         if now_ms < reach.probed_ms + RECOVERY_INTERVAL_MS:
             return []
         probe_count = RECOVERY_PROBE_COUNT
-    elif reach.probing or now_ms < reach.sound_until_ms or not _is_suspicious(reach, now_ms):
+    elif reach.probing or not (reach.probe_wanted or _is_suspicious(reach, now_ms)):
         return []
     else:
         probe_count = PROBE_COUNT
@@ -135,12 +142,14 @@
     probes = candidates[:probe_count]
     if probes:
         reach.probed_ms = now_ms
-        reach.probing = not reach.cut_off
+        reach.probing, reach.probe_wanted = not reach.cut_off, False
         reach._probed = {load.record.endpoint for load in probes}
     return probes
 
 
 def _is_suspicious(reach: EndpointReach, now_ms: float) -> bool:
+    if now_ms < reach.sound_until_ms:
+        return False
     for failures in (reach._failed, reach._overdue):
         for name in [name for name, at_ms in failures.items() if _is_old(now_ms, at_ms)]:
             del failures[name]
--- a/packages/daemon/src/pistachioloft_daemon/crash_reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/crash_reports.py
@@ -24,8 +24,8 @@
 
     from .loop_timers import LoopTimers
 
-# If an endpoint refuses a connection because this instance is cut off, others do so in this time.
-CONFIRMATION_DELAY_MS = 150.0
+# A refused connection is taken for a crash once a connection to an endpoint was opened after it.
+CONFIRMATION_INTERVAL_MS = 50.0
 
 
 class CrashReports:
@@ -54,8 +54,8 @@
 
     def on_connection_refused(self, endpoint: str) -> None:
         """Take an endpoint for crashed unless this instance turns out to be cut off."""
-        due_ms = monotonic_ms() + CONFIRMATION_DELAY_MS
-        self.timers.at(due_ms, lambda _ms: self._confirm_crash(endpoint))
+        if endpoint in self.watch.lost:
+            self._confirm_later(endpoint, monotonic_ms())
 
     def on_cut_off(self) -> None:
         """Forget what was lost with the links, which is no sign that an endpoint crashed."""
@@ -69,10 +69,16 @@
         if crashes:
             self.report(crashes)
 
-    def _confirm_crash(self, endpoint: str) -> None:
+    def _confirm_later(self, endpoint: str, refused_ms: float) -> None:
+        due_ms = monotonic_ms() + CONFIRMATION_INTERVAL_MS
+        self.timers.at(due_ms, lambda _ms: self._confirm_crash(endpoint, refused_ms))
+
+    def _confirm_crash(self, endpoint: str, refused_ms: float) -> None:
         if self.reach.cut_off:
             self.watch.lost.pop(endpoint, None)
-        elif self.reach.probing:
-            self.on_connection_refused(endpoint)
-        else:
+        elif self.reach.connected_ms > refused_ms:
             self.on_endpoint_down(endpoint)
+        elif endpoint in self.watch.lost:
+            # Only a new connection shows that the refusal was the endpoint's own.
+            self.reach.probe_wanted = not self.reach.probing
+            self._confirm_later(endpoint, refused_ms)
