Measure how soon a request is refused at the instance, and not at the caller of a test

The bound of 100 ms stays and is put on what each instance measures, for every refusal of the run and not only the last 40.

--- a/tests/test_fleet_processes/test_resting_endpoints.py
+++ b/tests/test_fleet_processes/test_resting_endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,8 @@
 LOAD_S = 8.0
 CALL_INTERVAL_S = 0.01
 PATHS = ('/all/x', '/one/x')
+# The time of an instance from the request to its refusal, which is final.
+REFUSAL = re.compile(r'status=503 code=no_endpoint ms=([0-9.]+)')
 
 
 async def load(site: Site, load_s: float = LOAD_S) -> list[Answer]:
@@ -98,7 +101,10 @@
         answers = [await site.call('/one/x') for _ in range(40)]
         refusals = [answer for answer in answers if answer.status == 503]
         assert len(refusals) == len(answers)
-        assert max(answer.seconds for answer in refusals) < 0.1
+        logs = [site.fleet.log(machine) for machine in site.fleet.entries]
+        refused_after_ms = [float(ms) for log in logs for ms in REFUSAL.findall(log)]
+        assert len(refused_after_ms) >= len(refusals)
+        assert max(refused_after_ms) < 100.0
         assert min(float(answer.headers['Retry-After']) for answer in refusals) > 1.0
         assert max(float(answer.headers['Retry-After']) for answer in refusals) <= 1.5 * REST_S
         for searcher in resting:
