--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,11 +21,11 @@
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ZONES = ('bne-a', 'tsv-a', 'twb-a')
-SERVICES = tuple(f'invoice-desk-{number}' for number in range(1, 7))
+SERVICES = tuple(f'invoice-desk-{number}' for number in range(1, 13))
 LIMIT_MS = 4000
 # Like `invoice-desk` of the site: 2 searchers with 2 slots and 26 connections each.
 REPLICA_COUNT, SLOT_COUNT, QUEUE_COUNT, CONNECTION_COUNT = 2, 2, 4, 26
-CONSUMER_COUNT = 24
+CONSUMER_COUNT = 48
 # garble, "extra late across": share 0.5 of the searchers, x 0.04 of their answers, 5 s each time.
 SPOILING_SHARE, SPOILED_SHARE = 0.5, 0.04
 # srv_grey, "shed all": each searcher turns x 0.6 of the requests away.
--- a/review/standins/consumer.py
+++ b/review/standins/consumer.py
@@ -16,6 +16,11 @@
     from deployment import Deployment
 
 HOST = 'pupu76.example'
+UPGRADE_HEADERS = {
+    'Connection': 'Upgrade, HTTP2-Settings',
+    'Upgrade': 'h2c',
+    'HTTP2-Settings': 'AAMAAABkAAQCAAAAAAIAAAAA',
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +47,8 @@
         self.source = source
         self.addresses: list[str] = []
         self.answers: list[Answer] = []
+        # Offers HTTP/2 with the first request on each connection, as some HTTP clients do.
+        self.offers_upgrade = False
         self._address = ''
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
@@ -69,7 +76,10 @@
         reply: Message | None = None
         try:
             async with asyncio.timeout(limit_ms / 1000.0 + 1.0):
+                is_new = self._streams is None
                 reader, writer = await self._connect()
+                if is_new and self.offers_upgrade:
+                    headers |= UPGRADE_HEADERS
                 writer.write(encode(f'{method} {path} HTTP/1.1', headers, body))
                 reply = await read_message(reader)
         except (OSError, HttpError, TimeoutError):
