--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -72,6 +72,8 @@
     ) -> None:
         if not (ROOT / 'target' / 'app').is_dir():
             raise CannotRunError('run the build of the deploy file first')
+        # Ends the processes also when this one is told to end.
+        signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.zones = zones
         self.heartbeat_ms = heartbeat_ms
