Send attempts of one request id on different connections

Cause: two attempts of a request carry the same X-Request-Id, which is all that identifies an answer. An attempt on the connection that had carried an earlier one took the late copy of the earlier refusal for its own answer and ended as not run, while the request ran.

Change: a connection carries no attempt whose request id it has carried lately; another idle connection or a new one is used, in place of an idle one if the limit of connections is reached. This holds for retries, hedges, groups and requests of other instances, and for callers that send an id again, since all use the pool.

--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -33,12 +34,23 @@
 IDLE_FRACTION = 0.8
 DEFAULT_IDLE_TIMEOUT_S = 10.0
 KEEP_ALIVE_PARAMETER = b'timeout='
+# A second reply comes at the latest where the next one is due, so a few ids would be enough.
+RECENT_REQUEST_COUNT = 32
 
 # Returns how a response ends the attempt, or None if it answers an earlier request.
 DecodeReply = Callable[['Attempt', 'Response'], AttemptEnd | None]
 OnEnd = Callable[['Attempt', AttemptEnd], None]
 
 
+@dataclass(frozen=True, slots=True)
+class OutgoingAttempt:
+    """Pair an attempt with its encoded request and the id that the endpoint echoes."""
+
+    attempt: Attempt
+    request_id: str
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class PoolHooks:
     """Bundle the callbacks of the pool."""
@@ -64,8 +76,14 @@
         self.idle_limit_s = DEFAULT_IDLE_TIMEOUT_S * IDLE_FRACTION
         self.idle_since_s = 0.0
         self.round_trip_ms = 0.0
+        # Ids of the requests that this connection has carried, the newest last.
+        self.recent_request_ids: deque[str] = deque(maxlen=RECENT_REQUEST_COUNT)
         self.http = ClientConnection(self, pool.budget)
 
+    def can_identify(self, request_id: str) -> bool:
+        """Return whether a reply with this id could only answer an attempt that is sent now."""
+        return request_id not in self.recent_request_ids
+
     def on_reply(self, response: Response, reusable: bool) -> bool:
         """Handle a reply and return whether it answers the attempt in flight."""
         attempt = self.attempt
@@ -119,7 +137,7 @@
         self.idle: list[PooledConnection] = []
         self.open: set[PooledConnection] = set()
         self.opening_count = 0
-        self.queue: dict[str, tuple[Attempt, bytes]] = {}
+        self.queue: dict[str, OutgoingAttempt] = {}
 
 
 class EndpointPool:
@@ -136,14 +154,15 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.opened_count = 0
 
-    def send(self, attempt: Attempt, data: bytes) -> None:
+    def send(self, outgoing: OutgoingAttempt) -> None:
         """Send an attempt on an idle connection, or queue it for the next one."""
+        attempt = outgoing.attempt
         target = self._target(attempt.load.record)
-        connection = self._take_idle(target)
+        connection = self._take_idle(target, outgoing.request_id)
         if connection is not None:
-            self._start(connection, attempt, data)
+            self._start(connection, outgoing)
             return
-        target.queue[attempt.attempt_id] = (attempt, data)
+        target.queue[attempt.attempt_id] = outgoing
         self.queued_at[attempt.attempt_id] = target
         self._open_more(target)
 
@@ -175,9 +194,9 @@
         target = self.targets.get(endpoint)
         if target is None:
             return
-        for attempt, _ in list(target.queue.values()):
-            if self.abandon(attempt):
-                self.hooks.ended(attempt, AttemptEnd(AttemptOutcome.NOT_SENT, detail))
+        for outgoing in list(target.queue.values()):
+            if self.abandon(outgoing.attempt):
+                self.hooks.ended(outgoing.attempt, AttemptEnd(AttemptOutcome.NOT_SENT, detail))
 
     def close_idle_connections(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that gets no new requests."""
@@ -202,15 +221,20 @@
         """Use a free connection for the next queued attempt, or keep it idle."""
         self._detach_attempt(connection)
         target = connection.target
-        if target.queue:
-            attempt, data = target.queue.pop(next(iter(target.queue)))
-            del self.queued_at[attempt.attempt_id]
-            self._start(connection, attempt, data)
+        outgoing = next(
+            (each for each in target.queue.values() if connection.can_identify(each.request_id)),
+            None,
+        )
+        if outgoing is not None:
+            del target.queue[outgoing.attempt.attempt_id]
+            del self.queued_at[outgoing.attempt.attempt_id]
+            self._start(connection, outgoing)
         elif target.retired:
             self._close_connections([connection])
         else:
             connection.idle_since_s = monotonic_ms() / 1000.0
             target.idle.append(connection)
+            self._open_more(target)
 
     def drop(self, connection: PooledConnection) -> None:
         """Remove a closed connection."""
@@ -270,28 +294,37 @@
         if attempt is not None:
             self.connection_by_attempt.pop(attempt.attempt_id, None)
 
-    def _take_idle(self, target: _Target) -> PooledConnection | None:
+    def _take_idle(self, target: _Target, request_id: str) -> PooledConnection | None:
         now_s = monotonic_ms() / 1000.0
-        while target.idle:
-            connection = target.idle.pop()
-            if connection.is_fresh(now_s):
+        for connection in reversed(target.idle.copy()):
+            if not connection.is_fresh(now_s):
+                target.idle.remove(connection)
+                connection.http.close()
+                target.open.discard(connection)
+            elif connection.can_identify(request_id):
+                target.idle.remove(connection)
                 return connection
-            connection.http.close()
-            target.open.discard(connection)
         return None
 
-    def _start(self, connection: PooledConnection, attempt: Attempt, data: bytes) -> None:
+    def _start(self, connection: PooledConnection, outgoing: OutgoingAttempt) -> None:
+        attempt = outgoing.attempt
         connection.attempt = attempt
+        connection.recent_request_ids.append(outgoing.request_id)
         self.connection_by_attempt[attempt.attempt_id] = connection
         attempt.load.round_trip_ms = connection.round_trip_ms
         record_attempt_sent(attempt, monotonic_ms())
-        connection.http.send(data)
+        connection.http.send(outgoing.data)
 
     def _open_more(self, target: _Target) -> None:
-        free_count = (
-            self.hooks.connection_limit(target.record) - len(target.open) - target.opening_count
-        )
-        for _ in range(min(free_count, len(target.queue) - target.opening_count)):
+        """Open connections for queued attempts, in place of idle ones that cannot carry them."""
+        limit_count = self.hooks.connection_limit(target.record)
+        for _ in range(len(target.queue) - target.opening_count):
+            if len(target.open) + target.opening_count >= limit_count:
+                if not target.idle:
+                    return
+                unusable = target.idle.pop(0)
+                unusable.http.close()
+                target.open.discard(unusable)
             self._open(target)
 
     def _open(self, target: _Target) -> None:
@@ -329,7 +362,6 @@
         for attempt_id in queued:
             del self.queued_at[attempt_id]
         self._remove_if_unused(target)
-        for attempt, _ in queued.values():
-            self.hooks.ended(
-                attempt, AttemptEnd(AttemptOutcome.NOT_SENT, detail, wrong_endpoint=True)
-            )
+        end = AttemptEnd(AttemptOutcome.NOT_SENT, detail, wrong_endpoint=True)
+        for outgoing in queued.values():
+            self.hooks.ended(outgoing.attempt, end)
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -41,7 +41,7 @@
 from pistachioloft_core.request.stopping import needed_time_ms
 
 from .crash_reports import CrashReports
-from .endpoint_pool import EndpointPool, PoolHooks
+from .endpoint_pool import EndpointPool, OutgoingAttempt, PoolHooks
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
 from .peer_work import PeerWork
@@ -418,7 +418,7 @@
             if shard.may_have_run_count > 1:
                 self.relays.report_extra_attempt(in_flight.group, attempt.service)
         data = self.wire.encode_attempt(in_flight.routed, endpoint, action.time_left_ms)
-        self.pool.send(attempt, data)
+        self.pool.send(OutgoingAttempt(attempt, in_flight.routed.request_id, data))
 
     def _abandon(self, now_ms: float, action: AbandonAttempt) -> None:
         if action.after_ms > 0:
--- a/tests/test_http1/pool_harness.py
+++ b/tests/test_http1/pool_harness.py
@@ -12,7 +12,7 @@
 from pistachioloft_core.messages.fleet import ENDPOINT_READY, AnnouncedEndpoint
 from pistachioloft_core.messages.routes import Route, WeightedService
 from pistachioloft_core.request.attempts import Attempt, AttemptEnd, AttemptOutcome
-from pistachioloft_daemon.endpoint_pool import EndpointPool, PoolHooks
+from pistachioloft_daemon.endpoint_pool import EndpointPool, OutgoingAttempt, PoolHooks
 from pistachioloft_daemon.http1.messages import Response, find_header
 from pistachioloft_daemon.http1.receive_budget import ReceiveBudget
 
@@ -37,6 +37,7 @@
         self.connection_count = 0
         self.load: EndpointLoad | None = None
         self.number = 0
+        self.request_ids: dict[str, str] = {}
 
     async def __aenter__(self) -> PoolHarness:
         self.server = await asyncio.start_server(self.handle, '127.0.0.1', 0)
@@ -64,18 +65,22 @@
 
     def decode(self, attempt: Attempt, response: Response) -> AttemptEnd | None:
         echoed = find_header(response.headers, b'x-id')
-        if echoed != attempt.attempt_id.encode():
+        if echoed != self.request_ids[attempt.attempt_id].encode():
             return None
         return AttemptEnd(AttemptOutcome.ANSWERED, reply=response.body)
 
     def ended(self, attempt: Attempt, end: AttemptEnd) -> None:
         self.ends.put_nowait((attempt.attempt_id, end))
 
-    def send(self) -> Attempt:
+    def send(self, request_id: str = '') -> Attempt:
+        """Send an attempt, whose request id is its number unless another is given."""
         assert self.load is not None
         self.number += 1
         attempt = Attempt(str(self.number), ROUTE, 's', self.load, 0.0, 50.0, False)
-        self.pool.send(attempt, f'GET /{self.number} HTTP/1.1\r\nHost: h\r\n\r\n'.encode())
+        request_id = request_id or attempt.attempt_id
+        self.request_ids[attempt.attempt_id] = request_id
+        data = f'GET /{request_id} HTTP/1.1\r\nHost: h\r\n\r\n'.encode()
+        self.pool.send(OutgoingAttempt(attempt, request_id, data))
         return attempt
 
     def move(self, address: str) -> None:
@@ -83,8 +88,8 @@
         assert self.load is not None
         self.load = EndpointLoad(replace(self.load.record, address=address, born_ms=2), 0.0)
 
-    async def call(self) -> AttemptEnd:
-        attempt = self.send()
+    async def call(self, request_id: str = '') -> AttemptEnd:
+        attempt = self.send(request_id)
         attempt_id, end = await asyncio.wait_for(self.ends.get(), 5.0)
         assert attempt_id == attempt.attempt_id
         return end
--- a/tests/test_relay/test_helping.py
+++ b/tests/test_relay/test_helping.py
@@ -27,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from pistachioloft_daemon.endpoint_pool import OutgoingAttempt
+
 SHARDS = ('s0', 's1')
 ROUTE = Route('all', 'h', '/', True, 9_000.0, 1_000.0, 1, 2, (), Gather(SHARDS, 3, 0.5))
 REQUEST = RelayRequest('asking/1', 'all', 'r1', b'head', b'', 'd', False, 1_500.0, 500.0, 3, SHARDS)
@@ -38,9 +40,9 @@
     def __init__(self) -> None:
         self.sent: list[Attempt] = []
 
-    def send(self, attempt: Attempt, data: bytes) -> None:
-        assert data == b'r1'
-        self.sent.append(attempt)
+    def send(self, outgoing: OutgoingAttempt) -> None:
+        assert (outgoing.request_id, outgoing.data) == ('r1', b'r1')
+        self.sent.append(outgoing.attempt)
 
     def preconnect(self, _record: AnnouncedEndpoint) -> None:
         pass
--- a/tools/fleet/site.py
+++ b/tools/fleet/site.py
@@ -59,10 +59,11 @@
         entry_count: int = 2,
         replica_count: int = 2,
         bounds: FleetBounds | None = None,
+        searcher_type: type[StandInSearcher] = StandInSearcher,
     ) -> None:
         self.fleet = Fleet(folder, control_count, entry_count, bounds)
         self.searchers = [
-            StandInSearcher(
+            searcher_type(
                 f'i-{service}-{replica}',
                 service,
                 FAILURE_DOMAINS[(number + replica) % len(FAILURE_DOMAINS)],
@@ -216,11 +217,12 @@
         body: bytes | None = None,
         deadline_ms: int = 2_000,
         session: aiohttp.ClientSession | None = None,
+        request_id: str = '',
     ) -> Answer:
         """Send one request as a caller and return the answer."""
         if address is None:
             address = self.fleet.caller_address(random.choice(self.fleet.entries))
-        request_id = f'q{next(_request_numbers)}'
+        request_id = request_id or f'q{next(_request_numbers)}'
         headers = {
             'Host': ROUTE_HOST,
             'X-Request-Id': request_id,
