Suspect a request that crashes one failure domain again and again

Cause: three crashes in one failure domain within a second, and none elsewhere, were taken for the loss of the domain. Since an instance prefers endpoints of its own failure domain, each round of crashes excused itself. Besides, the record of a request kept only its newest four crashes, and control instances dropped the failure domain, so other instances condemned bystanders of a lost domain at once.

Change: a loss excuses a request once; crashes more than a second apart without a success in between all count. The oldest uncleared crash is kept, and the failure domain is passed on.

--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -36,6 +36,7 @@
     renew_entry,
     status_with_age,
 )
+from .suspects import RecentCrash
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -81,7 +82,8 @@
         self.entries = KnownEntries()
         # The last shared status of each control instance, and until when it is repeated.
         self.shared_controls: dict[str, tuple[ControlStatus, float]] = {}
-        self.crashes: dict[tuple[str, str, int], float] = {}
+        # By digest, endpoint and its start.
+        self.crashes: dict[tuple[str, str, int], RecentCrash] = {}
         # Since when this instance may have missed announcements; None if synchronized.
         self.unsynced_since_ms: float | None = now_ms
         # Endpoints that announced themselves here since the last share, with or without a change.
@@ -219,7 +221,7 @@
         controls,
         entries,
         aged_endpoints(state.announced, now_ms, names),
-        crashes=tuple(RequestCrash(*key, now_ms - state.crashes[key]) for key in crashes),
+        crashes=tuple(_crash_report(now_ms, key, state.crashes[key]) for key in crashes),
     )
 
 
@@ -330,7 +332,9 @@
         name: peer for name, peer in state.controls.items() if now_ms - peer.received_ms < FORGET_MS
     }
     state.crashes = {
-        key: at_ms for key, at_ms in state.crashes.items() if now_ms - at_ms < CRASH_RETENTION_MS
+        key: crash
+        for key, crash in state.crashes.items()
+        if now_ms - crash.time_ms < CRASH_RETENTION_MS
     }
     state.unshared_crashes &= state.crashes.keys()
     return bool(lapsed)
@@ -394,7 +398,7 @@
         return
     while len(state.crashes) >= CRASH_LIMIT_COUNT:
         del state.crashes[next(iter(state.crashes))]
-    state.crashes[key] = now_ms - crash.age_ms
+    state.crashes[key] = RecentCrash(now_ms - crash.age_ms, crash.failure_domain)
     if pass_on:
         state.unshared_crashes.add(key)
 
@@ -414,7 +418,11 @@
 
 def _newest_crashes(state: FleetState, now_ms: float) -> tuple[RequestCrash, ...]:
     newest = list(state.crashes.items())[-FEED_CRASH_COUNT:]
-    return tuple(RequestCrash(*key, now_ms - crash_ms) for key, crash_ms in newest)
+    return tuple(_crash_report(now_ms, key, crash) for key, crash in newest)
+
+
+def _crash_report(now_ms: float, key: tuple[str, str, int], crash: RecentCrash) -> RequestCrash:
+    return RequestCrash(*key, now_ms - crash.time_ms, crash.failure_domain)
 
 
 def _record_urgent(state: FleetState, now_ms: float, endpoint: str) -> None:
--- a/packages/core/src/pistachioloft_core/process/suspects.py
+++ b/packages/core/src/pistachioloft_core/process/suspects.py
@@ -15,7 +15,8 @@
 # More crashes of one request than this do not change its suspicion level.
 MAX_CRASH_COUNT = 4
 # When this many endpoints of one failure domain crash within this time and none elsewhere, the
-# failure domain was lost; a request that crashes endpoints reaches them in every failure domain.
+# failure domain may have been lost. An instance prefers endpoints of its own failure domain, so a
+# request that crashes endpoints can look the same once; it does so again when it is sent again.
 COMMON_CAUSE_COUNT = 3
 COMMON_CAUSE_MS = 1_000.0
 MAX_RECENT_CRASH_COUNT = 512
@@ -77,7 +78,7 @@
     entry = _update_entry(state, now_ms, report.caller, report.content_digest)
     entry.crashes[crash] = now_ms - report.age_ms
     while len(entry.crashes) > MAX_CRASH_COUNT:
-        del entry.crashes[min(entry.crashes, key=entry.crashes.__getitem__)]
+        del entry.crashes[_surplus_crash(entry)]
 
 
 def on_success(state: SuspectState, now_ms: float, report: SuccessReport) -> None:
@@ -147,11 +148,19 @@
     floor_ms = now_ms - FORGET_AFTER_MS
     if entry.success_at_ms is not None and entry.success_at_ms > floor_ms:
         floor_ms = entry.success_at_ms
-    return [
-        time_ms
-        for crash, time_ms in entry.crashes.items()
-        if time_ms > floor_ms and not _has_common_cause(state, crash)
-    ]
+    uncleared = {crash: time for crash, time in entry.crashes.items() if time > floor_ms}
+    times_ms = list(uncleared.values())
+    if times_ms and max(times_ms) - min(times_ms) > COMMON_CAUSE_MS:
+        # A bystander of one lost failure domain is not in flight at the next crashes as well.
+        return times_ms
+    return [time_ms for crash, time_ms in uncleared.items() if not _has_common_cause(state, crash)]
+
+
+def _surplus_crash(entry: SuspectEntry) -> tuple[str, int]:
+    """Return the crash to drop: a cleared one, or else one between the oldest and the newest."""
+    oldest, second, *_ = sorted(entry.crashes, key=lambda crash: (entry.crashes[crash], crash))
+    is_cleared = entry.success_at_ms is not None and entry.crashes[oldest] <= entry.success_at_ms
+    return oldest if is_cleared else second
 
 
 def _has_common_cause(state: SuspectState, crash: tuple[str, int]) -> bool:
--- a/tests/test_fleet/test_fleet.py
+++ b/tests/test_fleet/test_fleet.py
@@ -231,11 +231,12 @@
 def test_crash_reports_reach_all_entries() -> None:
     """Guard against a request that crashes endpoints again through each entry instance."""
     states = [make_control(1), make_control(2)]
-    crash = RequestCrash('digest', 'i-1', 1_000, 5.0)
+    crash = RequestCrash('digest', 'i-1', 1_000, 5.0, 'north')
     feed_poll = FeedPoll(1, ENTRY, 0, 0, 0.0, (crash,))
     fleet.on_feed_poll(states[0], 10.0, feed_poll, True, 5, b'')
     exchange(states, 20.0)
-    assert [each.digest for each in poll(states[1], 30.0).crashes] == ['digest']
+    # Without the failure domain, the others would condemn what was in flight when one was lost.
+    assert poll(states[1], 30.0).crashes == (replace(crash, age_ms=25.0),)
 
 
 def poll_from_entry(state: fleet.FleetState, now_ms: float, entry: EntryStatus = ENTRY) -> None:
--- a/tests/test_fleet_processes/test_whole_path.py
+++ b/tests/test_fleet_processes/test_whole_path.py
@@ -257,3 +257,31 @@
         await site.serving()
 
     run(tmp_path, scenario)
+
+
+def test_query_that_crashes_its_failure_domain_is_stopped(tmp_path: Path) -> None:
+    """Guard against a query that crashes the searchers near its instance each time (BUDGET)."""
+
+    async def scenario(site: Site) -> None:
+        route = {**site.document(1)['routes'][0], 'name': 'r-near', 'pathPrefix': '/near/'}
+        await site.submit(extra_routes=[{**route, 'attempts': 1}])
+        address = site.fleet.caller_address(site.fleet.entries[0])
+
+        async def near_searchers_serve() -> bool:
+            answer = await site.call('/near/gold', address)
+            return answer.status == 200 and answer.missing_count == 0
+
+        for searcher in site.searchers:
+            searcher.crashing_target = '/near/crash'
+        statuses = []
+        for _ in range(4):
+            await site.wait_until(near_searchers_serve, 'complete answers')
+            # Longer than a crashed searcher takes to start and to be announced.
+            await asyncio.sleep(2.5)
+            statuses.append((await site.call('/near/crash', address)).status)
+        crashed = {each.endpoint: len(each.crashed_at_s) for each in site.searchers}
+        assert sum(crashed.values()) <= 2 * SHARD_COUNT, crashed
+        assert statuses[2:] == [503, 503]
+        assert (await site.call('/near/gold', address)).status == 200
+
+    run(tmp_path, scenario, replica_count=3)
--- a/tests/test_gather/test_crashing_requests.py
+++ b/tests/test_gather/test_crashing_requests.py
@@ -45,6 +45,20 @@
     assert classify_request(watch, 200.0 + FORGET_AFTER_MS, 'bad') is SuspicionLevel.CLEAR
 
 
+def test_request_that_crashes_its_failure_domain_twice_is_condemned() -> None:
+    """Guard against a query that reaches and crashes the same shards each time it comes."""
+    watch = CrashWatch()
+    names = [f'e{number}' for number in range(6)]
+    for name in names:
+        crash(watch, 0.0, name, 'bad', 'other')
+    assert classify_request(watch, 50.0, 'bad') is SuspicionLevel.CLEAR
+    on_request_answered(watch, 1_000.0, 'other')
+    for name in names:
+        crash(watch, 6_000.0, name, 'bad', 'other')
+    assert classify_request(watch, 6_050.0, 'bad') is SuspicionLevel.CONDEMNED
+    assert classify_request(watch, 6_050.0, 'other') is SuspicionLevel.CLEAR
+
+
 def test_lost_connection_to_live_endpoint_is_not_a_crash() -> None:
     """Guard against suspecting requests whose connection was only reset."""
     watch = CrashWatch()
--- a/tests/test_suspects/test_suspects.py
+++ b/tests/test_suspects/test_suspects.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -163,3 +164,39 @@
     for number in range(2):
         on_crash(state, number * 10.0, replace(crash(f's{number}'), failure_domain='north'))
     assert level(state, 100.0) is SuspicionLevel.CONDEMNED
+
+
+def crash_domain(state: SuspectState, now_ms: float, incarnation: int, domain: str) -> None:
+    for number in range(6):
+        report = replace(crash(f'{domain}{number}', incarnation), failure_domain=domain)
+        on_crash(state, now_ms + number * 10.0, report)
+
+
+@pytest.mark.parametrize('second_domain', ['north', 'south'])
+def test_request_in_flight_at_two_losses_of_a_domain_is_condemned(second_domain: str) -> None:
+    """Guard against a request that crashes the endpoints of its domain each time (BUDGET)."""
+    state = SuspectState()
+    crash_domain(state, 0.0, 1, 'north')
+    assert level(state, 100.0) is SuspicionLevel.CLEAR
+    crash_domain(state, 6_000.0, 2, second_domain)
+    assert level(state, 6_100.0) is SuspicionLevel.CONDEMNED
+
+
+def test_success_between_two_losses_of_a_domain_clears_a_request() -> None:
+    """Guard against refusing a frequent request after two separate losses of a domain."""
+    state = SuspectState()
+    crash_domain(state, 0.0, 1, 'north')
+    on_success(state, 3_000.0, SuccessReport('yard', 'digest', 0.0))
+    crash_domain(state, 6_000.0, 2, 'north')
+    assert level(state, 6_100.0) is SuspicionLevel.CLEAR
+    crash_domain(state, 12_000.0, 3, 'north')
+    assert level(state, 12_100.0) is SuspicionLevel.CONDEMNED
+
+
+def test_crashes_past_the_limit_keep_the_first_one() -> None:
+    """Guard against a record of crashes that forgets the first of two losses of a domain."""
+    state = SuspectState()
+    for number in range(20):
+        on_crash(state, number * 1_000.0, crash(f's{number}'))
+    times_ms = sorted(state.entries['yard', 'digest'].crashes.values())
+    assert times_ms == [0.0, 17_000.0, 18_000.0, 19_000.0]
