Keep second answers of endpoints out of the next ones

Cause: a reply that had only begun after a complete one stayed in the parser, and the next reply on the connection continued its head. Bytes that come after the next request was sent cannot be told from its reply by their time, and nothing looked at what a head contained.

Change: a connection is not used again once a byte of a further reply has come; a head with a status line inside, or with several ids or receipts, is no reply; a connection that brought a reply to another request is closed after its own; a reply without an id is used only as the first on its connection.

--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -58,6 +58,8 @@
     wrong_endpoint: bool = False
     # What the reply says about its endpoint; None without a reply.
     statement: Statement | None = None
+    # Whether the reply names its request.
+    identified: bool = True
 
 
 class Attempt:
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -89,13 +89,13 @@
         attempt = self.attempt
         if attempt is None:
             return False
-        end = self.pool.hooks.decode(attempt, response)
+        end = self._decode(attempt, response)
         if end is None:
             name = self.target.record.endpoint
             logger.info('%s %s: reply to another request dropped', PREFIX, name)
             return False
         self._record_idle_limit(response)
-        if reusable:
+        if reusable and end.identified and end.outcome is not AttemptOutcome.LOST:
             self.pool.release(self)
         else:
             self.http.close()
@@ -111,13 +111,20 @@
             return
         end = None
         if complete_reply is not None:
-            end = self.pool.hooks.decode(attempt, complete_reply)
+            end = self._decode(attempt, complete_reply)
         self.pool.hooks.ended(attempt, end or AttemptEnd(AttemptOutcome.LOST, detail))
 
     def is_fresh(self, now_s: float) -> bool:
         """Return whether the endpoint keeps the connection open for one more request."""
         return not self.http.closing and now_s - self.idle_since_s < self.idle_limit_s
 
+    def _decode(self, attempt: Attempt, response: Response) -> AttemptEnd | None:
+        end = self.pool.hooks.decode(attempt, response)
+        if end is not None and not end.identified and len(self.recent_request_ids) > 1:
+            # It may be a second reply to one of the earlier requests.
+            return AttemptEnd(AttemptOutcome.LOST, 'a reply without the id of its request')
+        return end
+
     def _record_idle_limit(self, response: Response) -> None:
         value = find_header(response.headers, b'keep-alive')
         if value is None or KEEP_ALIVE_PARAMETER not in value:
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 from typing import TYPE_CHECKING, Protocol
 
 import httptools
@@ -21,9 +22,12 @@
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 # Status lines, headers, trailers and interim replies take some hundreds of bytes.
 OVERHEAD_LIMIT_BYTES = 64 * 1024
+# A reason phrase is not used; this is enough to find a status line in it.
+REASON_LIMIT_BYTES = 256
 # Headers that give the length of a body.
 FRAMING_NAMES = frozenset((b'content-length', b'transfer-encoding'))
 FRAMING_NAME_LENGTHS = frozenset(map(len, FRAMING_NAMES))
+STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
 class ClientEvents(Protocol):
@@ -51,8 +55,15 @@
         # Bytes received since the last request was sent: of bodies, and of everything else.
         self._body_bytes = 0
         self._overhead_bytes = 0
+        # A reply has begun and is not complete; its head is complete.
+        self._receiving = False
         self._in_message = False
         self._has_length = False
+        self._reason = b''
+        # Why the reply that is received cannot be used.
+        self._fault = ''
+        # A reply to another request has come, so another surplus one may follow.
+        self._has_surplus = False
         self._replies: list[tuple[Response, bool]] = []
 
     def send(self, data: bytes) -> None:
@@ -92,9 +103,11 @@
         error = ''
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            error = 'another protocol that was not asked for'
         except httptools.HttpParserError as parse_error:
             error = f'not HTTP: {parse_error}'
-        self._deliver_replies(error or self._size_error())
+        self._deliver_replies(self._fault or error or self._size_error())
         if self.awaiting_reply and not self.closing:
             self.budget.set_held_bytes(self, self._body_bytes + self._overhead_bytes)
 
@@ -119,11 +132,20 @@
         """Start a reply."""
         self._headers = []
         self._body = []
+        self._receiving = True
         self._in_message = False
         self._has_length = False
+        self._reason = b''
+
+    def on_status(self, reason: bytes) -> None:
+        """Store a part of the reason phrase, up to more than a status line."""
+        if len(self._reason) < REASON_LIMIT_BYTES:
+            self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header; trailers are ignored."""
+        if b'HTTP/' in value:
+            self._check_spliced(value)
         if self._in_message:
             return
         self._headers.append((name, value.strip(b' \t')))
@@ -133,6 +155,7 @@
     def on_headers_complete(self) -> None:
         """Begin the body."""
         self._in_message = True
+        self._check_spliced(self._reason)
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -142,9 +165,15 @@
 
     def on_message_complete(self) -> None:
         """End a reply; interim replies are not delivered."""
-        if self._parser.get_status_code() >= 200:
+        if self._parser.get_status_code() >= 200 and not self._fault:
             self._replies.append((self._make_response(), self._parser.should_keep_alive()))
-        self._in_message = False
+        self._in_message = self._receiving = False
+
+    def _check_spliced(self, text: bytes) -> None:
+        """Reject a reply whose head continues one that was broken off."""
+        # A reply that ends within its head is continued by the next one, from its status line on.
+        if STATUS_LINE.search(text) is not None:
+            self._fault = 'a status line within a head'
 
     def _size_error(self) -> str:
         if self._body_bytes > BODY_LIMIT_BYTES:
@@ -160,7 +189,8 @@
 
     def _deliver_replies(self, error: str) -> None:
         replies, self._replies = self._replies, []
-        has_more = bool(error) or self._in_message
+        # Bytes after a complete reply belong to no request, so nothing can follow them.
+        has_more = bool(error) or self._receiving
         for position, (response, keep_alive) in enumerate(replies):
             if self.closing or not self.awaiting_reply:
                 break
@@ -168,9 +198,10 @@
             # Delivering the reply may start the next request on this connection.
             self.awaiting_reply = False
             self.budget.release(self)
-            if not self.events.on_reply(response, keep_alive and is_last and not has_more):
+            reusable = keep_alive and is_last and not (has_more or self._has_surplus)
+            if not self.events.on_reply(response, reusable):
                 # The reply was to an earlier request; the current one is still unanswered.
-                self.awaiting_reply = True
+                self.awaiting_reply = self._has_surplus = True
             if not keep_alive:
                 error = error or 'closed after the reply'
         if error:
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -26,6 +26,7 @@
     EXPECTED_ENDPOINT,
     MISSING_COUNT,
     NOT_RUN,
+    RECEIPT,
     RECEIPTS,
     REQUEST_ID,
     RETRY_AFTER,
@@ -43,6 +44,8 @@
 _STATUS_OVERRIDES = {ResultCode.CONDEMNED: 503}
 # A failure of the gateway itself, which leaves open whether the request has run.
 _BAD_GATEWAY = 502
+_REQUEST_ID_KEY = REQUEST_ID.lower()
+_RECEIPT_KEY = RECEIPT.lower()
 _NOT_RUN_KEY = NOT_RUN.lower()
 _LIMIT_KEY = ENDPOINT_LIMIT.lower()
 _LEAVING_KEY = ENDPOINT_LEAVING.lower()
@@ -99,17 +102,22 @@
 def decode_reply(request_id: str, response: Response) -> AttemptEnd | None:
     """Decode how an attempt ended, or return None if the reply belongs to another request."""
     headers = {key.lower(): value for key, value in response.headers}
-    echoed = headers.get(b'x-request-id')
+    echoed = headers.get(_REQUEST_ID_KEY)
     if echoed is not None and echoed != request_id.encode('latin-1'):
         return None
+    if len(headers) < len(response.headers) and _is_ambiguous(response):
+        return AttemptEnd(AttemptOutcome.LOST, 'a reply with several ids or receipts')
+    identified = echoed is not None
     status = response.status
     statement = _decode_statement(status, headers)
     report = _load_report(headers.get(b'x-server-load'))
     detail = f'status {status}'
     if status == _MISDIRECTED or _NOT_RUN_KEY in headers:
         is_wrong = status == _MISDIRECTED
-        return AttemptEnd(AttemptOutcome.NOT_RUN, detail, None, report, is_wrong, statement)
-    receipt = headers.get(b'x-response-stamp')
+        return AttemptEnd(
+            AttemptOutcome.NOT_RUN, detail, None, report, is_wrong, statement, identified
+        )
+    receipt = headers.get(_RECEIPT_KEY)
     outcome = AttemptOutcome.FAILED
     reply: EndpointReply | None = None
     if 200 <= status < 300:
@@ -120,7 +128,12 @@
     elif status not in _NOT_RUN_STATUSES:
         # If forwarded, one of those would state that the request has not run.
         reply = EndpointReply(receipt or b'', response)
-    return AttemptEnd(outcome, detail, reply, report, False, statement)
+    return AttemptEnd(outcome, detail, reply, report, False, statement, identified)
+
+
+def _is_ambiguous(response: Response) -> bool:
+    names = [key.lower() for key, _ in response.headers]
+    return any(names.count(name) > 1 for name in (_REQUEST_ID_KEY, _RECEIPT_KEY))
 
 
 def _decode_statement(status: int, headers: dict[bytes, bytes]) -> Statement:
--- a/tests/test_fleet_processes/test_second_answers.py
+++ b/tests/test_fleet_processes/test_second_answers.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from tools.fleet.second_answers import Play, run_play
+import pytest
+
+from tools.fleet.second_answers import PLAYS, Play, run_play
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -30,3 +33,15 @@
             pause_s=0.05,
         ),
     )
+
+
+@pytest.mark.parametrize('how', ['broken off', 'broken off late'])
+@pytest.mark.parametrize('requests', ['one', 'all'])
+def test_broken_off_answers_spoil_no_other(tmp_path: Path, requests: str, how: str) -> None:
+    """Guard against a success, or a part of one, where the searcher failed (MIXED)."""
+    check(tmp_path, replace(PLAYS[requests], how=how))
+
+
+def test_answers_to_an_earlier_attempt_of_an_id_are_not_used(tmp_path: Path) -> None:
+    """Guard against a part of the request that a caller left before it sent the id again."""
+    check(tmp_path, replace(PLAYS['left'], how='late'))
--- a/tests/test_http1/pool_harness.py
+++ b/tests/test_http1/pool_harness.py
@@ -38,6 +38,8 @@
         self.load: EndpointLoad | None = None
         self.number = 0
         self.request_ids: dict[str, str] = {}
+        # The replies that were taken for the answers to attempts.
+        self.responses: list[Response] = []
 
     async def __aenter__(self) -> PoolHarness:
         self.server = await asyncio.start_server(self.handle, '127.0.0.1', 0)
@@ -67,6 +69,7 @@
         echoed = find_header(response.headers, b'x-id')
         if echoed != self.request_ids[attempt.attempt_id].encode():
             return None
+        self.responses.append(response)
         return AttemptEnd(AttemptOutcome.ANSWERED, reply=response.body)
 
     def ended(self, attempt: Attempt, end: AttemptEnd) -> None:
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 import struct
+from typing import TYPE_CHECKING
 
 import pytest
 
 from pistachioloft_core.request.attempts import AttemptOutcome
 from tests.test_http1.pool_harness import PoolHarness, read_id, reply, run
 
+if TYPE_CHECKING:
+    from pistachioloft_core.request.attempts import Attempt, AttemptEnd
+    from pistachioloft_daemon.http1.messages import Response
+
 
 def test_connection_is_reused() -> None:
     """Guard against a new connection for each attempt."""
@@ -197,3 +203,30 @@
         assert (await harness.call()).reply == b'own'
 
     run(serve, scenario)
+
+
+def test_reply_without_an_id_is_used_only_as_the_first_on_its_connection() -> None:
+    """Guard against a second reply without an id that answers the next request."""
+    is_named = True
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            writer.write(reply(await read_id(reader)))
+
+    async def scenario(harness: PoolHarness) -> None:
+        nonlocal is_named
+        hooks = harness.pool.hooks
+
+        def decode(attempt: Attempt, response: Response) -> AttemptEnd | None:
+            end = hooks.decode(attempt, response)
+            return None if end is None else dataclasses.replace(end, identified=is_named)
+
+        harness.pool.hooks = dataclasses.replace(hooks, decode=decode)
+        assert (await harness.call()).outcome is AttemptOutcome.ANSWERED
+        is_named = False
+        assert (await harness.call()).outcome is AttemptOutcome.LOST
+        assert (await harness.call()).outcome is AttemptOutcome.ANSWERED
+        assert (await harness.call()).outcome is AttemptOutcome.ANSWERED
+        assert harness.connection_count == 3
+
+    run(serve, scenario)
--- a/tests/test_http1/test_repeated_ids.py
+++ b/tests/test_http1/test_repeated_ids.py
@@ -11,15 +11,13 @@
 
 
 async def serve_stuttering(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Reply with the number of the request on the connection, after a copy of the last reply."""
-    last_reply = b''
-    number = 0
+    """Reply with the number of the request, after a second reply to an earlier one of its id."""
+    replies: dict[str, bytes] = {}
     while True:
         request_id = await read_id(reader)
-        number += 1
-        own_reply = reply(request_id, b'%d' % number)
-        writer.write(last_reply + own_reply)
-        last_reply = own_reply
+        own_reply = reply(request_id, b'%d' % (len(replies) + 1))
+        writer.write(replies.pop(request_id, b'') + own_reply)
+        replies[request_id] = own_reply
 
 
 @pytest.mark.parametrize('limit_count', [1, 2, 4])
--- a/tests/test_platform/test_traffic.py
+++ b/tests/test_platform/test_traffic.py
@@ -320,3 +320,23 @@
         assert end is not None
         assert end.statement is not None
         assert end.statement.is_leaving == leaving
+
+
+def test_reply_without_an_id_is_marked() -> None:
+    """Guard against a reply that nothing ties to its request and that counts like any other."""
+    receipt = (b'X-Response-Stamp', b'stamp')
+    named = decode_reply('q1', reply(200, receipt))
+    unnamed = decode_reply('q1', Response(200, (receipt,)))
+    assert named is not None
+    assert unnamed is not None
+    assert (named.identified, unnamed.identified) == (True, False)
+
+
+@pytest.mark.parametrize('name', [b'X-Request-Id', b'x-response-stamp'])
+def test_reply_with_two_ids_or_receipts_is_lost(name: bytes) -> None:
+    """Guard against a reply put together from two that passes for one of them (MIXED)."""
+    receipt = (b'X-Response-Stamp', b'stamp')
+    end = decode_reply('q1', reply(200, receipt, (name, b'q1')))
+    assert end is not None
+    assert end.outcome is AttemptOutcome.LOST
+    assert end.reply is None
--- a/tools/fleet/searcher.py
+++ b/tools/fleet/searcher.py
@@ -156,7 +156,8 @@
             )
         )
         if expected != self.endpoint:
-            return web.Response(status=421, headers={'X-Instance-Id': self.endpoint})
+            headers = {'X-Instance-Id': self.endpoint, 'X-Request-Id': request_id}
+            return web.Response(status=421, headers=headers)
         if plan.not_run or wants_rest:
             return web.Response(status=503, headers=self._headers(request, not_run=True))
         return await self._run_in_slot(request, request_id, plan)
--- a/tools/fleet/second_answers.py
+++ b/tools/fleet/second_answers.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -152,10 +152,10 @@
 
 
 PLAYS = {
-    'once': {'target': '/once/bill', 'method': 'POST', 'refused_share': 0.5, 'pause_s': 0.05},
-    'one': {'target': '/one/lot', 'failed_share': 0.25},
-    'all': {'target': '/all/gold', 'failed_share': 0.25, 'caller_count': 8},
-    'left': {'target': '/all/gold', 'leaving_share': 0.7, 'caller_count': 8},
+    'once': Play('late', '/once/bill', 'POST', refused_share=0.5, pause_s=0.05),
+    'one': Play('late', '/one/lot', failed_share=0.25),
+    'all': Play('late', '/all/gold', failed_share=0.25, caller_count=8),
+    'left': Play('late', '/all/gold', leaving_share=0.7, caller_count=8),
 }
 
 
@@ -168,7 +168,9 @@
     parser.add_argument('--how', choices=HOW, action='append')
     options = parser.parse_args()
     for how in options.how or HOW:
-        play = Play(how, seed=options.seed, duration_s=options.seconds, **PLAYS[options.requests])
+        play = replace(
+            PLAYS[options.requests], how=how, seed=options.seed, duration_s=options.seconds
+        )
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(run_play(Path(folder), play))
         kinds = Counter(each.split(':')[0] for each in report.wrong)
