--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import sys
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -36,6 +35,8 @@
 REPLY_BUDGET_BYTES = 32 * 1024 * 1024
 # What the library and the event loop read ahead on each connection.
 READ_AHEAD_BYTES = (2 * 64 + 256) * 1024
+# Memory of a received part beside its bytes.
+PART_OBJECT_BYTES = 64
 # For the replies to pings, probes and cancels, whose content is not used.
 SHORT_REPLY_LIMIT_BYTES = 64 * 1024
 SEARCH_PATH = '/v1/search'
@@ -237,14 +238,17 @@
     limit_bytes: int = SHORT_REPLY_LIMIT_BYTES,
     record_held: Callable[[int], None] = lambda _size_bytes: None,
 ) -> bytes:
-    body = bytearray()
+    # Enlarging one buffer of many megabytes again and again would leave holes in the heap.
+    parts: list[bytes] = []
+    size_bytes = 0
     try:
         while data := await response.content.readany():
-            body += data
-            if len(body) > limit_bytes:
+            parts.append(data)
+            size_bytes += len(data)
+            if size_bytes > limit_bytes:
                 raise aiohttp.ClientPayloadError(f'reply is larger than {limit_bytes} bytes')
-            record_held(sys.getsizeof(body) + READ_AHEAD_BYTES)
-        return bytes(body)
+            record_held(size_bytes + PART_OBJECT_BYTES * len(parts) + READ_AHEAD_BYTES)
+        return b''.join(parts)
     finally:
         # The traceback of an error keeps this frame for a while.
-        body.clear()
+        parts.clear()
--- a/tests/test_http1/test_endless_replies.py
+++ b/tests/test_http1/test_endless_replies.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import resource
-import sys
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
 
 from pistachioloft_core.request.attempts import AttemptOutcome
+from tests.test_http1.endless_endpoint import endless_endpoint
 from tests.test_http1.pool_harness import PoolHarness, read_id, reply, run
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import Iterator
 
-ENDLESS_SERVER = Path(__file__).parent / 'endless_server.py'
 PIECE = b'x' * 65_536
 # The test fails once an endpoint has sent more than this.
 SENT_LIMIT_BYTES = 64 * 1024 * 1024
@@ -79,34 +76,14 @@
     raise AssertionError('a request went to the server in this process')
 
 
-@contextlib.asynccontextmanager
-async def endless_endpoint(harness: PoolHarness, kind: str) -> AsyncIterator[asyncio.StreamWriter]:
-    """Start an endless endpoint for the harness and yield its standard input."""
-    # The buffers of a server in this process would count as growth.
-    server = await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(ENDLESS_SERVER),
-        kind,
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-    )
-    assert server.stdin is not None
-    assert server.stdout is not None
-    try:
-        harness.move(f'127.0.0.1:{int(await server.stdout.readline())}')
-        yield server.stdin
-    finally:
-        server.stdin.close()
-        await server.wait()
-
-
 @pytest.mark.parametrize('kind', ['body', 'chunks'])
 def test_endless_bodies_leave_room_for_a_sound_one(kind: str) -> None:
     """Guard against concurrent endless bodies that exhaust memory or end valid replies (LOST)."""
     budget_bytes = 8 * 1024 * 1024
 
     async def scenario(harness: PoolHarness) -> None:
-        async with endless_endpoint(harness, kind) as commands:
+        async with endless_endpoint(kind) as (address, commands):
+            harness.move(address)
             await exhaust_budget(harness, commands)
 
     async def exhaust_budget(harness: PoolHarness, commands: asyncio.StreamWriter) -> None:
@@ -133,7 +110,8 @@
     budget_bytes, connection_count = 2 * 1024 * 1024, 40
 
     async def scenario(harness: PoolHarness) -> None:
-        async with endless_endpoint(harness, 'headers'):
+        async with endless_endpoint('headers') as (address, _):
+            harness.move(address)
             harness.pool.hooks = harness.hooks_with_limit(connection_count)
             before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
             for _ in range(connection_count):
--- a/tests/test_link/test_endless_replies.py
+++ b/tests/test_link/test_endless_replies.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import resource
-import sys
-from pathlib import Path
 
 import pytest
 
@@ -17,8 +15,8 @@
     ConnectionHooks,
     EndpointClient,
 )
+from tests.test_http1.endless_endpoint import endless_endpoint
 
-ENDLESS_SERVER = Path(__file__).parents[1] / 'test_http1' / 'endless_server.py'
 CONNECTION_COUNT = 24
 # The reply that is complete is joined once more, and the event loop reads ahead.
 SLACK_BYTES = REPLY_LIMIT_BYTES + CONNECTION_COUNT * 512 * 1024
@@ -39,16 +37,6 @@
         failures.append(detail)
 
     async def main() -> None:
-        server = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ENDLESS_SERVER),
-            kind,
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-        )
-        assert server.stdin is not None
-        assert server.stdout is not None
-        address = f'127.0.0.1:{int(await server.stdout.readline())}'
         client = EndpointClient(
             ConnectionHooks(
                 lambda _id: None,
@@ -59,16 +47,15 @@
             )
         )
         before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        for number in range(CONNECTION_COUNT):
-            client.connections[str(number)] = Connection(str(number), address)
-            client.send(str(number), sub_request(number))
-        async with asyncio.timeout(30.0):
-            while len(failures) < CONNECTION_COUNT:
-                await asyncio.sleep(0.05)
-        grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
-        await client.stop()
-        server.stdin.close()
-        await server.wait()
+        async with endless_endpoint(kind) as (address, _):
+            for number in range(CONNECTION_COUNT):
+                client.connections[str(number)] = Connection(str(number), address)
+                client.send(str(number), sub_request(number))
+            async with asyncio.timeout(30.0):
+                while len(failures) < CONNECTION_COUNT:
+                    await asyncio.sleep(0.05)
+            grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
+            await client.stop()
         assert client.budget.total_bytes == 0
         assert grown_kb * 1024 < REPLY_BUDGET_BYTES + SLACK_BYTES
 
--- a/tools/fleet/byte_searcher.py
+++ b/tools/fleet/byte_searcher.py
@@ -6,6 +6,7 @@
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from .searcher import ReplyPlan, StandInSearcher
 
@@ -35,16 +36,8 @@
 class ByteSearcher(StandInSearcher):
     """Simulate one searcher whose answers may be followed by bytes that belong to no request."""
 
-    def __init__(
-        self,
-        endpoint: str,
-        service: str,
-        failure_domain: str,
-        ip: str,
-        slot_count: int = 2,
-        connection_limit: int = 20,
-    ) -> None:
-        super().__init__(endpoint, service, failure_domain, ip, slot_count, connection_limit)
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
         self.answers: list[SentAnswer] = []
         # Returns what follows an answer.
         self.surplus: Surplus = lambda _answer: NO_SURPLUS
