--- a/tests/test_http1/test_connection_search.py
+++ b/tests/test_http1/test_connection_search.py
@@ -25,7 +25,7 @@
 
 CONNECTION_LIMIT = 2
 REQUEST = re.compile(rb'GET /(\d+) HTTP/1.1\r\nX-Request-Id: (\w+)\r\n\r\n')
-# The last part of a cut; a larger one stands for a whole reply.
+# Parts of a reply are given in thousandths.
 PER_MILLE = 1_000
 
 
