Repeat an attempt that found no connection in the test of cut replies

Traced from its output: 'cannot connect to 127.0.0.1:33275: TimeoutError()', the limit of one second to connect, so the attempt ended as not sent and no reply was cut. Such an attempt is repeated, twice in a test at most; every cut still has to end as lost.

--- a/tests/test_http1/test_cut_replies.py
+++ b/tests/test_http1/test_cut_replies.py
@@ -14,6 +14,8 @@
     from collections.abc import Callable
 
 BODY = b'0123456789abcdef'
+# At most this many attempts of a test may find no connection in time.
+CONNECT_TIMEOUT_COUNT = 2
 HEAD = b'HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Response-Stamp: stamp\r\n'
 
 
@@ -49,10 +51,16 @@
         await writer.drain()
 
     async def scenario(harness: PoolHarness) -> None:
+        connect_timeouts = list(range(CONNECT_TIMEOUT_COUNT))
         for size in range(length):
             if after_whole_reply:
                 assert (await harness.call()).outcome is AttemptOutcome.ANSWERED
             end = await harness.call()
+            while end.outcome is AttemptOutcome.NOT_SENT and connect_timeouts:
+                # Beside load a connection may take longer than it may; then nothing was sent.
+                assert 'cannot connect' in end.detail
+                connect_timeouts.pop()
+                end = await harness.call()
             assert end.outcome is AttemptOutcome.LOST, f'cut after {size} of {length} bytes'
             assert end.reply is None
 
