Identify callers' organisations by their keys

Cause: nothing knew organisations; Authorization went to endpoints and a caller could claim any organisation. Change: organisations, keys, priorities and allotments in the accepted configuration; one look-up at the entry; only the name goes on. Settings for allotments and strict revocation.

--- a/packages/core/src/pistachioloft_core/errors.py
+++ b/packages/core/src/pistachioloft_core/errors.py
@@ -36,6 +36,7 @@
     UNKNOWN_INSTANCE = 110
     UNKNOWN_SERVICE = 111
     PRIORITY_NOT_ALLOWED = 112
+    UNKNOWN_KEY = 113
     OVERLOADED = 200
     DEADLINE_TOO_SHORT = 201
     FENCED = 202
@@ -45,6 +46,7 @@
     TOO_MANY_CONNECTIONS = 206
     NOT_STARTED = 207
     CANCELLED = 208
+    ALLOTMENT_USED = 209
     CONDEMNED = 300
     KEY_EXPIRED = 301
     KEY_REUSED = 302
@@ -110,6 +112,7 @@
         True,
         'The rules do not allow the caller this priority class.',
     ),
+    (ResultCode.UNKNOWN_KEY, _NOT_RUN, 401, True, 'No organisation holds the key.'),
     (ResultCode.OVERLOADED, _NOT_RUN, 503, False, 'The system is at its capacity.'),
     (
         ResultCode.DEADLINE_TOO_SHORT,
@@ -149,6 +152,13 @@
         'The endpoint proved that it did not start the request.',
     ),
     (ResultCode.CANCELLED, _NOT_RUN, 499, False, 'The caller left before the request was started.'),
+    (
+        ResultCode.ALLOTMENT_USED,
+        _NOT_RUN,
+        429,
+        False,
+        'The organisation has used up its allotment.',
+    ),
     (
         ResultCode.CONDEMNED,
         _NOT_RUN,
--- a/packages/core/src/pistachioloft_core/messages/relay.py
+++ b/packages/core/src/pistachioloft_core/messages/relay.py
@@ -22,6 +22,9 @@
     flush_after_ms: float
     top_count: int
     services: tuple[str, ...]
+    # The name and the priority of the organisation; no priority leaves the route's.
+    organisation: str = ''
+    priority: int | None = None
 
 
 class RelayedReply(Struct, frozen=True, array_like=True):
@@ -78,6 +81,8 @@
     digest: str
     suspected: bool
     time_left_ms: float
+    organisation: str = ''
+    priority: int | None = None
 
 
 class PassedReply(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/messages/routes.py
+++ b/packages/core/src/pistachioloft_core/messages/routes.py
@@ -1,8 +1,8 @@
-"""Routes accepted by operators: the services that answer requests, and the rules for that."""
+"""Routes and organisations accepted by operators, and the rules for their requests."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +36,25 @@
     attempt_limit: int
     services: tuple[WeightedService, ...] = ()
     gather: Gather | None = None
+    # Requests on this route need no key.
+    public: bool = False
+    # Where its requests may be handled; empty for everywhere.
+    regions: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """Describe the callers that share a name, an allotment and the keys by which they are known."""
+
+    name: str
+    # Secrets, so they are left out of the representation.
+    keys: tuple[str, ...] = field(default=(), repr=False)
+    # Goes before the priority of the route; None leaves the route's.
+    priority: int | None = None
+    # Requests that all instances together admit; a rate of 0 is no limit.
+    rate_per_s: float = 0.0
+    burst_count: float = 0.0
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +64,9 @@
     service: str
     health_path: str
     connection_limit: int
+    # An endpoint is cold for this long after its start, and takes this rate meanwhile; 0 is none.
+    cold_start_ms: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,3 +90,5 @@
     routes: tuple[Route, ...]
     services: tuple[ServiceRule, ...]
     limits: CallerLimits = DEFAULT_LIMITS
+    # Without any, requests need no key.
+    organisations: tuple[Organisation, ...] = ()
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -55,6 +55,7 @@
         'hedged',
         'may_have_run_count',
         'open_attempts',
+        'priority',
         'receiver',
         'refused_endpoint',
         'request_id',
@@ -76,6 +77,8 @@
     ) -> None:
         self.request_id = request_id
         self.route = route
+        # The priority of the caller's organisation or else of the route; 0 is the highest.
+        self.priority = route.priority
         self.service = service
         self.deadline_at_ms = deadline_at_ms
         self.open_attempts: list[Attempt] = []
--- a/packages/core/src/pistachioloft_core/request/gather_state.py
+++ b/packages/core/src/pistachioloft_core/request/gather_state.py
@@ -72,6 +72,7 @@
         'is_group',
         'lost_count',
         'past_target',
+        'priority',
         'replied_count',
         'request_id',
         'route',
@@ -97,6 +98,8 @@
         gather = route.gather
         self.request_id = request_id
         self.route = route
+        # The priority of the caller's organisation or else of the route; 0 is the highest.
+        self.priority = route.priority
         # From this time on, a partial answer that reaches the coverage floor is sent.
         self.answer_at_ms = min(answer_at_ms, deadline_at_ms)
         self.deadline_at_ms = deadline_at_ms
--- a/packages/core/src/pistachioloft_core/version/route_table.py
+++ b/packages/core/src/pistachioloft_core/version/route_table.py
@@ -1,17 +1,26 @@
-"""Validate a set of routes and find the route of a request."""
+"""Validate a set of routes, and find the route and the organisation of a request."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..messages.routes import Route, RouteSet, ServiceRule
+    from collections.abc import Iterable
+
+    from ..messages.routes import Organisation, Route, RouteSet, ServiceRule
 
 
 class RouteTable:
-    """Index the routes of one version by host and path prefix."""
+    """Index the routes of one version by host and path prefix, and its organisations by key."""
 
-    __slots__ = ('_prefixes_by_host', '_route_by_name', 'routes', 'rules')
+    __slots__ = (
+        '_organisation_by_key',
+        '_prefixes_by_host',
+        '_route_by_name',
+        'organisations',
+        'routes',
+        'rules',
+    )
 
     def __init__(self, routes: RouteSet) -> None:
         self.routes = routes
@@ -20,6 +29,12 @@
         self._prefixes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes.routes:
             self._prefixes_by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        self.organisations: dict[str, Organisation] = {
+            organisation.name: organisation for organisation in routes.organisations
+        }
+        self._organisation_by_key: dict[str, Organisation] = {
+            key: organisation for organisation in routes.organisations for key in organisation.keys
+        }
 
     @property
     def version(self) -> int:
@@ -30,6 +45,10 @@
         """Return the route with a name, None if this version has none."""
         return self._route_by_name.get(name)
 
+    def find_by_key(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key, None if this version has no such key."""
+        return self._organisation_by_key.get(key)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, None if no prefix matches."""
         prefixes = self._prefixes_by_host.get(normalized_host(host))
@@ -73,7 +92,31 @@
         if prefix in prefixes_in_use:
             mistakes.append(f'{route.name}: another route has {route.host}{route.path_prefix}')
         prefixes_in_use.add(prefix)
-    return tuple(mistakes)
+    return (*mistakes, *_organisation_mistakes(routes.organisations))
+
+
+def _organisation_mistakes(organisations: Iterable[Organisation]) -> list[str]:
+    """Describe the mistakes of organisations without showing any key."""
+    mistakes: list[str] = []
+    holder_by_key: dict[str, str] = {}
+    names: set[str] = set()
+    for organisation in organisations:
+        name = organisation.name
+        if not name or not name.isprintable():
+            # The name is sent to endpoints as the value of a header.
+            mistakes.append(f'organisation {name!r}: the name must be printable')
+        if name in names:
+            mistakes.append(f'{name}: another organisation has the same name')
+        names.add(name)
+        if not min(organisation.rate_per_s, organisation.burst_count) >= 0.0:
+            mistakes.append(f'{name}: the allotment must not be negative')
+        for key in organisation.keys:
+            holder = holder_by_key.setdefault(key, name)
+            if not key:
+                mistakes.append(f'{name}: a key is empty')
+            elif holder != name:
+                mistakes.append(f'{name}: a key is also held by {holder}')
+    return mistakes
 
 
 def _route_mistakes(route: Route, service_names: set[str]) -> list[str]:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -191,11 +191,14 @@
 
     def serving(self) -> bool:
         """Return whether the routes held here may still be used."""
+        routes = self.state.routes
+        if routes is None:
+            return False
         bounds = self.settings.bounds
-        has_routes = self.state.routes is not None
-        return has_routes and feed.confirmation_age_ms(self.feed, monotonic_ms()) < (
-            bounds.apply_ms + bounds.stretch_ms
-        )
+        limit_ms = bounds.apply_ms + bounds.stretch_ms
+        if bounds.strict_revocation and routes.organisations:
+            limit_ms = min(limit_ms, bounds.revocation_ms)
+        return feed.confirmation_age_ms(self.feed, monotonic_ms()) < limit_ms
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds."""
--- a/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
+++ b/packages/daemon/src/pistachioloft_daemon/fleet_settings.py
@@ -39,6 +39,11 @@
         'keep_s',
         'extra_share',
         'extra_allowance_count',
+        'strict_revocation',
+        'revocation_ms',
+        'allotment_window_s',
+        'allotment_overage',
+        'allotment_slack_count',
     ),
     'machine': ('link_mbit_per_s', 'memory_mb'),
     'data': ('folder',),
@@ -48,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Hold the operators' limits on times and on extra attempts."""
+    """Hold the operators' limits on times, extra attempts and allotments."""
 
     apply_ms: float
     stretch_ms: float
@@ -57,6 +62,13 @@
     keep_ms: float
     extra_share: float
     extra_allowance_count: float
+    # With strict revocation, keys are accepted for this long without a confirmed configuration.
+    strict_revocation: bool
+    revocation_ms: float
+    # In each window, an organisation gets at most its allotment, this fraction of it and the slack.
+    allotment_window_ms: float
+    allotment_overage: float
+    allotment_slack_count: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,4 +156,9 @@
         keep_ms=1_000 * reader.number('bounds', 'keep_s', 0.1, 600, 5),
         extra_share=reader.number('bounds', 'extra_share', 0, 10, 0.1),
         extra_allowance_count=reader.number('bounds', 'extra_allowance_count', 0, 1e9, 10),
+        strict_revocation=reader.flag('bounds', 'strict_revocation', False),
+        revocation_ms=reader.number('bounds', 'revocation_ms', 100, 600_000, 5_000),
+        allotment_window_ms=1_000 * reader.number('bounds', 'allotment_window_s', 0.1, 3_600, 5),
+        allotment_overage=reader.number('bounds', 'allotment_overage', 0, 10, 0.1),
+        allotment_slack_count=reader.number('bounds', 'allotment_slack_count', 0, 1e9, 0),
     )
--- a/packages/daemon/src/pistachioloft_daemon/passed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/passed_requests.py
@@ -89,6 +89,8 @@
             routed.digest,
             state.suspected,
             state.deadline_at_ms - monotonic_ms(),
+            routed.organisation,
+            state.priority,
         )
         self.outgoing[relay_id] = (receiver, in_flight)
         in_flight.relay_ids.append(relay_id)
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -122,6 +122,8 @@
             now_ms + max(0.0, request.time_left_ms),
             self._is_suspected(now_ms, request),
         )
+        if request.priority is not None:
+            state.priority = request.priority
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
         in_flight.passed = incoming
         self.requests.add(in_flight)
@@ -169,6 +171,8 @@
         state = GatherState(
             str(number), route, deadline_at_ms, deadline_at_ms, suspected, request.services
         )
+        if request.priority is not None:
+            state.priority = request.priority
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
         in_flight.group = group
         self.requests.add(in_flight)
@@ -241,4 +245,5 @@
         request.body,
         empty_request,
         request.digest,
+        organisation=request.organisation,
     )
--- a/packages/daemon/src/pistachioloft_daemon/platform/documents.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/documents.py
@@ -17,6 +17,7 @@
     DEFAULT_LIMITS,
     CallerLimits,
     Gather,
+    Organisation,
     Route,
     RouteSet,
     ServiceRule,
@@ -57,12 +58,25 @@
     gather: list[str] | None = None
     top_k: _Integer = 0
     min_coverage: float = 0.0
+    public: bool = False
+    allowed_regions: list[str] | None = None
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    priority: _Integer | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
     health_path: str = '/health'
     max_conns: _Integer = 1
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -77,6 +91,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 class _Announcement(msgspec.Struct, rename='camel'):
@@ -110,7 +125,13 @@
         config.version,
         tuple(_route(route) for route in config.routes),
         tuple(
-            ServiceRule(service.name, service.health_path, service.max_conns)
+            ServiceRule(
+                service.name,
+                service.health_path,
+                service.max_conns,
+                1_000.0 * service.cold_start_s,
+                service.cold_per_s,
+            )
             for service in config.services
         ),
         CallerLimits(
@@ -119,6 +140,7 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
+        tuple(_organisation(tenant) for tenant in config.tenants),
     )
 
 
@@ -164,6 +186,17 @@
         raise CodedError(ResultCode.MALFORMED, f'not valid JSON: {error}') from error
 
 
+def _organisation(tenant: _Tenant) -> Organisation:
+    return Organisation(
+        tenant.name,
+        tuple(dict.fromkeys(tenant.api_keys)),
+        tenant.priority,
+        tenant.rate_per_s,
+        tenant.burst,
+        tuple(tenant.allowed_regions or ()),
+    )
+
+
 def _route(route: _Route) -> Route:
     services: tuple[WeightedService, ...] = ()
     gather = None
@@ -184,4 +217,6 @@
         max(1, route.attempts),
         services,
         gather,
+        route.public,
+        tuple(route.allowed_regions or ()),
     )
--- a/packages/daemon/src/pistachioloft_daemon/platform/names.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/names.py
@@ -8,6 +8,11 @@
 TIME_LEFT = b'X-Deadline-Ms'
 # The id of the one endpoint that may run the request.
 EXPECTED_ENDPOINT = b'X-Target-Instance'
+# The scheme and the key of the caller's organisation.
+CREDENTIALS = b'Authorization'
+CREDENTIALS_SCHEME = b'bearer'
+# The name of the organisation, for endpoints.
+ORGANISATION = b'X-Tenant'
 # The receipt that an endpoint adds to its reply.
 RECEIPT = b'X-Response-Stamp'
 NOT_RUN = b'X-Not-Executed'
--- a/packages/daemon/src/pistachioloft_daemon/platform/program.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/program.py
@@ -38,4 +38,6 @@
         traffic.encode_reply,
         traffic.encode_merged,
         traffic.encode_refusal,
+        traffic.encode_organisation,
+        traffic.encode_anonymous,
     )
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from email.utils import parsedate_to_datetime
 from typing import TYPE_CHECKING
 
@@ -18,14 +19,18 @@
     MergedReply,
     RoutedRequest,
     UnreadableRequest,
+    organisation_digest,
     request_digest,
 )
 from .names import (
+    CREDENTIALS,
+    CREDENTIALS_SCHEME,
     ENDPOINT_LEAVING,
     ENDPOINT_LIMIT,
     EXPECTED_ENDPOINT,
     MISSING_COUNT,
     NOT_RUN,
+    ORGANISATION,
     RECEIPT,
     RECEIPTS,
     REQUEST_ID,
@@ -34,7 +39,7 @@
 )
 
 if TYPE_CHECKING:
-    from ..http1.messages import Request
+    from ..http1.messages import Headers, Request
 
 # Statuses by which the platform recognizes that a request has not run and never will.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -52,7 +57,9 @@
 _RETRY_AFTER_KEY = RETRY_AFTER.lower()
 # What a reply says about its endpoint without any of these headers.
 _NO_STATEMENT = Statement(UNLIMITED)
-_REPLACED_HEADERS = (TIME_LEFT.lower(), EXPECTED_ENDPOINT.lower())
+_REPLACED_HEADERS = frozenset((TIME_LEFT.lower(), EXPECTED_ENDPOINT.lower()))
+_CREDENTIALS_KEY = CREDENTIALS.lower()
+_IDENTITY_HEADERS = frozenset((_CREDENTIALS_KEY, ORGANISATION.lower()))
 
 
 def decode_request(request: Request) -> RoutedRequest | UnreadableRequest:
@@ -69,8 +76,12 @@
         except ValueError:
             return UnreadableRequest('the time left is not a number')
     parts = [request.method, b' ', request.target, b' HTTP/1.1\r\n']
+    identity_parts: list[bytes] = []
     for key, value in end_to_end_headers(request.headers):
-        if key.lower() not in _REPLACED_HEADERS:
+        name = key.lower()
+        if name in _IDENTITY_HEADERS:
+            identity_parts += (key, b': ', value, b'\r\n')
+        elif name not in _REPLACED_HEADERS:
             parts += (key, b': ', value, b'\r\n')
     if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
         parts.append(b'Content-Length: %d\r\n' % len(request.body))
@@ -84,6 +95,36 @@
         request.body,
         request,
         request_digest(request, host),
+        _decode_key(request.headers),
+        b''.join(identity_parts),
+    )
+
+
+def _decode_key(headers: Headers) -> str | None:
+    """Return the caller's key, None without exactly one in the expected form."""
+    values = [value for name, value in headers if name.lower() == _CREDENTIALS_KEY]
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].partition(b' ')
+    return key.strip().decode('latin-1') if scheme.lower() == CREDENTIALS_SCHEME else None
+
+
+def encode_organisation(routed: RoutedRequest, organisation: str) -> RoutedRequest:
+    """Name the organisation to endpoints in place of the key, or nothing if it is empty."""
+    head, digest = routed.head, routed.digest
+    if organisation:
+        head += b'%b: %b\r\n' % (ORGANISATION, organisation.encode())
+        digest = organisation_digest(digest, organisation)
+    return replace(
+        routed, head=head, digest=digest, organisation=organisation, key=None, identity_head=b''
+    )
+
+
+def encode_anonymous(routed: RoutedRequest) -> RoutedRequest:
+    """Forward the caller's headers as they are, where no organisations are configured."""
+    head = routed.head + routed.identity_head
+    return (
+        replace(routed, head=head, key=None, identity_head=b'') if routed.identity_head else routed
     )
 
 
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -163,6 +163,8 @@
             flush_after_ms,
             gather_rule.top_count,
             group.services,
+            routed.organisation,
+            state.priority,
         )
         if not self.hooks.send(group.helper.instance, request):
             return False
--- a/packages/daemon/src/pistachioloft_daemon/request_log.py
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -26,13 +26,14 @@
 LOGGED_SHARD_COUNT = 8
 
 
-def log_refused(request_id: str, path: str, refusal: Refuse) -> None:
+def log_refused(request_id: str, path: str, refusal: Refuse, organisation: str = '') -> None:
     """Log a request that was refused before it was placed."""
     logger.info(
-        '%s request refused: request=%s path=%s code=%s reason="%s"',
+        '%s request refused: request=%s path=%s%s code=%s reason="%s"',
         PREFIX,
         request_id,
         path,
+        _format_organisation(organisation),
         refusal.code.name.lower(),
         refusal.detail,
     )
@@ -59,11 +60,12 @@
 ) -> None:
     """Log the endpoints that a request is sent to first, and the inputs of the placement."""
     logger.info(
-        '%s request placed: request=%s route=%s version=%d due_ms=%.0f limit_ms=%.0f'
+        '%s request placed: request=%s route=%s%s version=%d due_ms=%.0f limit_ms=%.0f'
         ' feed_age_ms=%.0f plan_ms=%.1f endpoints=%s%s',
         PREFIX,
         in_flight.routed.request_id,
         in_flight.state.route.name,
+        _format_organisation(in_flight.routed.organisation),
         in_flight.route_version,
         due_ms - now_ms,
         in_flight.state.deadline_at_ms - now_ms,
@@ -79,11 +81,12 @@
 ) -> None:
     """Log the endpoints that a group of another instance's query is sent to first."""
     logger.info(
-        '%s group placed: request=%s from=%s route=%s version=%d feed_age_ms=%.0f endpoints=%s',
+        '%s group placed: request=%s from=%s route=%s%s version=%d feed_age_ms=%.0f endpoints=%s',
         PREFIX,
         in_flight.routed.request_id,
         sender,
         in_flight.state.route.name,
+        _format_organisation(in_flight.routed.organisation),
         in_flight.route_version,
         feed_age_ms,
         _format_endpoints(actions),
@@ -137,11 +140,12 @@
         missing = describe_missing(in_flight.state, LOGGED_SHARD_COUNT)
         summary = f'{summary} missing={missing}'
     logger.info(
-        '%s request answered: request=%s route=%s version=%d status=%d code=%s ms=%.1f'
+        '%s request answered: request=%s route=%s%s version=%d status=%d code=%s ms=%.1f'
         ' way_ms=%.1f late_ms=%.1f%s',
         PREFIX,
         in_flight.routed.request_id,
         in_flight.state.route.name,
+        _format_organisation(in_flight.routed.organisation),
         in_flight.route_version,
         status,
         code.name.lower(),
@@ -164,6 +168,10 @@
     )
 
 
+def _format_organisation(name: str) -> str:
+    return f' organisation={name}' if name else ''
+
+
 def _format_endpoints(actions: Iterable[RoutedAction]) -> str:
     sends = (action.attempt for action in actions if isinstance(action, SendAttempt))
     return ','.join(attempt.load.record.endpoint for attempt in sends) or 'none'
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -34,6 +34,7 @@
 from pistachioloft_core.request.forward import ForwardState
 from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.hedge_delay import usual_latency_ms
+from pistachioloft_core.request.identification import identify_caller, request_priority
 from pistachioloft_core.request.records import greatest_records
 from pistachioloft_core.request.routed_state import deadlines_of, endpoint_connection_limit
 from pistachioloft_core.request.shard_attempts import ABANDON_DELAY_MS
@@ -57,7 +58,7 @@
     log_refused,
     log_statements,
 )
-from .routed_messages import MergedReply, RoutedRequest, UnreadableRequest
+from .routed_messages import AcceptedRequest, MergedReply, RoutedRequest, UnreadableRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,11 +144,11 @@
             refusal = Refuse(ResultCode.MALFORMED, routed.detail)
             self._refuse_at_once('', '', refusal, respond)
             return None
-        refusal_or_route = self._find_route(routed)
-        if isinstance(refusal_or_route, Refuse):
-            self._refuse_at_once(routed.request_id, routed.path, refusal_or_route, respond)
+        accepted = self._accept(now_ms, routed)
+        if isinstance(accepted, Refuse):
+            self._refuse_at_once(routed.request_id, routed.path, accepted, respond)
             return None
-        in_flight = self._start(now_ms, routed, refusal_or_route, respond)
+        in_flight = self._start(now_ms, accepted, respond)
         return lambda: self._cancel(in_flight)
 
     def forget_expired(self, now_ms: float) -> None:
@@ -204,23 +205,30 @@
             return False
         return now_ms + needed_time_ms(self.state, route) > self.ends_at_ms
 
-    def _find_route(self, routed: RoutedRequest) -> Refuse | Route:
+    def _accept(self, now_ms: float, routed: RoutedRequest) -> Refuse | AcceptedRequest:
+        """Find the route and the organisation of a request, or the reason to refuse it."""
         routes = self.usable_routes()
         if isinstance(routes, Refuse):
             return routes
         route = routes.find(routed.host, routed.path)
         if route is None:
             return Refuse(ResultCode.UNKNOWN_PATH, f'version {routes.version} has no such route')
-        if self.ends_too_early(monotonic_ms(), route):
+        organisation = identify_caller(routes, route, routed.key)
+        if isinstance(organisation, Refuse):
+            return organisation
+        if routes.organisations:
+            name = organisation.name if organisation is not None else ''
+            routed = self.wire.encode_organisation(routed, name)
+        else:
+            routed = self.wire.encode_anonymous(routed)
+        if self.ends_too_early(now_ms, route):
             detail = 'this instance stops before the request would end'
             return Refuse(ResultCode.STOPPING, detail, STOPPING_RETRY_MS)
-        if (
-            classify_request(self.crashes.watch, monotonic_ms(), routed.digest)
-            is SuspicionLevel.CONDEMNED
-        ):
+        level = classify_request(self.crashes.watch, now_ms, routed.digest)
+        if level is SuspicionLevel.CONDEMNED:
             detail = f'content {routed.digest} was in flight when endpoints crashed'
             return Refuse(ResultCode.CONDEMNED, detail, FORGET_AFTER_MS)
-        return route
+        return AcceptedRequest(routed, route, request_priority(route, organisation), organisation)
 
     def _refuse_at_once(
         self, request_id: str, path: str, refusal: Refuse, respond: Respond
@@ -229,9 +237,8 @@
         self.metrics.count_request(refusal.code, 0.0)
         respond(self.wire.encode_refusal(refusal))
 
-    def _start(
-        self, now_ms: float, routed: RoutedRequest, route: Route, respond: Respond
-    ) -> InFlight:
+    def _start(self, now_ms: float, accepted: AcceptedRequest, respond: Respond) -> InFlight:
+        routed, route = accepted.routed, accepted.route
         number = self.next_number()
         time_left_ms = route.time_limit_ms
         if routed.time_left_ms is not None:
@@ -257,6 +264,7 @@
         else:
             service = choose_service(self.splits, route)
             state = ForwardState(str(number), route, service, deadline_at_ms, suspected)
+        state.priority = accepted.priority
         in_flight = InFlight(number, routed, state, respond, now_ms, version, transit.total_ms)
         self.add(in_flight)
         if isinstance(state, GatherState):
--- a/packages/daemon/src/pistachioloft_daemon/wire.py
+++ b/packages/daemon/src/pistachioloft_daemon/wire.py
@@ -33,3 +33,7 @@
     encode_reply: Callable[[EndpointReply], Response]
     encode_merged: Callable[[MergedReply], Response]
     encode_refusal: Callable[[Refuse], Response]
+    # Replaces the caller's key by the name of its organisation, or by nothing if that is empty.
+    encode_organisation: Callable[[RoutedRequest, str], RoutedRequest]
+    # Used where no organisations are configured.
+    encode_anonymous: Callable[[RoutedRequest], RoutedRequest]
--- a/tests/test_fleet/test_entry_instance.py
+++ b/tests/test_fleet/test_entry_instance.py
@@ -49,7 +49,7 @@
     sent: list[FeedPoll] = []
     instance = EntryInstance(
         load_fleet_settings(file),
-        WireFormat(unused, unused, unused, unused, unused, unused),
+        WireFormat(unused, unused, unused, unused, unused, unused, unused, unused),
         ControlWire(unused, unused),
         lambda _document: RouteSet(7, (), ()),
     )
--- a/tests/test_fleet/test_silent_connections.py
+++ b/tests/test_fleet/test_silent_connections.py
@@ -52,7 +52,7 @@
         self.now_ms = 0.0
         self.instance = EntryInstance(
             load_fleet_settings(file),
-            WireFormat(unused, unused, unused, unused, unused, unused),
+            WireFormat(unused, unused, unused, unused, unused, unused, unused, unused),
             ControlWire(unused, unused),
             lambda document: RouteSet(int(document), (), ()),
         )
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -13,7 +13,7 @@
 from pistachioloft_core.codec import decode_peer, encode_peer
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.fleet import FeedReply, ReceivedEndpoint
-from pistachioloft_core.messages.routes import Gather, WeightedService
+from pistachioloft_core.messages.routes import Gather, Organisation, WeightedService
 from pistachioloft_core.version.route_table import check_routes
 from pistachioloft_daemon.platform.documents import (
     decode_announcement,
@@ -126,6 +126,38 @@
     assert raised.value.code is ResultCode.WRONG_TYPE
 
 
+TENANTS: list[dict[str, Any]] = [
+    {'name': 'east', 'apiKeys': ['k1', 'k2', 'k1'], 'priority': 0, 'ratePerS': 2, 'burst': 5},
+    {'name': 'west', 'apiKeys': [], 'allowedRegions': ['coast'], 'later': 1},
+]
+
+
+def test_organisations_are_decoded() -> None:
+    """Guard against a key, an allotment or a priority that is decoded into another field."""
+    routes = copy.deepcopy(CONFIG['routes'])
+    routes[2]['public'] = True
+    decoded = decode_routes(encoded({**CONFIG, 'routes': routes, 'tenants': TENANTS}))
+    assert decoded.organisations == (
+        Organisation('east', ('k1', 'k2'), 0, 2.0, 5.0),
+        Organisation('west', regions=('coast',)),
+    )
+    assert [route.public for route in decoded.routes] == [False, False, True]
+    assert check_routes(decoded) == ()
+    assert decode_routes(encoded(CONFIG)).organisations == ()
+
+
+@pytest.mark.parametrize(
+    'tenant',
+    [{'apiKeys': ['k']}, {'name': 'x', 'apiKeys': 'k'}, {'name': 'x', 'ratePerS': 'secret-key'}],
+)
+def test_wrong_organisation_is_refused_without_its_values(tenant: dict[str, Any]) -> None:
+    """Guard against an invalid organisation that is accepted, and a key in the refusal."""
+    with pytest.raises(CodedError) as raised:
+        decode_routes(encoded({**CONFIG, 'tenants': [tenant]}))
+    assert raised.value.code is ResultCode.WRONG_TYPE
+    assert 'secret-key' not in raised.value.detail
+
+
 @pytest.mark.parametrize('end_index', [0, 1, 100, -1])
 def test_truncated_document_is_refused(end_index: int) -> None:
     """Guard against a truncated document that is accepted."""
--- a/tests/test_platform/test_traffic.py
+++ b/tests/test_platform/test_traffic.py
@@ -13,8 +13,10 @@
 from pistachioloft_daemon.platform.traffic import (
     decode_reply,
     decode_request,
+    encode_anonymous,
     encode_attempt,
     encode_merged,
+    encode_organisation,
     encode_refusal,
     encode_reply,
 )
@@ -77,6 +79,58 @@
     assert b'Content-Length' not in data
 
 
+CREDENTIALS = (b'authorization', b'bEARER  the-key ')
+
+
+@pytest.mark.parametrize(
+    ('credentials', 'key'),
+    [
+        ((CREDENTIALS,), 'the-key'),
+        ((CREDENTIALS, CREDENTIALS), None),
+        (((b'Authorization', b'Basic the-key'),), None),
+        (((b'Authorization', b'the-key'),), None),
+        (((b'Authorization', b''),), None),
+        ((), None),
+    ],
+)
+def test_key_is_read_from_one_header_of_the_expected_form(
+    credentials: tuple[tuple[bytes, bytes], ...], key: str | None
+) -> None:
+    """Guard against a key that is taken from a header that does not state it clearly."""
+    routed = decoded(Request(b'GET', b'/a', (*HEADERS, *credentials)))
+    assert routed.key == key
+    assert 'the-key' not in repr(routed)
+
+
+@pytest.mark.parametrize('name', ['east', ''])
+def test_endpoint_gets_the_organisation_and_never_the_key(name: str) -> None:
+    """Guard against a key that reaches an endpoint, and an organisation that a caller claims."""
+    claims = (CREDENTIALS, (b'X-TENANT', b'west'), (b'x-tenant', b'north'))
+    identified = encode_organisation(decoded(Request(b'GET', b'/a', (*HEADERS, *claims))), name)
+    data = encode_attempt(identified, 'i-7', 400.0)
+    assert b'the-key' not in data
+    assert data.lower().count(b'x-tenant') == (1 if name else 0)
+    assert (b'X-Tenant: east\r\n' in data) == bool(name)
+    assert (identified.key, identified.identity_head) == (None, b'')
+
+
+def test_headers_are_forwarded_where_no_organisations_are_configured() -> None:
+    """Guard against a header that is lost on deployments without organisations."""
+    claims = (CREDENTIALS, (b'X-Tenant', b'west'))
+    routed = decoded(Request(b'GET', b'/a', (*HEADERS, *claims)))
+    data = encode_attempt(encode_anonymous(routed), 'i-7', 400.0)
+    assert b'authorization: bEARER  the-key \r\nX-Tenant: west\r\n' in data
+    plain = decoded(Request(b'GET', b'/a', HEADERS))
+    assert encode_anonymous(plain) is plain
+
+
+def test_organisations_do_not_share_the_digest_of_a_content() -> None:
+    """Guard against an organisation that is refused because of the content of another one."""
+    routed = decoded(Request(b'GET', b'/a', HEADERS))
+    digests = {encode_organisation(routed, name).digest for name in ('', 'east', 'west')}
+    assert len(digests) == 3
+
+
 @pytest.mark.parametrize(
     'headers',
     [
--- a/tests/test_relay/test_helping.py
+++ b/tests/test_relay/test_helping.py
@@ -75,7 +75,9 @@
             raise AssertionError('not called')
 
         wire = WireFormat(
-            unused, lambda routed, *_: routed.request_id.encode(), unused, unused, unused, unused
+            unused,
+            lambda routed, *_: routed.request_id.encode(),
+            *(unused,) * 6,
         )
         hooks = PeerHooks(send, unused)
         self.requests = RoutedRequests(
--- a/tools/fleet/site.py
+++ b/tools/fleet/site.py
@@ -174,6 +174,7 @@
                 'headerTimeoutMs': 3_000,
                 'idleTimeoutMs': 15_000,
             },
+            **({'tenants': changes['organisations']} if 'organisations' in changes else {}),
         }
 
     async def read(self, control: int | None = None) -> dict[str, Any] | None:
@@ -218,6 +219,7 @@
         deadline_ms: int = 2_000,
         session: aiohttp.ClientSession | None = None,
         request_id: str = '',
+        extra_headers: dict[str, str] | None = None,
     ) -> Answer:
         """Send one request as a caller and return the answer."""
         if address is None:
@@ -227,6 +229,7 @@
             'Host': ROUTE_HOST,
             'X-Request-Id': request_id,
             'X-Deadline-Ms': str(deadline_ms),
+            **(extra_headers or {}),
         }
         timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1)
         started_s = time.monotonic()
