Start delegated groups before the own part, and collect their late replies

Change: shards of the own failure domain that go to its other instances are divided by position alone; groups are sent before the own part; replies after the flush are collected for 2 ms.

--- a/packages/core/src/pistachioloft_core/process/endpoint_table.py
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -38,13 +38,15 @@
 class EndpointTable:
     """Hold the load of the known endpoints and the usable endpoints of each service."""
 
-    __slots__ = ('endpoints', 'remembered', 'services', 'usable_count')
+    __slots__ = ('_services_by_domain', 'endpoints', 'remembered', 'services', 'usable_count')
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointLoad] = {}
         # Usable endpoints only; draining, departed and lapsed ones get no new requests.
         self.services: dict[str, list[EndpointLoad]] = {}
         self.usable_count = 0
+        # By failure domain: the services with a usable endpoint there, until that changes.
+        self._services_by_domain: dict[str, frozenset[str]] = {}
         # By endpoint that is no longer announced: its start and what it said about itself.
         self.remembered: dict[str, tuple[int, EndpointStatements]] = {}
 
@@ -52,6 +54,22 @@
         """Return the endpoints of a service that may receive new requests."""
         return self.services.get(service, [])
 
+    def services_in(self, failure_domain: str) -> frozenset[str]:
+        """Return the services with a usable endpoint in a failure domain."""
+        services = self._services_by_domain.get(failure_domain)
+        if services is None:
+            services = frozenset(
+                service
+                for service, loads in self.services.items()
+                if any(load.record.failure_domain == failure_domain for load in loads)
+            )
+            self._services_by_domain[failure_domain] = services
+        return services
+
+    def forget_derived(self) -> None:
+        """Forget what is derived from the usable endpoints, because they changed."""
+        self._services_by_domain.clear()
+
 
 def apply_update(
     table: EndpointTable, now_ms: float, endpoints: Iterable[ReceivedEndpoint], synchronized: bool
@@ -139,6 +157,7 @@
         if load not in usable:
             usable.append(load)
             table.usable_count += 1
+            table.forget_derived()
     elif record.endpoint_state != ENDPOINT_LAPSED or not is_replying:
         _withdraw(table, load)
     if (
@@ -178,6 +197,7 @@
         return False
     usable.remove(load)
     table.usable_count -= 1
+    table.forget_derived()
     if not usable:
         del table.services[load.record.service]
     return True
--- a/packages/core/src/pistachioloft_core/request/delegation.py
+++ b/packages/core/src/pistachioloft_core/request/delegation.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from ..util.delay_estimate import DelayEstimate
 
@@ -76,6 +76,15 @@
         self.helpers: dict[str, Helper] = {}
 
 
+@dataclass(frozen=True, slots=True)
+class ShardPlace:
+    """Locate a shard in a query; the helper that gets it chooses its endpoint."""
+
+    # Index of the shard in the route's list of shards.
+    position: int
+    service: str
+
+
 @dataclass(frozen=True, slots=True)
 class ShardAssignment:
     """Pair a shard's service with the endpoint that is expected to reply first."""
@@ -90,6 +99,9 @@
         return ShardAssignment(self.position, self.service, load)
 
 
+_Placed = TypeVar('_Placed', ShardPlace, ShardAssignment)
+
+
 @dataclass(frozen=True, slots=True)
 class GroupPlan:
     """List the shards that are delegated to one helper."""
@@ -98,6 +110,14 @@
     services: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DomainPlan:
+    """Divide the shards of one failure domain; the own ones still need an endpoint."""
+
+    own: tuple[ShardPlace, ...]
+    groups: tuple[GroupPlan, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class QueryPlan:
     """Divide shards into those queried directly and those delegated to helpers."""
@@ -166,6 +186,17 @@
     return QueryPlan(tuple(direct), tuple(groups))
 
 
+def divide_domain(
+    table: HelperTable, now_ms: float, domain: str, places: list[ShardPlace]
+) -> DomainPlan | None:
+    """Divide many shards of one failure domain among its instances, None if it has no helper."""
+    helpers = _available_in_domain(table, now_ms, domain)
+    if len(places) <= MAX_GROUP_SHARD_COUNT or not helpers:
+        return None
+    own, groups = _divide_group(table, domain, table.own_advertised, helpers, places)
+    return DomainPlan(tuple(own), tuple(groups))
+
+
 def should_preconnect(
     table: HelperTable, now_ms: float, own_domain: str, domain: str, is_shard: bool
 ) -> bool:
@@ -229,18 +260,18 @@
     domain: str,
     takes_part: bool,
     available: list[Helper],
-    group: list[ShardAssignment],
-) -> tuple[list[ShardAssignment], list[GroupPlan]]:
+    group: list[_Placed],
+) -> tuple[list[_Placed], list[GroupPlan]]:
     """Divide a large group so that all instances delegate a shard to the same instance."""
     # An instance that sends all requests of its failure domain to an endpoint observes the
     # endpoint's load and latency in time; one that sends a sixth of them observes both too late.
     names = [name for name, other in table.helpers.items() if other.failure_domain == domain]
     if takes_part:
         names.append(table.own_instance)
-    by_instance = {helper.instance: helper for helper in available}
+    by_instance: dict[str, Helper] = {helper.instance: helper for helper in available}
     member_count = min(len(names), -(-len(group) // MIN_GROUP_SHARD_COUNT))
     members = _choose_members(names, member_count, {table.own_instance, *by_instance})
-    by_member: defaultdict[str, list[ShardAssignment]] = defaultdict(list)
+    by_member: defaultdict[str, list[_Placed]] = defaultdict(list)
     for assignment in group:
         by_member[members[assignment.position % member_count]].append(assignment)
     own_assignments = by_member.pop(table.own_instance, [])
@@ -274,5 +305,5 @@
     return [name if name in available else next(substitutes, name) for name in ordered[:count]]
 
 
-def _make_group(helper: Helper, assignments: list[ShardAssignment]) -> GroupPlan:
+def _make_group(helper: Helper, assignments: Iterable[ShardAssignment | ShardPlace]) -> GroupPlan:
     return GroupPlan(helper, tuple(assignment.service for assignment in assignments))
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -17,7 +17,7 @@
     schedule_recheck,
 )
 from .consolidation import consolidate_domains
-from .delegation import HelperTable, ShardAssignment, plan_query
+from .delegation import HelperTable, ShardAssignment, ShardPlace, divide_domain, plan_query
 from .handover import plan_handover
 from .hedge_delay import usual_latency_ms
 from .permitted import refuse_unserved, refuse_without_permits
@@ -41,7 +41,7 @@
     from collections.abc import Collection, Container, Iterable, Mapping
 
     from .delegation import GroupPlan
-    from .gather_state import GatherState
+    from .gather_state import GatherState, ShardState
     from .routed_state import RoutedState
 
 # An endpoint that refused is retried after this fraction of the usual latency, about the time
@@ -71,10 +71,16 @@
             return [refusal]
         _limit_time(state, query)
     query.started_ms = now_ms
-    assignments = _assign_shards(state, now_ms, query)
+    own_shards, near_groups = _divide_near_shards(state, now_ms, query, helpers)
+    assignments = _assign_shards(state, now_ms, query, own_shards)
     if not query.is_group:
+        delegated_count = sum(len(group.services) for group in near_groups)
         refusal = refuse_without_connections(
-            state, now_ms, query.route, query.past_target, len(assignments)
+            state,
+            now_ms,
+            query.route,
+            query.past_target,
+            delegated_count + len(assignments),
         )
         if refusal is not None:
             query.done = True
@@ -84,7 +90,7 @@
     plan = plan_query(
         helpers or HelperTable(), now_ms, state.failure_domain, assignments, state.random
     )
-    actions = _delegate(now_ms, query, plan.groups)
+    actions = _delegate(now_ms, query, (*near_groups, *plan.groups))
     for assignment in plan.direct:
         shard = query.shard_by_service[assignment.service]
         actions.append(send_first(state, now_ms, query, shard, assignment.load))
@@ -316,10 +322,31 @@
         query.deadline_at_ms = min(query.deadline_at_ms, usable_until_ms)
 
 
-def _assign_shards(state: RoutedState, now_ms: float, query: GatherState) -> list[ShardAssignment]:
+def _divide_near_shards(
+    state: RoutedState, now_ms: float, query: GatherState, helpers: HelperTable | None
+) -> tuple[list[tuple[int, ShardState]], tuple[GroupPlan, ...]]:
+    """Delegate the shards of the own failure domain that other instances there are to query."""
+    # Their endpoints are observed there and not here, so the helpers choose among them.
+    shards = list(enumerate(query.shards))
+    if helpers is None or query.is_group:
+        return shards, ()
+    near = state.table.services_in(state.failure_domain)
+    places = [
+        ShardPlace(number, shard.service) for number, shard in shards if shard.service in near
+    ]
+    plan = divide_domain(helpers, now_ms, state.failure_domain, places)
+    if plan is None:
+        return shards, ()
+    delegated = {service for group in plan.groups for service in group.services}
+    return [each for each in shards if each[1].service not in delegated], plan.groups
+
+
+def _assign_shards(
+    state: RoutedState, now_ms: float, query: GatherState, shards: Iterable[tuple[int, ShardState]]
+) -> list[ShardAssignment]:
     """Choose an endpoint for each shard that has one with a free connection."""
     assignments: list[ShardAssignment] = []
-    for position, shard in enumerate(query.shards):
+    for position, shard in shards:
         load = choose_next_endpoint(state, now_ms, query, shard)
         if load is None:
             update_exhausted(state, now_ms, query, shard)
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -105,7 +105,7 @@
             self.timers,
             wire,
             self.metrics,
-            PeerHooks(self._send_to_entry, self.peers.reconnect),
+            PeerHooks(self._send_to_entry, self.peers.reconnect, self.peers.flush),
             budget,
         )
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, random_source)
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -43,6 +43,8 @@
 
     send: Callable[[str, object], bool]
     reconnect: Callable[[str], None]
+    # Sends the queued messages before other work of the same turn of the loop.
+    flush: Callable[[], None] = lambda: None
 
 
 class PeerWork:
--- a/packages/daemon/src/pistachioloft_daemon/peers.py
+++ b/packages/daemon/src/pistachioloft_daemon/peers.py
@@ -110,11 +110,12 @@
         if peer not in self.senders:
             return False
         if not self.outgoing:
-            asyncio.get_running_loop().call_soon(self._flush)
+            asyncio.get_running_loop().call_soon(self.flush)
         self.outgoing.setdefault(peer, []).append(message)
         return True
 
-    def _flush(self) -> None:
+    def flush(self) -> None:
+        """Send the queued messages now."""
         outgoing, self.outgoing = self.outgoing, {}
         for peer, messages in outgoing.items():
             sender = self.senders.get(peer)
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -38,6 +38,9 @@
 # are due, the helper has ended or is stalled.
 GIVE_UP_DELAY_MS = 250.0
 CHECK_INTERVAL_MS = 100.0
+# Replies that arrive after the flush are collected for this long: reading a message takes the
+# delegating instance longer than a helper waits for the next replies.
+PROGRESS_INTERVAL_MS = 2.0
 # After a pause of this process, messages that waited meanwhile are read for up to this long.
 BACKLOG_MS = 1_000.0
 
@@ -107,7 +110,15 @@
 class IncomingGroup:
     """Hold a group that another instance delegated to this one."""
 
-    __slots__ = ('flushed', 'in_flight', 'received_ms', 'reported', 'request', 'sender')
+    __slots__ = (
+        'flushed',
+        'in_flight',
+        'progress_timer',
+        'received_ms',
+        'reported',
+        'request',
+        'sender',
+    )
 
     def __init__(self, sender: str, request: RelayRequest) -> None:
         self.sender = sender
@@ -116,6 +127,8 @@
         # Services whose replies were sent to the other instance.
         self.reported: set[str] = set()
         self.flushed = False
+        # Set while replies are collected after the flush.
+        self.progress_timer = 0
         self.in_flight: InFlight | None = None
 
 
@@ -366,9 +379,15 @@
         self.hooks.send(group.sender, RelayTried(group.request.relay_id, service))
 
     def on_progress(self, group: IncomingGroup, state: GatherState) -> None:
-        """Send the replies that arrived after the flush."""
-        if group.flushed and _unreported_shards(group, state):
-            self._send_results(group, state, done=False)
+        """Send the replies that arrived after the flush, collected over a short time."""
+        if group.flushed and not group.progress_timer and _unreported_shards(group, state):
+            due_ms = monotonic_ms() + PROGRESS_INTERVAL_MS
+            group.progress_timer = self.timers.at(due_ms, lambda _ms: self._send_progress(group))
+
+    def _send_progress(self, group: IncomingGroup) -> None:
+        group.progress_timer = 0
+        if self.incoming.get(group.request.relay_id) is group and group.in_flight is not None:
+            self._send_results(group, group.in_flight.query, done=False)
 
     def finish(self, group: IncomingGroup, state: GatherState) -> None:
         """Send the remaining replies as the last results of a group."""
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -116,6 +116,7 @@
             budget,
         )
         self.helpers = HelperTable()
+        self.flush_peers = peers.flush
         peer_work = PeerWork(self, state, timers, metrics, peers)
         self.peer_work, self.relays, self.passed = peer_work, peer_work.relays, peer_work.passed
         self.reach.changed = self._on_reach_changed
@@ -395,11 +396,17 @@
         """Carry out what the core has decided for a request."""
         if self.state.wanted_permits:
             self.permits.request_wanted(now_ms)
+        delegated = False
         for action in actions:
             match action:
                 case SendAttempt():
+                    if delegated:
+                        # Helpers begin while this instance sends its own part.
+                        delegated = False
+                        self.flush_peers()
                     self._send(in_flight, action)
                 case DelegateGroup():
+                    delegated = True
                     self._delegate(now_ms, in_flight, action)
                 case PassOn():
                     if not self.passed.pass_on(in_flight, action.receiver, in_flight.single):
