Expect callers to send the route's time limit until more is known

Cause: an instance took the deadline of a route's first caller for the usual one, also if that caller had spent time on connecting, so its first answers came late.

--- a/packages/core/src/pistachioloft_core/request/answer_timing.py
+++ b/packages/core/src/pistachioloft_core/request/answer_timing.py
@@ -82,9 +82,12 @@
 
     __slots__ = ('_counts', '_recent')
 
-    def __init__(self) -> None:
+    def __init__(self, expected_ms: float | None = None) -> None:
+        """Begin with the deadline that callers are expected to send, if there is one."""
         self._recent: deque[float] = deque()
         self._counts: Counter[float] = Counter()
+        if expected_ms is not None:
+            self.record(expected_ms)
 
     def record(self, deadline_ms: float) -> None:
         """Store the deadline of a request."""
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -136,7 +136,13 @@
 
 def deadlines_of(state: RoutedState, route_name: str) -> CallerDeadlines:
     """Return the deadlines that the callers of a route sent."""
-    return state.deadlines.setdefault(route_name, CallerDeadlines())
+    deadlines = state.deadlines.get(route_name)
+    if deadlines is None:
+        route = state.routes.find_by_name(route_name) if state.routes is not None else None
+        # Without it, a caller that first connects would set the usual deadline.
+        expected_ms = route.time_limit_ms if route is not None else None
+        deadlines = state.deadlines[route_name] = CallerDeadlines(expected_ms)
+    return deadlines
 
 
 def endpoint_connection_limit(state: RoutedState, service: str) -> int:
--- a/tests/test_gather/test_answer_timing.py
+++ b/tests/test_gather/test_answer_timing.py
@@ -19,6 +19,7 @@
 )
 from pistachioloft_core.request.attempts import AttemptEnd, AttemptOutcome, DeliverMerged
 from pistachioloft_core.request.gather_state import GatherState
+from pistachioloft_core.request.routed_state import deadlines_of
 
 from .routed_simulation import Reply, Simulation, answered
 
@@ -238,3 +239,17 @@
         deadlines.record(LIMIT_MS)
         deadlines.record(LIMIT_MS / 2)
     assert not is_past_target(deadlines, LIMIT_MS / 2, route)
+
+
+def test_first_caller_that_connects_does_not_set_the_usual_deadline() -> None:
+    """Guard against late answers of an instance until it knows what its callers usually send."""
+    simulation = Simulation()
+    route = simulation.gather_route
+    deadlines = deadlines_of(simulation.state, route.name)
+    spent_ms = 14.0
+    assert elapsed_before_sending_ms(deadlines, route.time_limit_ms - spent_ms, route) == spent_ms
+    other = deadlines_of(simulation.state, simulation.single_route.name)
+    for _ in range(2):
+        # Callers that usually wait for less than the route allows.
+        elapsed_before_sending_ms(other, 300.0, simulation.single_route)
+    assert other.usual_ms() == 300.0
