--- a/tests/test_relay/test_delegated_groups.py
+++ b/tests/test_relay/test_delegated_groups.py
@@ -4,6 +4,7 @@
 
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.fleet import InstanceLocation
+from pistachioloft_core.process.endpoint_table import withdraw_leaving
 from pistachioloft_core.request import gather
 from pistachioloft_core.request.attempts import (
     AttemptEnd,
@@ -226,3 +227,28 @@
         delegating.simulation.state, 999.0, delegating.query, run_counts
     )
     assert not any(isinstance(action, SendAttempt) for action in actions)
+
+
+def test_shards_without_a_near_endpoint_are_not_delegated_to_near_helpers() -> None:
+    """Guard against shards that wait at a helper near which no endpoint has them."""
+    simulation = Simulation(shard_count=SHARD_COUNT, replica_count=1)
+    table = simulation.state.table
+    remote = [f's{number}' for number in range(0, SHARD_COUNT, 7)]
+    assert len(table.services_in(DOMAIN)) == SHARD_COUNT
+    for service in remote:
+        (near,) = table.usable(service)
+        withdraw_leaving(table, near)
+        simulation.add_endpoint(service, 1, 'elsewhere')
+    assert table.services_in('elsewhere') == set(remote)
+    helpers = HelperTable()
+    locations = [InstanceLocation(name, DOMAIN) for name in ('entry', 'h1', 'h2')]
+    set_helpers(helpers, locations, 'entry')
+    query = GatherState('q', simulation.gather_route, 95.0, 1_000.0)
+    actions = gather.start_gather(simulation.state, 0.0, query, helpers)
+    groups = [action for action in actions if isinstance(action, DelegateGroup)]
+    delegated = [service for group in groups for service in group.services]
+    sent = [action.attempt.service for action in actions if isinstance(action, SendAttempt)]
+    assert sorted(delegated + sent) == sorted(query.shard_by_service)
+    assert set(remote) <= set(sent)
+    # Groups leave before the own part is sent.
+    assert [type(action) for action in actions[: len(groups)]] == [DelegateGroup] * len(groups)
--- a/tests/test_relay/test_relays.py
+++ b/tests/test_relay/test_relays.py
@@ -197,6 +197,26 @@
     run(scenario)
 
 
+def test_replies_after_the_flush_are_collected() -> None:
+    """Guard against a message for each late reply, which takes the other instance long to read."""
+
+    async def scenario(pair: Pair) -> None:
+        pair.delegate()
+        await run_loop_turns()
+        await wait_until(
+            lambda: all(group.flushed for group in pair.helping.relays.incoming.values())
+        )
+        for shard in SHARDS[:3]:
+            pair.helping.receive_reply(shard, b'1')
+        await wait_until(lambda: len(pair.delegating.received_replies()) == 3)
+        assert [len(replies) for replies in pair.delegating.replied] == [3]
+        pair.helping.receive_reply('s3', b'9')
+        await run_loop_turns()
+        assert len(pair.delegating.received_replies()) == 4
+
+    run(scenario)
+
+
 def test_queue_waits_at_the_endpoints_are_reported() -> None:
     """Guard against an instance that sees no load reports and admits too much."""
 
