--- a/packages/core/src/pistachioloft_core/request/answer_timing.py
+++ b/packages/core/src/pistachioloft_core/request/answer_timing.py
@@ -160,8 +160,9 @@
     """Return when an answer must be sent to reach the caller within the latency target."""
     target_ms = route.latency_target_ms
     allowance_ms = min(processing_ms, MAX_ALLOWANCE_RATIO * target_ms)
-    wait_ms = target_ms - transit.total_ms - allowance_ms - transmission_ms
-    if wait_ms < usual_latency_ms:
+    left_ms = target_ms - transit.total_ms
+    if left_ms - LINK_RATIO * transmission_ms < usual_latency_ms:
         # No answer can arrive within the target; a late but complete one is preferred.
-        wait_ms = target_ms
-    return now_ms + wait_ms
+        return now_ms + target_ms
+    # An answer that is not certain to be in time leaves as soon as it covers enough shards.
+    return now_ms + max(0.0, left_ms - allowance_ms - transmission_ms)
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -90,7 +90,7 @@
     plan = plan_query(
         helpers or HelperTable(), now_ms, state.failure_domain, assignments, state.random
     )
-    actions = _delegate(now_ms, query, (*near_groups, *plan.groups))
+    actions = _delegate(state, now_ms, query, (*near_groups, *plan.groups))
     for assignment in plan.direct:
         shard = query.shard_by_service[assignment.service]
         actions.append(send_first(state, now_ms, query, shard, assignment.load))
@@ -107,16 +107,20 @@
         return [refusal]
     _limit_time(state, query)
     query.started_ms = now_ms
-    return _delegate(now_ms, query, groups)
+    return _delegate(state, now_ms, query, groups)
 
 
-def _delegate(now_ms: float, query: GatherState, groups: Iterable[GroupPlan]) -> list[RoutedAction]:
+def _delegate(
+    state: RoutedState, now_ms: float, query: GatherState, groups: Iterable[GroupPlan]
+) -> list[RoutedAction]:
     actions: list[RoutedAction] = []
+    # Nothing has replied before that.
+    earliest_flush_ms = now_ms + usual_latency_ms(state, query.route)
     for group in groups:
         for service in group.services:
             query.shard_by_service[service].delegated = True
         query.delegated_count += len(group.services)
-        flush_at_ms = max(now_ms, query.answer_at_ms - group.helper.overhead_ms())
+        flush_at_ms = max(earliest_flush_ms, query.answer_at_ms - group.helper.overhead_ms())
         actions.append(DelegateGroup(group.helper, group.services, flush_at_ms))
     return actions
 
@@ -134,7 +138,7 @@
     query.delegated_count -= len(services)
     groups = plan_handover(state, helpers, now_ms, services, query.declined)
     if groups:
-        return _delegate(now_ms, query, groups)
+        return _delegate(state, now_ms, query, groups)
     actions: list[RoutedAction] = []
     for service in services:
         shard = query.shard_by_service[service]
--- a/packages/daemon/src/pistachioloft_daemon/relays.py
+++ b/packages/daemon/src/pistachioloft_daemon/relays.py
@@ -37,6 +37,9 @@
 # A helper sends its replies in time for the answer. If none arrive within this delay after they
 # are due, the helper has ended or is stalled.
 GIVE_UP_DELAY_MS = 250.0
+# A helper whose first results are overdue by more than this is suspended; a busy one sends them a
+# little late, and without helpers an instance sends all of its shards itself.
+LATE_DELAY_MS = 50.0
 CHECK_INTERVAL_MS = 100.0
 # Replies that arrive after the flush are collected for this long: reading a message takes the
 # delegating instance longer than a helper waits for the next replies.
@@ -290,7 +293,7 @@
                 # Giving up an earlier group of the same query withdrew this one.
                 continue
             name = outgoing.helper.instance
-            if outgoing.is_overdue(now_ms) and not outgoing.late:
+            if outgoing.is_overdue(now_ms - LATE_DELAY_MS) and not outgoing.late:
                 outgoing.late = True
                 delegation.suspend_helper(outgoing.helper, now_ms)
                 logger.info('%s helper late: instance=%s relay=%s', PREFIX, name, relay_id)
