Divide large queries among more instances than callers use

Cause: 17 of 83 entry instances did all work of queries, since callers are sent to as many as the endpoints' connections bear; each wrote and read 15 to 25 sub-requests of a query one after the other. Connections are opened in advance only for the own shards.

--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -161,6 +161,8 @@
     # The entry instances whose addresses callers get.
     advertised: tuple[InstanceLocation, ...]
     crashes: tuple[RequestCrash, ...] = ()
+    # The entry instances among which shards are divided; empty if these are the advertised ones.
+    helpers: tuple[InstanceLocation, ...] = ()
 
 
 class ReadRequest(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/process/directory.py
+++ b/packages/core/src/pistachioloft_core/process/directory.py
@@ -1,8 +1,8 @@
-"""Choose the entry instances that callers should use."""
+"""Choose the entry instances that callers should use, and those that help with their queries."""
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from ..util.rendezvous import rendezvous_weight
@@ -20,6 +20,9 @@
 CONNECTION_FRACTION = 0.55
 # With one connection to each endpoint, two concurrent queries would queue at an entry instance.
 CONNECTIONS_PER_ENTRY = 2
+# An instance sends the sub-requests of a query one after the other. A part of about this size takes
+# it as long as the message for the part and its reply take two instances.
+PART_SHARD_COUNT = 10
 # Callers use the entry instances of their own failure domain if there are at least this many, so
 # that the loss of one leaves another.
 MIN_NEAR_COUNT = 2
@@ -35,6 +38,12 @@
     return max(1, int(min(bounds) * CONNECTION_FRACTION / CONNECTIONS_PER_ENTRY))
 
 
+def largest_query(routes: RouteSet) -> int:
+    """Return the number of shards of the largest query, 0 without any."""
+    gathers = (route.gather for route in routes.routes)
+    return max((len(gather.shards) for gather in gathers if gather is not None), default=0)
+
+
 def advertised_entries(
     entries: Iterable[EntryStatus], entry_limit_count: int | None
 ) -> tuple[EntryStatus, ...]:
@@ -58,6 +67,36 @@
     return tuple(advertised)
 
 
+def helper_entries(
+    entries: Iterable[EntryStatus], advertised: tuple[EntryStatus, ...], shard_count: int
+) -> tuple[EntryStatus, ...]:
+    """Choose the instances that divide large queries among them, the advertised ones included."""
+    # The others cost no connections: each shard is queried through one instance of each failure
+    # domain.
+    wanted_count = -(-shard_count // PART_SHARD_COUNT)
+    counts = Counter(entry.failure_domain for entry in advertised)
+    names = {entry.instance for entry in advertised}
+    others = [
+        entry
+        for entry in entries
+        if entry.ready
+        and not entry.stopping
+        and not entry.cut_off
+        and entry.instance not in names
+        and entry.failure_domain in counts
+    ]
+    chosen = list(advertised)
+    for entry in sorted(
+        others,
+        key=lambda candidate: rendezvous_weight('entry', candidate.instance),
+        reverse=True,
+    ):
+        if counts[entry.failure_domain] < wanted_count:
+            counts[entry.failure_domain] += 1
+            chosen.append(entry)
+    return tuple(chosen)
+
+
 def caller_addresses(advertised: Iterable[EntryStatus], failure_domain: str) -> tuple[str, ...]:
     """Return the addresses for a caller, preferring its own failure domain."""
     advertised = tuple(advertised)
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -22,7 +22,7 @@
     RequestCrash,
 )
 from .announced import AnnouncedState, MergeResult, aged_endpoints, expire, mark_left, merge, renew
-from .directory import advertised_entries
+from .directory import advertised_entries, helper_entries
 from .known_entries import (
     ENTRY_LIVE_MS,
     INSTANCE_LIMIT_COUNT,
@@ -95,6 +95,8 @@
         self.urgent: dict[str, float] = {}
         # How many entry instances the endpoints' connection limits allow; None if unlimited.
         self.entry_limit: int | None = None
+        # The shards of the largest query.
+        self.query_shard_count = 0
         # When each other control instance last received a share of this one, as it reported.
         self.reached_ms: dict[str, float] = {}
         self.unshared_crashes: set[tuple[str, str, int]] = set()
@@ -289,6 +291,9 @@
 ) -> FeedReply:
     """Build an update of what changed after a revision; revision 0 gives a full update."""
     names = state.announced.changed_since(since)
+    entries = live_entries(state, now_ms)
+    advertised = advertised_entries(entries, state.entry_limit)
+    helpers = helper_entries(entries, advertised, state.query_shard_count)
     return FeedReply(
         poll_id=0,
         control_incarnation=state.own_status.incarnation,
@@ -301,14 +306,16 @@
         route_version=route_version,
         document=document,
         controls=_live_locations(state, now_ms),
-        advertised=tuple(
-            InstanceLocation(entry.instance, entry.failure_domain)
-            for entry in advertised_entries(live_entries(state, now_ms), state.entry_limit)
-        ),
+        advertised=_locations(advertised),
         crashes=_newest_crashes(state, now_ms),
+        helpers=_locations(helpers) if len(helpers) > len(advertised) else (),
     )
 
 
+def _locations(entries: Iterable[EntryStatus]) -> tuple[InstanceLocation, ...]:
+    return tuple(InstanceLocation(entry.instance, entry.failure_domain) for entry in entries)
+
+
 def has_urgent_change(state: FleetState, revision: int) -> bool:
     """Return whether an endpoint left, drains or lapsed after a revision."""
     changed = (
--- a/packages/core/src/pistachioloft_core/request/delegation.py
+++ b/packages/core/src/pistachioloft_core/request/delegation.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
+from ..process.directory import PART_SHARD_COUNT
 from ..util.delay_estimate import DelayEstimate
 
 if TYPE_CHECKING:
@@ -21,8 +22,6 @@
 # An instance queries at most this many shards of a query in its failure domain if other instances
 # there can share them: one process sends and reads them one after the other.
 MAX_GROUP_SHARD_COUNT = 20
-# A divided group has parts of about this size: each costs a message and its reply.
-MIN_GROUP_SHARD_COUNT = 10
 # A new connection occupies a slot of its endpoint for about 6 ms. If this many entry instances
 # connect at the same time, two slots are busy for 24 ms, less than the hedge delay.
 PRECONNECT_MAX_ENTRY_COUNT = 8
@@ -63,16 +62,16 @@
 
 
 class HelperTable:
-    """Hold the other advertised entry instances, which serve as helpers."""
+    """Hold the other entry instances that serve as helpers, and whether this one does."""
 
-    __slots__ = ('helpers', 'own_advertised', 'own_instance', 'role_changed_ms')
+    __slots__ = ('helpers', 'is_helper', 'own_instance', 'role_changed_ms')
 
     def __init__(self) -> None:
         # When the role that decides about preconnecting last changed.
         self.role_changed_ms = float('-inf')
         self.own_instance = ''
-        # This instance is advertised too, so it preconnects to endpoints of its failure domain.
-        self.own_advertised = False
+        # Whether this instance helps others too, so that it connects to endpoints near it.
+        self.is_helper = False
         self.helpers: dict[str, Helper] = {}
 
 
@@ -136,7 +135,7 @@
     before = _preconnect_role(table)
     table.own_instance = own_instance
     domain_by_instance = {location.instance: location.failure_domain for location in locations}
-    table.own_advertised = domain_by_instance.pop(own_instance, None) is not None
+    table.is_helper = domain_by_instance.pop(own_instance, None) is not None
     table.helpers = {
         name: table.helpers.get(name) or Helper(name, domain)
         for name, domain in domain_by_instance.items()
@@ -148,7 +147,7 @@
 def _preconnect_role(table: HelperTable) -> tuple[bool, bool, frozenset[str]]:
     """Return the facts that decide to which endpoints an instance preconnects."""
     domains = frozenset(helper.failure_domain for helper in table.helpers.values())
-    return table.own_advertised, len(table.helpers) < PRECONNECT_MAX_ENTRY_COUNT, domains
+    return table.is_helper, len(table.helpers) < PRECONNECT_MAX_ENTRY_COUNT, domains
 
 
 def plan_query(
@@ -159,7 +158,7 @@
     random_source: random.Random,
 ) -> QueryPlan:
     """Choose a helper for each group of shards that is in another failure domain or large."""
-    # An instance that is not advertised delegates all shards: it receives too few requests to
+    # An instance that is no helper delegates all shards: it receives too few requests to
     # justify connections of its own, and the connections of an endpoint are limited.
     domains: defaultdict[str, list[ShardAssignment]] = defaultdict(list)
     for assignment in assignments:
@@ -168,7 +167,7 @@
     groups: list[GroupPlan] = []
     for domain, group in sorted(domains.items()):
         helpers = _available_in_domain(table, now_ms, domain)
-        takes_part = domain == own_domain and table.own_advertised
+        takes_part = domain == own_domain and table.is_helper
         if len(group) > MAX_GROUP_SHARD_COUNT and helpers:
             own_assignments, delegated = _divide_group(table, domain, takes_part, helpers, group)
             direct += own_assignments
@@ -176,7 +175,7 @@
         elif (
             helpers
             and not takes_part
-            and (len(group) >= MIN_REMOTE_GROUP_SHARD_COUNT or not table.own_advertised)
+            and (len(group) >= MIN_REMOTE_GROUP_SHARD_COUNT or not table.is_helper)
         ):
             random_source.shuffle(helpers)
             helper = min(helpers, key=lambda candidate: candidate.open_group_count)
@@ -193,15 +192,26 @@
     helpers = _available_in_domain(table, now_ms, domain)
     if len(places) <= MAX_GROUP_SHARD_COUNT or not helpers:
         return None
-    own, groups = _divide_group(table, domain, table.own_advertised, helpers, places)
+    own, groups = _divide_group(table, domain, table.is_helper, helpers, places)
     return DomainPlan(tuple(own), tuple(groups))
 
 
+def own_shards(
+    table: HelperTable, now_ms: float, own_domain: str, shards: tuple[str, ...]
+) -> frozenset[str]:
+    """Return the shards of a query that this instance asks near endpoints for."""
+    if not table.is_helper:
+        return frozenset()
+    places = [ShardPlace(position, service) for position, service in enumerate(shards)]
+    plan = divide_domain(table, now_ms, own_domain, places)
+    return frozenset(shards if plan is None else (place.service for place in plan.own))
+
+
 def should_preconnect(
     table: HelperTable, now_ms: float, own_domain: str, domain: str, is_shard: bool
 ) -> bool:
-    """Return whether this instance opens connections to an endpoint in advance."""
-    if not table.own_advertised or now_ms - table.role_changed_ms < PRECONNECT_DELAY_MS:
+    """Return whether this instance opens connections to endpoints in advance."""
+    if not table.is_helper or now_ms - table.role_changed_ms < PRECONNECT_DELAY_MS:
         return False
     connects_to_domain = domain == own_domain or len(table.helpers) < PRECONNECT_MAX_ENTRY_COUNT
     # Shards of another failure domain are delegated to a helper there, except for hedges and
@@ -269,7 +279,7 @@
     if takes_part:
         names.append(table.own_instance)
     by_instance: dict[str, Helper] = {helper.instance: helper for helper in available}
-    member_count = min(len(names), -(-len(group) // MIN_GROUP_SHARD_COUNT))
+    member_count = min(len(names), -(-len(group) // PART_SHARD_COUNT))
     members = _choose_members(names, member_count, {table.own_instance, *by_instance})
     by_member: defaultdict[str, list[_Placed]] = defaultdict(list)
     for assignment in group:
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -48,6 +48,7 @@
         'answer_delay',
         'budgets',
         'changed_statements',
+        'connecting_count',
         'deadlines',
         'entry_count',
         'failure_domain',
@@ -89,8 +90,9 @@
         self.changed_statements: list[EndpointLoad] = []
         # Endpoints that placements wanted to use and had no permit for.
         self.wanted_permits: dict[str, EndpointLoad] = {}
-        # Number of instances that share the allowances and the endpoints' connections.
+        # Number of instances that share the allowances, and the endpoints' connections.
         self.entry_count = 1
+        self.connecting_count = 1
 
 
 def budget_of(state: RoutedState, service: str) -> BudgetState:
@@ -101,9 +103,10 @@
     return budget
 
 
-def set_entry_count(state: RoutedState, count: int) -> None:
-    """Divide the allowances among another number of entry instances."""
+def set_entry_count(state: RoutedState, count: int, connecting_count: int | None = None) -> None:
+    """Divide the allowances among instances, and connections among those that callers use."""
     count = max(1, count)
+    state.connecting_count = count if connecting_count is None else max(1, connecting_count)
     if count == state.entry_count:
         return
     state.entry_count = count
@@ -150,7 +153,7 @@
     rule = state.routes.rules.get(service) if state.routes is not None else None
     if rule is None:
         return 1
-    own_limit_count = round(rule.connection_limit * CONNECTION_FRACTION / state.entry_count)
+    own_limit_count = round(rule.connection_limit * CONNECTION_FRACTION / state.connecting_count)
     per_endpoint_count = state.limits.connection_count // max(1, state.table.usable_count)
     return max(1, min(own_limit_count, per_endpoint_count))
 
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -14,7 +14,12 @@
 from pistachioloft_core.messages.agreement import AgreementMessage
 from pistachioloft_core.messages.proposal import ProposeReply, ProposeRequest
 from pistachioloft_core.process import agreement, fleet
-from pistachioloft_core.process.directory import advertised_entries, caller_addresses, entry_limit
+from pistachioloft_core.process.directory import (
+    advertised_entries,
+    caller_addresses,
+    entry_limit,
+    largest_query,
+)
 from pistachioloft_core.process.voters import choose_voters, target_voter_count
 from pistachioloft_core.version.accepted import accepted_routes
 
@@ -218,6 +223,7 @@
             logger.error('[agreement] routes of version %d: %s', routes.version, error.detail)
         else:
             self.fleet.entry_limit = entry_limit(decoded)
+            self.fleet.query_shard_count = largest_query(decoded)
         self.push()
 
     def addresses(self, failure_domain: str) -> tuple[str, ...]:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -23,6 +23,7 @@
 from pistachioloft_core.process.crash_watch import on_crash_reports
 from pistachioloft_core.request.delegation import (
     PRECONNECT_DELAY_MS,
+    own_shards,
     set_helpers,
     should_preconnect,
 )
@@ -118,6 +119,7 @@
         self.stopping = False
         self.advertised = False
         self.advertised_locations: tuple[InstanceLocation, ...] = ()
+        self.helper_locations: tuple[InstanceLocation, ...] = ()
         # When connections were last opened for this instance's share of the endpoints.
         self.preconnected_ms = 0.0
         self.caller_server = HttpServer(
@@ -353,22 +355,31 @@
         if reply.full and reply.synchronized:
             changes += endpoint_table.remove_missing_endpoints(table, reply.endpoints)
         self._on_endpoint_changes(changes)
-        self._apply_advertised(now_ms, reply.advertised)
+        self._apply_advertised(now_ms, reply.advertised, reply.helpers or reply.advertised)
 
-    def _apply_advertised(self, now_ms: float, advertised: tuple[InstanceLocation, ...]) -> None:
-        """Divide connections and budgets among the advertised instances."""
+    def _apply_advertised(
+        self,
+        now_ms: float,
+        advertised: tuple[InstanceLocation, ...],
+        helpers: tuple[InstanceLocation, ...],
+    ) -> None:
+        """Divide queries and budgets among the helpers, and connections among the advertised."""
         was_advertised = self.advertised
         self.advertised = any(
             location.instance == self.settings.instance for location in advertised
         )
-        if advertised != self.advertised_locations:
-            self.advertised_locations = advertised
+        if (advertised, helpers) != (self.advertised_locations, self.helper_locations):
+            self.advertised_locations, self.helper_locations = advertised, helpers
             self.requests.permits.locations = advertised
-            set_helpers(self.requests.helpers, advertised, self.settings.instance, now_ms)
-            for location in advertised if self.advertised else ():
+            set_helpers(self.requests.helpers, helpers, self.settings.instance, now_ms)
+            for location in helpers if self.advertised else ():
                 self._connect_entry(location.instance)
-        # An instance that is not advertised still serves requests, so it counts as one share more.
-        set_entry_count(self.state, len(advertised) + (0 if self.advertised else 1))
+        # Another instance still serves requests, so it counts as one share more.
+        set_entry_count(
+            self.state,
+            len(helpers) + (0 if self.requests.helpers.is_helper else 1),
+            len(advertised) + (0 if self.advertised else 1),
+        )
         if self.advertised != was_advertised:
             logger.info('[placement] advertised to callers: %s', self.advertised)
 
@@ -401,13 +412,22 @@
         shards = shard_services(routes.routes)
         own_domain, helpers = self.settings.failure_domain, self.requests.helpers
         now_ms = monotonic_ms()
+        shard_sets = {route.gather.shards for route in routes.routes.routes if route.gather}
+        own = {
+            shard
+            for shards in shard_sets
+            for shard in own_shards(helpers, now_ms, own_domain, shards)
+        }
         for endpoint in endpoints:
             load = self.state.table.endpoints.get(endpoint)
             if load is not None and load in self.state.table.usable(load.record.service):
                 service, domain = load.record.service, load.record.failure_domain
                 is_shard = service in shards
-                if service in services_in_use and should_preconnect(
-                    helpers, now_ms, own_domain, domain, is_shard
+                is_asked_elsewhere = is_shard and domain == own_domain and service not in own
+                if (
+                    service in services_in_use
+                    and not is_asked_elsewhere
+                    and should_preconnect(helpers, now_ms, own_domain, domain, is_shard)
                 ):
                     self.requests.pool.preconnect(load.record)
             else:
--- a/tests/test_fleet/test_directory.py
+++ b/tests/test_fleet/test_directory.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+import pytest
 from msgspec.structs import replace
 
 from pistachioloft_core.messages.fleet import EntryStatus
@@ -14,7 +15,12 @@
     ServiceRule,
     WeightedService,
 )
-from pistachioloft_core.process.directory import advertised_entries, caller_addresses, entry_limit
+from pistachioloft_core.process.directory import (
+    advertised_entries,
+    caller_addresses,
+    entry_limit,
+    helper_entries,
+)
 
 
 def entry(number: int, domain: str, ready: bool = True) -> EntryStatus:
@@ -90,3 +96,27 @@
     assert not any(entry_status.cut_off for entry_status in advertised)
     # If all endpoints are down, all instances find themselves cut off.
     assert len(advertised_entries(cut_off, 16)) == 16
+
+
+def test_large_queries_are_divided_among_more_instances() -> None:
+    """Guard against idle instances beside few that send all sub-requests of large queries."""
+    advertised = advertised_entries(FLEET, 17)
+    helpers = helper_entries(FLEET, advertised, 90)
+    assert helpers[:17] == advertised
+    assert Counter(each.failure_domain for each in helpers) == {'a': 9, 'b': 9, 'c': 9}
+    assert len(set(helpers)) == len(helpers)
+    # The advertised ones are enough for small queries and in small fleets.
+    assert helper_entries(FLEET, advertised, 50) == advertised
+    assert helper_entries(FLEET[:6], tuple(FLEET[:6]), 90) == tuple(FLEET[:6])
+
+
+@pytest.mark.parametrize('change', [{'ready': False}, {'stopping': True}, {'cut_off': True}])
+def test_helper_that_cannot_query_is_replaced(change: dict[str, bool]) -> None:
+    """Guard against shards that wait for an instance which cannot query them."""
+    advertised = advertised_entries(FLEET, 17)
+    before = helper_entries(FLEET, advertised, 90)
+    lost = before[-1]
+    remaining = [replace(each, **change) if each is lost else each for each in FLEET]
+    after = helper_entries(remaining, advertised, 90)
+    assert lost.instance not in {each.instance for each in after}
+    assert len(set(after) - set(before)) == 1
--- a/tests/test_relay/test_plan.py
+++ b/tests/test_relay/test_plan.py
@@ -205,7 +205,7 @@
     planned = plan(helper_table, assignments(a=90))
     sizes = [len(group.services) for group in planned.groups]
     assert sum(sizes) + len(planned.direct) == 90
-    assert min(sizes) >= delegation.MIN_GROUP_SHARD_COUNT
+    assert min(sizes) >= delegation.PART_SHARD_COUNT
 
 
 def test_unadvertised_instance_delegates_all_shards() -> None:
@@ -268,3 +268,21 @@
     delegation.set_helpers(helper_table, members, 'own', 20_000.0)
     delegation.set_helpers(helper_table, members[:-1], 'own', 30_000.0)
     assert delegation.should_preconnect(helper_table, 30_000.0, 'a', 'a', is_shard=True)
+
+
+def test_each_near_shard_has_one_instance_that_connects_for_it() -> None:
+    """Guard against connections that all instances of a failure domain open to each endpoint."""
+    shards = tuple(f's{number}' for number in range(90))
+    locations = [(f'a{number}', 'a') for number in range(9)]
+    owners: list[str] = []
+    for name, _ in locations:
+        helper_table = delegation.HelperTable()
+        delegation.set_helpers(
+            helper_table, [InstanceLocation(*location) for location in locations], name
+        )
+        owners += delegation.own_shards(helper_table, 0.0, 'a', shards)
+    assert sorted(owners) == sorted(shards)
+    outsider = table(*locations)
+    assert delegation.own_shards(outsider, 0.0, 'a', shards) == frozenset()
+    alone = table(('own', 'a'))
+    assert delegation.own_shards(alone, 0.0, 'a', shards) == frozenset(shards)
