--- a/tests/test_soak/test_checks.py
+++ b/tests/test_soak/test_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -10,7 +11,17 @@
 from tools.fleet.site import Answer
 from tools.soak.checks import check_run
 from tools.soak.run import _check_answer
-from tools.soak.site import Period, SoakCall, SoakSite
+from tools.soak.site import (
+    BOUNDS,
+    BURST_COUNT,
+    LIMITED,
+    NOBODY,
+    RATE_PER_S,
+    Evacuation,
+    Period,
+    SoakCall,
+    SoakSite,
+)
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -108,3 +119,68 @@
     """Guard against crossed replies to single requests."""
     _check_answer(site, 'one', Answer('q1', 200, {'X-Response-Stamp': stamp}, b'', 0.1))
     assert len(site.violations) == expected
+
+
+@pytest.mark.parametrize(
+    ('organisation', 'headers', 'status', 'expected'),
+    [
+        ('east', (('X-Tenant', 'east'),), 200, 0),
+        ('east', (('X-Tenant', 'west'),), 200, 1),
+        ('east', (), 200, 1),
+        ('east', (('X-Tenant', 'east'), ('Authorization', 'Bearer k')), 200, 1),
+        ('east', None, 401, 1),
+        (NOBODY, None, 401, 0),
+        (NOBODY, (), 200, 1),
+    ],
+)
+def test_wrong_organisation_is_reported(
+    site: SoakSite,
+    organisation: str,
+    headers: tuple[tuple[str, str], ...] | None,
+    status: int,
+    expected: int,
+) -> None:
+    """Guard against keys that are refused, that identify another organisation or that leak."""
+    request_id = add_call(site, 1.0, status)
+    site.calls[-1] = replace(site.calls[-1], organisation=organisation)
+    if headers is not None:
+        add_request(site, request_id, 1.0)
+        received = site.searchers[0].received_requests
+        received[-1] = replace(received[-1], headers=headers)
+    assert violation_count(site) == expected
+
+
+def test_exceeded_allotment_is_reported(site: SoakSite) -> None:
+    """Guard against more requests in a window than all instances together may admit."""
+    window_s = BOUNDS.allotment_window_s
+    allowed_count = int(1.1 * (RATE_PER_S * window_s + BURST_COUNT)) + BOUNDS.allotment_slack_count
+    for number in range(allowed_count):
+        request_id = add_call(site, number / 1_000)
+        site.calls[-1] = replace(site.calls[-1], organisation=LIMITED)
+        add_request(site, request_id, number / 1_000)
+    received = site.searchers[0].received_requests
+    received[:] = [replace(each, headers=(('X-Tenant', LIMITED),)) for each in received]
+    assert violation_count(site) == 0
+    for at_s, expected in ((window_s, 0), (window_s / 2, 1)):
+        request_id = add_call(site, at_s)
+        site.calls[-1] = replace(site.calls[-1], organisation=LIMITED)
+        add_request(site, request_id, at_s)
+        received[-1] = replace(received[-1], headers=(('X-Tenant', LIMITED),))
+        assert violation_count(site) == expected
+
+
+@pytest.mark.parametrize(
+    ('at_s', 'disturbed_ip', 'expected'),
+    [(12.9, '', 0), (13.1, '', 1), (13.1, ENTRY_IP, 0), (13.1, '127.0.0.10', 1), (15.1, '', 0)],
+)
+def test_request_to_an_evacuated_endpoint_is_reported(
+    site: SoakSite, at_s: float, disturbed_ip: str, expected: int
+) -> None:
+    """Guard against requests to a failure domain after its evacuation was confirmed."""
+    domain = site.searchers[0].failure_domain
+    site.evacuations.append(Evacuation(domain, 10.0, 15.0))
+    site.evacuations.append(Evacuation('another', 0.0, 99.0))
+    add_request(site, 'q', at_s)
+    if disturbed_ip:
+        site.disturbances.append(Period(disturbed_ip, 12.0, 12.1))
+    assert violation_count(site) == expected
--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -63,6 +63,8 @@
     extra_share: float = 0.2
     extra_allowance_count: int = 60
     memory_mb: int = 300
+    allotment_window_s: float = 5.0
+    allotment_slack_count: int = 0
 
 
 class Fleet:
@@ -233,6 +235,8 @@
             f'keep_s = {bounds.keep_s}',
             f'extra_share = {bounds.extra_share}',
             f'extra_allowance_count = {bounds.extra_allowance_count}',
+            f'allotment_window_s = {bounds.allotment_window_s}',
+            f'allotment_slack_count = {bounds.allotment_slack_count}',
             '[machine]',
             f'memory_mb = {bounds.memory_mb}',
         ]
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -16,7 +16,7 @@
 from ..fleet.site import SHARD_COUNT, Answer
 from .checks import NOT_RUN_STATUSES, check_run
 from .faults import FAULTS, FaultFunction
-from .site import Period, SoakCall, SoakSite
+from .site import LIMITED, NOBODY, ORGANISATIONS, Period, SoakCall, SoakSite, credentials
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -99,10 +99,17 @@
             address = random_source.choice(addresses)
             kind = random_source.choice(('all', 'one', 'once'))
             method = 'POST' if kind == 'once' else 'GET'
+            organisation = random_source.choice((*ORGANISATIONS, LIMITED, NOBODY))
             started_s = time.monotonic()
-            answer = await site.call(f'/{kind}/x', address, method, session=session)
+            answer = await site.call(
+                f'/{kind}/x',
+                address,
+                method,
+                session=session,
+                extra_headers=credentials(organisation),
+            )
             period = Period(address.rsplit(':', 1)[0], started_s, time.monotonic())
-            site.calls.append(SoakCall(kind, period, answer))
+            site.calls.append(SoakCall(kind, period, answer, organisation))
             site.status_counts[answer.status] += 1
             _check_answer(site, kind, answer)
             await asyncio.sleep(random_source.uniform(0.0, 0.03))
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -7,13 +7,14 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
 from pistachioloft_core.codec import decode_json
 from pistachioloft_core.messages.report import FleetReport
 
+from ..fleet.processes import FleetBounds
 from ..fleet.site import Answer, Site
 from .proxy import FaultyProxy
 
@@ -21,6 +22,15 @@
     from collections.abc import Iterator, Sequence
     from pathlib import Path
 
+# Organisations by name, each with one key; the last one has an allotment.
+ORGANISATIONS = ('east', 'west', 'small')
+LIMITED = ORGANISATIONS[-1]
+RATE_PER_S = 8.0
+BURST_COUNT = 4.0
+# Named in calls with a key that no configuration ever held.
+NOBODY = 'nobody'
+BOUNDS = FleetBounds(allotment_window_s=2.0, allotment_slack_count=8)
+
 
 @dataclass(frozen=True, slots=True)
 class Period:
@@ -43,18 +53,30 @@
     # Of the call, and the address of the entry instance.
     period: Period
     answer: Answer
+    # Whose key the caller sent, empty if that is not checked.
+    organisation: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """Record from when until when the endpoints of a failure domain had to get nothing."""
+
+    failure_domain: str
+    confirmed_s: float
+    withdrawn_s: float
 
 
 class SoakSite(Site):
     """Run a site with proxies, locks that limit concurrent faults, and the results of a run."""
 
     def __init__(self, folder: Path, sources: Sequence[Path] = ()) -> None:
-        super().__init__(folder, control_count=3, entry_count=3, replica_count=2)
+        super().__init__(folder, control_count=3, entry_count=3, replica_count=2, bounds=BOUNDS)
         # Another build than that of the repository, if given.
         self.fleet.sources = sources or self.fleet.sources
         self.proxies: list[FaultyProxy] = []
         self.violations: list[str] = []
         self.calls: list[SoakCall] = []
+        self.evacuations: list[Evacuation] = []
         # From the signal to the end of the process of each entry instance that was stopped.
         self.stops: list[Period] = []
         # When the memory of an entry instance, or the connections of a searcher, were disturbed.
@@ -67,6 +89,7 @@
         self.control_fault_lock = asyncio.Lock()
         self.entry_fault_lock = asyncio.Lock()
         self.submission_lock = asyncio.Lock()
+        self.evacuation_lock = asyncio.Lock()
 
     async def __aenter__(self) -> SoakSite:
         await super().__aenter__()
@@ -84,6 +107,20 @@
             await proxy.stop()
         await super().__aexit__(*details)
 
+    def document(self, version: int, **changes: Any) -> dict[str, Any]:
+        """Build the document of a version with the organisations of the soak."""
+        organisations = [
+            {'name': name, 'apiKeys': [key_of(name)], 'ratePerS': 0, 'burst': 0}
+            for name in ORGANISATIONS
+        ]
+        organisations[-1] |= {'ratePerS': RATE_PER_S, 'burst': BURST_COUNT}
+        return super().document(version, organisations=organisations, **changes)
+
+    async def call(self, target: str, *args: Any, **options: Any) -> Answer:
+        """Send one request with the key of an organisation, the first one by default."""
+        options.setdefault('extra_headers', credentials(ORGANISATIONS[0]))
+        return await super().call(target, *args, **options)
+
     @contextlib.contextmanager
     def disturbed(self, ip: str) -> Iterator[None]:
         """Record that an address is disturbed meanwhile."""
@@ -110,3 +147,14 @@
                 if voters is not None and len(voters.voters) == 3 and voters.can_lose_count == 1:
                     return True
         return False
+
+
+def key_of(organisation: str) -> str:
+    """Return the key of an organisation."""
+    return f'key-of-{organisation}'
+
+
+def credentials(organisation: str) -> dict[str, str]:
+    """Return the headers by which a caller of an organisation identifies itself."""
+    # Endpoints must not see the name that the caller claims.
+    return {'Authorization': f'Bearer {key_of(organisation)}', 'X-Tenant': 'claimed'}
