Evacuate failure domains by a command of the log

An operator's POST or DELETE of /-/evacuation/ZONE is proposed to the leader and confirmed when it is committed. The evacuated failure domains go to entry instances with the feed, pushed on a change; the highest log index counts. Their endpoints are withdrawn from the usable ones, what waits for a connection there is placed anew, and they are restored when the order is withdrawn. A late copy of an order, based on an older index, changes nothing.

--- a/packages/cli/src/pistachioloft_cli/fleet_commands.py
+++ b/packages/cli/src/pistachioloft_cli/fleet_commands.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from pistachioloft_core.messages.fleet import ENDPOINT_READY
 from pistachioloft_core.messages.report import FleetReport
 
 from .exits import CommandFailure, ExitCode, FailedAttempt
@@ -70,6 +71,7 @@
         for address in view.unreachable:
             output.lines(f'{address}: gave no report')
         output.lines(*describe_versions(view.reports), *describe_voters(view.reports))
+        output.lines(*describe_evacuations(view.reports))
         output.lines(*_entry_table(view.reports), *_endpoint_table(view.reports, endpoints))
         output.lines(*_budget_table(view.reports))
         output.lines(*_suspect_lines(view.reports))
@@ -131,6 +133,17 @@
     ]
 
 
+def describe_evacuations(reports: Iterable[FleetReport]) -> list[str]:
+    """Return a line for each evacuated failure domain with the instances that know of it."""
+    reports = list(reports)
+    domains = sorted({name for report in reports for name in report.evacuated_domains})
+    lines = []
+    for domain in domains:
+        unaware = [report.instance for report in reports if domain not in report.evacuated_domains]
+        lines.append(f'Evacuated: {domain}. Not known on: {", ".join(unaware) or "none"}.')
+    return lines
+
+
 def _entry_table(reports: Iterable[FleetReport]) -> tuple[str, ...]:
     rows = {
         entry.instance: (
@@ -182,6 +195,8 @@
 def _endpoint_state(endpoint: AnnouncedReport) -> str:
     if endpoint.leaving:
         return 'leaving'
+    if endpoint.evacuated and endpoint.standing == ENDPOINT_READY:
+        return 'evacuated'
     if endpoint.rest_left_ms > 0.0:
         return f'rests {endpoint.rest_left_ms / 1000.0:.1f} s'
     if endpoint.breaker_open:
--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -106,6 +106,18 @@
     return True
 
 
+def forget_endpoints(reach: EndpointReach, endpoints: Iterable[str]) -> None:
+    """Forget the failures of endpoints that are not used any more."""
+    names = set(endpoints)
+    for name in names:
+        reach._failed.pop(name, None)
+        reach._overdue.pop(name, None)
+    if reach._probed and reach._probed <= names:
+        # Only endpoints that are used may decide.
+        reach.probing = False
+        reach._probed.clear()
+
+
 def decide_cut_off(reach: EndpointReach, now_ms: float) -> bool:
     """Return whether the probes have just shown that this instance is cut off."""
     if now_ms - reach.checked_ms >= LATE_CHECK_MS:
--- a/packages/core/src/pistachioloft_core/messages/accepted.py
+++ b/packages/core/src/pistachioloft_core/messages/accepted.py
@@ -141,13 +141,36 @@
     document: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedEvacuations:
+    """Hold the evacuated failure domains and the log index of their last change."""
+
+    index: int = 0
+    failure_domains: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SetEvacuation:
+    """Evacuate a failure domain, or withdraw that, unless changed after `base_index`."""
+
+    failure_domain: str
+    evacuated: bool
+    base_index: int
+
+
 @dataclass(frozen=True, slots=True)
 class NoOperation:
     """Commit an entry of the new term without any effect on the state."""
 
 
 AcceptedCommand = (
-    SubmitConfiguration | DrainInstance | OpenClaim | CloseClaim | AcceptRoutes | NoOperation
+    SubmitConfiguration
+    | DrainInstance
+    | OpenClaim
+    | CloseClaim
+    | AcceptRoutes
+    | NoOperation
+    | SetEvacuation
 )
 
 CLAIM_GRANTED = 'granted'
--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -161,6 +161,9 @@
     # The entry instances whose addresses callers get.
     advertised: tuple[InstanceLocation, ...]
     crashes: tuple[RequestCrash, ...] = ()
+    # The evacuated failure domains, and the log index of their last change.
+    evacuation_index: int = 0
+    evacuated_domains: tuple[str, ...] = ()
 
 
 class ReadRequest(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/messages/proposal.py
+++ b/packages/core/src/pistachioloft_core/messages/proposal.py
@@ -10,6 +10,7 @@
     CommandOutcome,
     DrainInstance,
     OpenClaim,
+    SetEvacuation,
     SubmitConfiguration,
 )
 
@@ -24,6 +25,7 @@
     open_claim: OpenClaim | None = None
     close_claim: CloseClaim | None = None
     routes: AcceptRoutes | None = None
+    evacuation: SetEvacuation | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/messages/report.py
+++ b/packages/core/src/pistachioloft_core/messages/report.py
@@ -41,6 +41,7 @@
     limit_per_s: float | None = None
     rest_left_ms: float = 0.0
     leaving: bool = False
+    evacuated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,3 +81,4 @@
     endpoints: tuple[AnnouncedReport, ...] = ()
     budgets: tuple[BudgetReport, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
+    evacuated_domains: tuple[str, ...] = ()
--- a/packages/core/src/pistachioloft_core/process/endpoint_table.py
+++ b/packages/core/src/pistachioloft_core/process/endpoint_table.py
@@ -38,17 +38,28 @@
 class EndpointTable:
     """Hold the load of the known endpoints and the usable endpoints of each service."""
 
-    __slots__ = ('_services_by_domain', 'endpoints', 'remembered', 'services', 'usable_count')
+    __slots__ = (
+        '_services_by_domain',
+        'endpoints',
+        'evacuated_domains',
+        'evacuation_index',
+        'remembered',
+        'services',
+        'usable_count',
+    )
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointLoad] = {}
-        # Usable endpoints only; draining, departed and lapsed ones get no new requests.
+        # Usable endpoints only; draining, departed, lapsed and evacuated ones get no new requests.
         self.services: dict[str, list[EndpointLoad]] = {}
         self.usable_count = 0
         # By failure domain: the services with a usable endpoint there, until that changes.
         self._services_by_domain: dict[str, frozenset[str]] = {}
         # By endpoint that is no longer announced: its start and what it said about itself.
         self.remembered: dict[str, tuple[int, EndpointStatements]] = {}
+        self.evacuated_domains: frozenset[str] = frozenset()
+        # The log index of the last change of the evacuated failure domains.
+        self.evacuation_index = 0
 
     def usable(self, service: str) -> list[EndpointLoad]:
         """Return the endpoints of a service that may receive new requests."""
@@ -126,6 +137,41 @@
     ]
 
 
+def set_evacuated_domains(
+    table: EndpointTable, now_ms: float, index: int, domains: Iterable[str]
+) -> list[EndpointLoad]:
+    """Withdraw the endpoints of evacuated failure domains, and restore those of the others."""
+    if index <= table.evacuation_index:
+        return []
+    before, table.evacuated_domains = table.evacuated_domains, frozenset(domains)
+    table.evacuation_index = index
+    changed_domains = before ^ table.evacuated_domains
+    affected = [
+        load for load in table.endpoints.values() if load.record.failure_domain in changed_domains
+    ]
+    for load in affected:
+        if is_evacuated(table, load):
+            _withdraw(table, load)
+        elif _is_alive(load, now_ms):
+            # It may have restarted meanwhile, and all instances return to it together.
+            load.prepare_return(now_ms)
+            _add(table, load)
+    return affected
+
+
+def is_evacuated(table: EndpointTable, load: EndpointLoad) -> bool:
+    """Return whether the failure domain of an endpoint is evacuated."""
+    return load.record.failure_domain in table.evacuated_domains
+
+
+def _is_alive(load: EndpointLoad, now_ms: float) -> bool:
+    if load.statements.is_leaving:
+        return False
+    is_replying = now_ms < load.replied_ms + REPLY_VALID_MS
+    state = load.record.endpoint_state
+    return state == ENDPOINT_READY or (state == ENDPOINT_LAPSED and is_replying)
+
+
 def _supersedes(current: AnnouncedEndpoint, record: AnnouncedEndpoint, synchronized: bool) -> bool:
     if record.born_ms != current.born_ms:
         return record.born_ms > current.born_ms
@@ -152,12 +198,10 @@
         table.endpoints[record.endpoint] = load
     load.cold_until_ms = cold_until_ms
     is_replying = now_ms < load.replied_ms + REPLY_VALID_MS
-    if record.endpoint_state == ENDPOINT_READY and not load.statements.is_leaving:
-        usable = table.services.setdefault(record.service, [])
-        if load not in usable:
-            usable.append(load)
-            table.usable_count += 1
-            table.forget_derived()
+    if is_evacuated(table, load):
+        _withdraw(table, load)
+    elif record.endpoint_state == ENDPOINT_READY and not load.statements.is_leaving:
+        _add(table, load)
     elif record.endpoint_state != ENDPOINT_LAPSED or not is_replying:
         _withdraw(table, load)
     if (
@@ -191,6 +235,14 @@
     )
 
 
+def _add(table: EndpointTable, load: EndpointLoad) -> None:
+    usable = table.services.setdefault(load.record.service, [])
+    if load not in usable:
+        usable.append(load)
+        table.usable_count += 1
+        table.forget_derived()
+
+
 def _withdraw(table: EndpointTable, load: EndpointLoad) -> bool:
     usable = table.services.get(load.record.service, [])
     if load not in usable:
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -7,6 +7,7 @@
 
 from msgspec.structs import replace
 
+from ..messages.accepted import AcceptedEvacuations
 from ..messages.fleet import (
     ENDPOINT_DRAINING,
     ENDPOINT_LEFT,
@@ -60,6 +61,7 @@
 CRASH_LIMIT_COUNT = 4_096
 # Newest crash reports that each update repeats, in case an update is lost.
 FEED_CRASH_COUNT = 32
+NO_EVACUATIONS = AcceptedEvacuations()
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,6 +268,7 @@
     confirmed: bool,
     route_version: int,
     document: bytes,
+    evacuations: AcceptedEvacuations = NO_EVACUATIONS,
 ) -> FeedReply:
     """Reply to an entry instance with the changes that it has not received yet."""
     if merge_entry(state.entries, now_ms, poll.entry):
@@ -274,7 +277,7 @@
         record_crash(state, now_ms, crash, pass_on=True)
     same_incarnation = poll.control_incarnation == state.own_status.incarnation
     since = poll.endpoint_revision if same_incarnation else 0
-    reply = make_feed(state, now_ms, since, confirmed, route_version, document)
+    reply = make_feed(state, now_ms, since, confirmed, route_version, document, evacuations)
     newer = route_version > poll.entry.route_version
     return replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
 
@@ -286,6 +289,7 @@
     confirmed: bool,
     route_version: int,
     document: bytes,
+    evacuations: AcceptedEvacuations = NO_EVACUATIONS,
 ) -> FeedReply:
     """Build an update of what changed after a revision; revision 0 gives a full update."""
     names = state.announced.changed_since(since)
@@ -306,6 +310,8 @@
             for entry in advertised_entries(live_entries(state, now_ms), state.entry_limit)
         ),
         crashes=_newest_crashes(state, now_ms),
+        evacuation_index=evacuations.index,
+        evacuated_domains=evacuations.failure_domains,
     )
 
 
--- a/packages/core/src/pistachioloft_core/version/accepted.py
+++ b/packages/core/src/pistachioloft_core/version/accepted.py
@@ -12,6 +12,7 @@
 from ..messages.accepted import (
     AcceptedCommand,
     AcceptedConfiguration,
+    AcceptedEvacuations,
     AcceptedRoutes,
     AcceptRoutes,
     CloseClaim,
@@ -21,6 +22,7 @@
     HistoryEntry,
     NoOperation,
     OpenClaim,
+    SetEvacuation,
     SubmitConfiguration,
 )
 from ..messages.agreement import ENTRY_COMMAND
@@ -40,7 +42,11 @@
 # names of these instances to report correctly where a submission is in force.
 REMOVED_LIMIT_COUNT = 1024
 
+# Far above the failure domains that an operator evacuates at once; bounds each feed reply.
+EVACUATION_LIMIT_COUNT = 64
+
 NO_ROUTES = AcceptedRoutes()
+NO_EVACUATIONS = AcceptedEvacuations()
 
 _COMMAND_TYPE_BY_NAME: dict[str, type] = {
     kind.__name__: kind
@@ -51,6 +57,7 @@
         CloseClaim,
         AcceptRoutes,
         NoOperation,
+        SetEvacuation,
     )
 }
 _command_decoder_by_name: dict[str, msgspec.msgpack.Decoder[Any]] = {
@@ -79,6 +86,7 @@
     outcomes: tuple[RecordedOutcome, ...]
     claims: tuple[Claim, ...]
     routes: AcceptedRoutes = NO_ROUTES
+    evacuations: AcceptedEvacuations = NO_EVACUATIONS
 
 
 class AcceptedState:
@@ -94,6 +102,7 @@
         self.outcomes: dict[str, RecordedOutcome] = {}
         self.claim_table = ClaimTable()
         self.routes = NO_ROUTES
+        self.evacuations = NO_EVACUATIONS
 
 
 def configuration_digest(configuration: Configuration) -> str:
@@ -111,6 +120,11 @@
     return state.routes
 
 
+def accepted_evacuations(state: AcceptedState) -> AcceptedEvacuations:
+    """Return the evacuations in force."""
+    return state.evacuations
+
+
 def history(state: AcceptedState) -> tuple[HistoryEntry, ...]:
     """Return the last HISTORY_LIMIT_COUNT accepted submissions, oldest first."""
     return tuple(state.history)
@@ -137,6 +151,8 @@
             return _apply_operator_command(state, command)
         case AcceptRoutes():
             return _apply_accept_routes(state, command)
+        case SetEvacuation():
+            return _apply_set_evacuation(state, command)
         case NoOperation():
             return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.accepted.index)
 
@@ -191,6 +207,7 @@
             tuple(state.outcomes.values()),
             tuple(state.claim_table.claims.values()),
             state.routes,
+            state.evacuations,
         )
     )
 
@@ -211,6 +228,7 @@
     state.outcomes = {recorded.command_id: recorded for recorded in snapshot.outcomes}
     state.claim_table = ClaimTable(snapshot.claims)
     state.routes = snapshot.routes
+    state.evacuations = snapshot.evacuations
     return state
 
 
@@ -223,6 +241,24 @@
     return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.applied_index)
 
 
+def _apply_set_evacuation(state: AcceptedState, command: SetEvacuation) -> CommandOutcome:
+    current, name = state.evacuations, command.failure_domain
+    if command.evacuated == (name in current.failure_domains):
+        return CommandOutcome(
+            ResultCode.ACCEPTED_REPEATED, 'already so', current.index, repeated=True
+        )
+    if command.base_index < current.index:
+        # A late copy of an order must not undo one that was accepted after it.
+        detail = f'ordered at index {command.base_index}, changed at index {current.index}'
+        return CommandOutcome(ResultCode.CONFLICT, detail, current.index)
+    domains = {*current.failure_domains, name} - ({name} if not command.evacuated else set())
+    if len(domains) > EVACUATION_LIMIT_COUNT:
+        detail = f'{EVACUATION_LIMIT_COUNT} failure domains are evacuated already'
+        return CommandOutcome(ResultCode.TOO_LARGE, detail, current.index)
+    state.evacuations = AcceptedEvacuations(state.applied_index, tuple(sorted(domains)))
+    return CommandOutcome(ResultCode.ACCEPTED, accepted_index=state.applied_index)
+
+
 def _apply_operator_command(
     state: AcceptedState, command: SubmitConfiguration | DrainInstance
 ) -> CommandOutcome:
--- a/packages/daemon/src/pistachioloft_daemon/control_calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_calls.py
@@ -40,6 +40,14 @@
     """Read the document of the newest accepted routes."""
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuate:
+    """Evacuate a failure domain, or withdraw the order."""
+
+    failure_domain: str
+    evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ListAddresses:
     """List the addresses that a caller should use."""
@@ -62,7 +70,16 @@
     detail: str
 
 
-Call = Announce | Depart | SubmitRoutes | ReadRoutes | ListAddresses | CheckReadiness | UnknownCall
+Call = (
+    Announce
+    | Depart
+    | SubmitRoutes
+    | ReadRoutes
+    | Evacuate
+    | ListAddresses
+    | CheckReadiness
+    | UnknownCall
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -10,13 +10,13 @@
 
 from pistachioloft_core.errors import CodedError
 from pistachioloft_core.messages import fleet as messages
-from pistachioloft_core.messages.accepted import AcceptedRoutes
+from pistachioloft_core.messages.accepted import AcceptedEvacuations, AcceptedRoutes
 from pistachioloft_core.messages.agreement import AgreementMessage
 from pistachioloft_core.messages.proposal import ProposeReply, ProposeRequest
 from pistachioloft_core.process import agreement, fleet
 from pistachioloft_core.process.directory import advertised_entries, caller_addresses, entry_limit
 from pistachioloft_core.process.voters import choose_voters, target_voter_count
-from pistachioloft_core.version.accepted import accepted_routes
+from pistachioloft_core.version.accepted import accepted_evacuations, accepted_routes
 
 from .control_interface import ControlInterface
 from .endpoint_store import EndpointStore
@@ -86,6 +86,7 @@
         self.proposals = Proposals(settings.instance, self._voters, self.peers.send)
         self.reads = QuorumReads(settings.instance, self.leader, self.peers.send)
         self.routes = AcceptedRoutes()
+        self.evacuations = AcceptedEvacuations()
         assert settings.data_folder is not None
         self.store = EndpointStore(settings.data_folder)
         self.supervisor = self._make_supervisor(settings.data_folder / VOTER_FOLDER)
@@ -95,6 +96,7 @@
         self.push_timer = 0
         self.pushed_revision = 0
         self.pushed_version = 0
+        self.pushed_evacuation_index = 0
         self.keep_ms = min(settings.bounds.keep_ms, ADDRESS_KEEP_LIMIT_MS)
         self.next_share_ms = 0.0
         self.interface = ControlInterface(self, wire)
@@ -118,6 +120,7 @@
             lambda _leads: None,
             lambda reason: logger.error('%s no longer a voter: %s', PREFIX, reason),
             self._on_routes,
+            self._on_evacuations,
         )
         return VoterSupervisor(folder, self.settings.instance, founders, hooks, self._on_voter)
 
@@ -196,6 +199,11 @@
         names = dict.fromkeys(agreement.instance_of(member) for member in members)
         return tuple(name for name in names if name != self.settings.instance)
 
+    def applied_index(self) -> int:
+        """Return the index of the last log entry that is applied here."""
+        voter = self.supervisor.voter
+        return voter.applied_index if voter is not None else self.evacuations.index
+
     def _voters(self) -> tuple[str, ...]:
         return (self.settings.instance, *self.other_voters())
 
@@ -204,6 +212,7 @@
         self.reads.voter = voter
         self.fleet.own_status = replace(self.fleet.own_status, member=voter.member_id)
         self._on_routes(accepted_routes(voter.accepted))
+        self._on_evacuations(accepted_evacuations(voter.accepted))
 
     def _on_routes(self, routes: AcceptedRoutes) -> None:
         if routes.version <= self.routes.version:
@@ -220,6 +229,14 @@
             self.fleet.entry_limit = entry_limit(decoded)
         self.push()
 
+    def _on_evacuations(self, evacuations: AcceptedEvacuations) -> None:
+        if evacuations.index <= self.evacuations.index:
+            return
+        self.evacuations = evacuations
+        names = ','.join(evacuations.failure_domains) or 'none'
+        logger.info('[agreement] evacuated domains: %s index=%d', names, evacuations.index)
+        self.push()
+
     def addresses(self, failure_domain: str) -> tuple[str, ...]:
         """Return the addresses that a caller of a failure domain should use."""
         entries = fleet.live_entries(self.fleet, monotonic_ms())
@@ -239,6 +256,11 @@
                 float(voter is not None and voter.is_leader()),
             ),
             ('route_version', 'Newest accepted routes', self.routes.version),
+            (
+                'evacuated_domains',
+                'Evacuated failure domains',
+                len(self.evacuations.failure_domains),
+            ),
             ('live_controls', 'Live control instances', len(controls)),
             ('live_entries', 'Live entry instances', len(entries)),
             ('known_endpoints', 'Known endpoints', len(self.fleet.announced.endpoints)),
@@ -324,11 +346,14 @@
     def _send_update(self) -> None:
         self.push_due = False
         revision, version = self.fleet.announced.revision, self.routes.version
-        if (revision, version) == (self.pushed_revision, self.pushed_version):
+        evacuated = self.evacuations.index != self.pushed_evacuation_index
+        if (revision, version) == (self.pushed_revision, self.pushed_version) and not evacuated:
             return
         now_ms = monotonic_ms()
-        urgent = version != self.pushed_version or fleet.has_urgent_change(
-            self.fleet, self.pushed_revision
+        urgent = (
+            version != self.pushed_version
+            or evacuated
+            or fleet.has_urgent_change(self.fleet, self.pushed_revision)
         )
         if not urgent and now_ms < self.next_push_ms:
             if not self.push_timer:
@@ -339,9 +364,16 @@
         self.next_push_ms = now_ms + fleet.PUSH_INTERVAL_MS
         document = self.routes.document if version != self.pushed_version else b''
         update = fleet.make_feed(
-            self.fleet, now_ms, self.pushed_revision, self.confirmed(), version, document
+            self.fleet,
+            now_ms,
+            self.pushed_revision,
+            self.confirmed(),
+            version,
+            document,
+            self.evacuations,
         )
         self.pushed_revision, self.pushed_version = revision, version
+        self.pushed_evacuation_index = self.evacuations.index
         for entry in fleet.direct_entries(self.fleet, now_ms):
             self.peers.send(entry.instance, update)
 
@@ -404,6 +436,12 @@
             self._reconnect_if_due(sender, now_ms)
         routes = self.routes
         reply = fleet.on_feed_poll(
-            self.fleet, now_ms, poll, self.confirmed(), routes.version, routes.document
+            self.fleet,
+            now_ms,
+            poll,
+            self.confirmed(),
+            routes.version,
+            routes.document,
+            self.evacuations,
         )
         self.peers.send(sender, reply)
--- a/packages/daemon/src/pistachioloft_daemon/control_interface.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_interface.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.errors import ResultCode
-from pistachioloft_core.messages.accepted import AcceptRoutes
+from pistachioloft_core.messages.accepted import AcceptRoutes, SetEvacuation
 from pistachioloft_core.messages.fleet import (
     ENDPOINT_DRAINING,
     ENDPOINT_LEFT,
@@ -25,6 +25,7 @@
     CheckReadiness,
     Depart,
     Done,
+    Evacuate,
     ListAddresses,
     Outcome,
     ReadRoutes,
@@ -92,6 +93,8 @@
                 self._submit(call, answer)
             case ReadRoutes():
                 self._read(answer)
+            case Evacuate():
+                self._evacuate(call, answer)
             case ListAddresses():
                 self._list_addresses(call, answer)
             case CheckReadiness():
@@ -218,6 +221,31 @@
         command = AcceptRoutes(version, pack_document(call.document))
         self.instance.proposals.propose(proposal_id, command, SUBMIT_TIMEOUT_MS, on_outcome)
 
+    def _evacuate(self, call: Evacuate, answer: Answer) -> None:
+        """Propose an order, also a repeated one: the state here may be behind the log."""
+
+        def on_outcome(outcome: CommandOutcome | None) -> None:
+            code = outcome.result_code if outcome is not None else ResultCode.SUBMIT_UNKNOWN
+            detail = outcome.detail if outcome is not None else ''
+            logger.info(
+                '%s evacuation answered: domain=%r evacuated=%s code=%s %s',
+                PREFIX,
+                call.failure_domain,
+                str(call.evacuated).lower(),
+                code.name.lower(),
+                detail,
+            )
+            if code is ResultCode.CONFLICT:
+                # The operator's next call is based on what was accepted meanwhile.
+                code = ResultCode.SUBMIT_UNKNOWN
+            retry_after_ms = RETRY_AFTER_MS if code is ResultCode.SUBMIT_UNKNOWN else None
+            answer(Done(code, detail, b'', retry_after_ms))
+
+        self.number += 1
+        proposal_id = f'evacuation-{self.instance.fleet.own_status.incarnation}-{self.number}'
+        command = SetEvacuation(call.failure_domain, call.evacuated, self.instance.applied_index())
+        self.instance.proposals.propose(proposal_id, command, SUBMIT_TIMEOUT_MS, on_outcome)
+
     def _read(self, answer: Answer) -> None:
         def on_confirmed(confirmed: bool) -> None:
             routes = self.instance.routes
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
+from pistachioloft_core.connection.reach import forget_endpoints
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
 from pistachioloft_core.messages.permits import PermitGrant, PermitRequest
@@ -336,6 +337,7 @@
         now_ms = monotonic_ms()
         has_update = feed.on_feed(self.feed, now_ms, sender, reply)
         on_crash_reports(self.requests.crashes.watch, now_ms, reply.crashes)
+        self._apply_evacuations(now_ms, reply)
         if reply.document:
             self._adopt_routes(reply.route_version, reply.document)
         if has_update:
@@ -355,6 +357,29 @@
         self._on_endpoint_changes(changes)
         self._apply_advertised(now_ms, reply.advertised)
 
+    def _apply_evacuations(self, now_ms: float, reply: FeedReply) -> None:
+        """Withdraw or restore endpoints, and place anew what waits for the withdrawn ones."""
+        table = self.state.table
+        if reply.evacuation_index <= table.evacuation_index:
+            return
+        affected = endpoint_table.set_evacuated_domains(
+            table, now_ms, reply.evacuation_index, reply.evacuated_domains
+        )
+        logger.info(
+            '[placement] evacuated domains: %s index=%d, endpoints affected: %d',
+            ','.join(reply.evacuated_domains) or 'none',
+            reply.evacuation_index,
+            len(affected),
+        )
+        names = [load.record.endpoint for load in affected]
+        evacuated = [
+            load.record.endpoint for load in affected if endpoint_table.is_evacuated(table, load)
+        ]
+        forget_endpoints(self.state.reach, evacuated)
+        for name in evacuated:
+            self.requests.pool.return_queued(name, 'its failure domain is evacuated')
+        self._update_connections(names)
+
     def _apply_advertised(self, now_ms: float, advertised: tuple[InstanceLocation, ...]) -> None:
         """Divide connections and budgets among the advertised instances."""
         was_advertised = self.advertised
--- a/packages/daemon/src/pistachioloft_daemon/gauges.py
+++ b/packages/daemon/src/pistachioloft_daemon/gauges.py
@@ -74,6 +74,11 @@
             'Endpoints that said they leave',
             sum(load.statements.is_leaving for load in loads),
         ),
+        (
+            'evacuated_domains',
+            'Evacuated failure domains',
+            len(instance.state.table.evacuated_domains),
+        ),
         (
             'answer_allowance_ms',
             'Time by which answers of queries are due before they must be written',
--- a/packages/daemon/src/pistachioloft_daemon/platform/calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/calls.py
@@ -16,6 +16,7 @@
     Call,
     CheckReadiness,
     Depart,
+    Evacuate,
     ListAddresses,
     Outcome,
     ReadRoutes,
@@ -24,11 +25,19 @@
 )
 from ..http1.messages import Response
 from .documents import decode_announcement, decode_departure, decode_routes
-from .names import ADDRESSES_PATH, ENDPOINTS_PATH, READINESS_PATH, RETRY_AFTER, ROUTES_PATH
+from .names import (
+    ADDRESSES_PATH,
+    ENDPOINTS_PATH,
+    EVACUATIONS_PATH,
+    READINESS_PATH,
+    RETRY_AFTER,
+    ROUTES_PATH,
+)
 
 if TYPE_CHECKING:
     from ..http1.messages import Request
 
+FAILURE_DOMAIN_LENGTH_MAX = 256
 _JSON_HEADERS = ((b'Content-Type', b'application/json'),)
 
 
@@ -82,5 +91,20 @@
             return Announce(decode_announcement(endpoint, request.body))
         if method == b'DELETE':
             return Depart(endpoint, decode_departure(request.body))
+    if path.startswith(EVACUATIONS_PATH) and method in (b'POST', b'DELETE'):
+        name = _decode_failure_domain(path.removeprefix(EVACUATIONS_PATH))
+        return Evacuate(name, method == b'POST')
     detail = f'there is no {method.decode("latin-1")} {path}'
     raise CodedError(ResultCode.UNKNOWN_PATH, detail)
+
+
+def _decode_failure_domain(text: str) -> str:
+    try:
+        name = unquote(text, errors='strict')
+    except UnicodeDecodeError as error:
+        detail = f'the name of the failure domain is not UTF-8: {error}'
+        raise CodedError(ResultCode.MALFORMED, detail) from error
+    if not 1 <= len(name) <= FAILURE_DOMAIN_LENGTH_MAX:
+        detail = f'the name of a failure domain has 1 to {FAILURE_DOMAIN_LENGTH_MAX} characters'
+        raise CodedError(ResultCode.OUT_OF_RANGE, detail)
+    return name
--- a/packages/daemon/src/pistachioloft_daemon/proposals.py
+++ b/packages/daemon/src/pistachioloft_daemon/proposals.py
@@ -14,6 +14,7 @@
     CommandOutcome,
     DrainInstance,
     OpenClaim,
+    SetEvacuation,
     SubmitConfiguration,
 )
 from pistachioloft_core.messages.proposal import ProposeReply, ProposeRequest
@@ -143,6 +144,8 @@
             return ProposeRequest(proposal_id, close_claim=command)
         case AcceptRoutes():
             return ProposeRequest(proposal_id, routes=command)
+        case SetEvacuation():
+            return ProposeRequest(proposal_id, evacuation=command)
     raise TypeError(f'{type(command).__name__} is not proposed by instances')
 
 
@@ -153,5 +156,6 @@
         request.open_claim,
         request.close_claim,
         request.routes,
+        request.evacuation,
     )
     return next((command for command in commands if command is not None), None)
--- a/packages/daemon/src/pistachioloft_daemon/reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/reports.py
@@ -17,6 +17,7 @@
 )
 from pistachioloft_core.process import agreement, feed, fleet
 from pistachioloft_core.process.directory import advertised_entries
+from pistachioloft_core.process.endpoint_table import is_evacuated
 from pistachioloft_core.process.suspects import SuspicionLevel, suspicion_level
 
 from .loop_timers import monotonic_ms
@@ -67,7 +68,10 @@
         confirmed_age_ms=None if confirmation_age_ms == float('inf') else confirmation_age_ms,
         control_instances=feed.candidates(instance.feed),
         endpoints=tuple(
-            _describe_load(load, load in state.table.usable(load.record.service), now_ms)
+            replace(
+                _describe_load(load, load in state.table.usable(load.record.service), now_ms),
+                evacuated=is_evacuated(state.table, load),
+            )
             for load in state.table.endpoints.values()
         ),
         budgets=tuple(
@@ -85,6 +89,7 @@
             for digest, level in suspicion_levels.items()
             if level is not SuspicionLevel.CLEAR
         ),
+        evacuated_domains=tuple(sorted(state.table.evacuated_domains)),
     )
 
 
@@ -93,6 +98,7 @@
     now_ms = monotonic_ms()
     settings, state = instance.settings, instance.fleet
     voter = instance.supervisor.voter
+    evacuated = instance.evacuations.failure_domains
     entries = fleet.live_entries(state, now_ms)
     advertised = {entry.instance for entry in advertised_entries(entries, state.entry_limit)}
     return FleetReport(
@@ -121,12 +127,19 @@
             for entry in entries
         ),
         endpoints=tuple(
-            _describe(received.record, received.record.endpoint_state == ENDPOINT_READY)
+            _describe_announced(received.record, evacuated)
             for received in state.announced.endpoints.values()
         ),
+        evacuated_domains=evacuated,
     )
 
 
+def _describe_announced(record: AnnouncedEndpoint, evacuated: tuple[str, ...]) -> AnnouncedReport:
+    is_out = record.failure_domain in evacuated
+    usable = record.endpoint_state == ENDPOINT_READY and not is_out
+    return replace(_describe(record, usable), evacuated=is_out)
+
+
 def _describe(record: AnnouncedEndpoint, usable: bool) -> AnnouncedReport:
     return AnnouncedReport(
         record.endpoint,
--- a/packages/daemon/src/pistachioloft_daemon/voter.py
+++ b/packages/daemon/src/pistachioloft_daemon/voter.py
@@ -14,6 +14,7 @@
 from pistachioloft_core.errors import CodedError
 from pistachioloft_core.messages.accepted import (
     AcceptedConfiguration,
+    AcceptedEvacuations,
     AcceptedRoutes,
     CommandOutcome,
 )
@@ -78,6 +79,7 @@
     role_changed: Callable[[bool], None]
     failed: Callable[[str], None]
     routes_applied: Callable[[AcceptedRoutes], None] = lambda _routes: None
+    evacuations_applied: Callable[[AcceptedEvacuations], None] = lambda _evacuations: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,6 +318,9 @@
         routes = accepted.accepted_routes(self.accepted)
         if routes.index == entry.index:
             self.hooks.routes_applied(routes)
+        evacuations = accepted.accepted_evacuations(self.accepted)
+        if evacuations.index == entry.index:
+            self.hooks.evacuations_applied(evacuations)
 
     def _complete_proposal(self, proposal_id: str, outcome: CommandOutcome | None) -> None:
         proposal = self.pending_proposals.pop(proposal_id, None)
@@ -377,6 +382,7 @@
         logger.info('%s snapshot installed at index %d', PREFIX, meta.index)
         self.hooks.configuration_applied(accepted.accepted_configuration(state))
         self.hooks.routes_applied(accepted.accepted_routes(state))
+        self.hooks.evacuations_applied(accepted.accepted_evacuations(state))
         for action in agreement.step(self.state, monotonic_ms(), agreement.SnapshotInstalled(meta)):
             await self._execute_action(action)
 
--- a/tools/wire_formats.py
+++ b/tools/wire_formats.py
@@ -14,6 +14,7 @@
     CloseClaim,
     DrainInstance,
     OpenClaim,
+    SetEvacuation,
     SubmitConfiguration,
 )
 from pistachioloft_core.messages.fleet import AnnouncedEndpoint
@@ -27,6 +28,7 @@
     CloseClaim,
     DrainInstance,
     OpenClaim,
+    SetEvacuation,
     SubmitConfiguration,
     accepted._StateSnapshot,
     layout.AppendRecord,
