Test evacuations in the log, the feed and the choice of endpoints

A suspicion that this instance is cut off is dropped also if all probes of evacuated endpoints have failed already; the new test in test_reach found it.

--- a/packages/core/src/pistachioloft_core/connection/reach.py
+++ b/packages/core/src/pistachioloft_core/connection/reach.py
@@ -112,8 +112,8 @@
     for name in names:
         reach._failed.pop(name, None)
         reach._overdue.pop(name, None)
-    if reach._probed and reach._probed <= names:
-        # Only endpoints that are used may decide.
+    if names and reach._probed <= names:
+        # Only endpoints that are used may decide; other failures raise the suspicion again.
         reach.probing = False
         reach._probed.clear()
 
--- a/tests/test_cli/test_fleet_commands.py
+++ b/tests/test_cli/test_fleet_commands.py
@@ -130,3 +130,18 @@
     assert any(line.startswith('i-3') and 'leaving' in line for line in lines)
     assert any(line.startswith('i-4') and 'limit 7.5/s' in line for line in lines)
     assert any(line.startswith('10.1.0.9 north cut off') for line in lines)
+
+
+def test_evacuations_are_shown(run: Run, make_instance: MakeInstance) -> None:
+    """Guard against hiding that a failure domain is evacuated, or who does not know it yet."""
+    out = AnnouncedReport('i-1', 's1', 'north', '10.3.0.1:80', 'ready', False, evacuated=True)
+    gone = replace(out, endpoint='i-2', standing='left')
+    control = replace(CONTROL, evacuated_domains=('north',), endpoints=(out, gone))
+    addresses = serve(make_instance, control), serve(make_instance, ENTRY)
+    result = run('fleet', 'status', '--at', addresses[0], '--at', addresses[1])
+    lines = [' '.join(line.split()) for line in result.out.splitlines()]
+    assert f'Evacuated: north. Not known on: {ENTRY.instance}.' in lines
+    assert any(line.startswith('i-1') and 'evacuated' in line for line in lines)
+    assert any(line.startswith('i-2') and 'left' in line for line in lines)
+    plain = run('fleet', 'status', '--at', addresses[1])
+    assert 'Evacuated' not in plain.out
--- a/tests/test_platform/test_calls.py
+++ b/tests/test_platform/test_calls.py
@@ -14,6 +14,7 @@
     CheckReadiness,
     Depart,
     Done,
+    Evacuate,
     ListAddresses,
     ReadRoutes,
     SubmitRoutes,
@@ -41,6 +42,19 @@
     assert decode_call(Request(b'DELETE', target, (), b'{"born":3}')) == Depart('i-1', 3)
 
 
+def test_evacuations_are_decoded() -> None:
+    """Guard against an order that is withdrawn, or that names another failure domain."""
+    for target, name in (
+        (b'bne-a', 'bne-a'),
+        (b'a%20b%2Fc%C3%9F', 'a b/cß'),
+        (b'z' * 256, 'z' * 256),
+        (b'%C3%9F' * 256, 'ß' * 256),
+    ):
+        path = b'/-/evacuation/' + target
+        assert decode_call(Request(b'POST', path, ())) == Evacuate(name, True)
+        assert decode_call(Request(b'DELETE', path, (), b'')) == Evacuate(name, False)
+
+
 @pytest.mark.parametrize(
     ('request_', 'code'),
     [
@@ -50,6 +64,10 @@
         (Request(b'PUT', b'/-/config', (), b'{}'), ResultCode.WRONG_TYPE),
         (Request(b'PUT', b'/-/instances/', (), encoded(ANNOUNCEMENT)), ResultCode.WRONG_TYPE),
         (Request(b'DELETE', b'/-/instances/i', (), b'['), ResultCode.WRONG_TYPE),
+        (Request(b'POST', b'/-/evacuation/', ()), ResultCode.OUT_OF_RANGE),
+        (Request(b'POST', b'/-/evacuation/' + b'z' * 257, ()), ResultCode.OUT_OF_RANGE),
+        (Request(b'DELETE', b'/-/evacuation/%ff', ()), ResultCode.MALFORMED),
+        (Request(b'GET', b'/-/evacuation/z', ()), ResultCode.UNKNOWN_PATH),
     ],
 )
 def test_undecodable_call_is_answered_with_the_reason(request_: Request, code: ResultCode) -> None:
--- a/tests/test_reach/test_reach.py
+++ b/tests/test_reach/test_reach.py
@@ -13,6 +13,7 @@
     EndpointReach,
     choose_probes,
     decide_cut_off,
+    forget_endpoints,
     record_connected,
     record_failed,
     record_overdue,
@@ -132,3 +133,23 @@
     record_connected(links.reach, links.now_ms, probed[0], len(LOADS))
     links.run(1_000.0)
     assert not links.cut_off_ms
+
+
+@pytest.mark.parametrize('hanging', [False, True])
+def test_endpoints_that_are_used_no_more_are_no_evidence(hanging: bool) -> None:
+    """Guard against an instance that seems cut off because its failure domain was evacuated."""
+    links = Links()
+    links.reachable, links.hanging = set(), hanging
+    for name in NAMES[:3]:
+        record_failed(links.reach, links.now_ms, name)
+        record_overdue(links.reach, links.now_ms, name)
+    forget_endpoints(links.reach, NAMES[:3])
+    assert links.run(500.0) == 0
+    for name in NAMES[:3]:
+        record_failed(links.reach, links.now_ms, name)
+    assert links.run(50.0) > 0
+    # The probed endpoints are withdrawn before the suspicion is decided.
+    forget_endpoints(links.reach, NAMES)
+    links.reachable = set(NAMES)
+    links.run(2_000.0)
+    assert links.cut_off_ms == []
