--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -163,6 +163,9 @@
     crashes: tuple[RequestCrash, ...] = ()
     # The entry instances among which shards are divided; empty if these are the advertised ones.
     helpers: tuple[InstanceLocation, ...] = ()
+    # The evacuated failure domains, and the log index of their last change.
+    evacuation_index: int = 0
+    evacuated_domains: tuple[str, ...] = ()
 
 
 class ReadRequest(Struct, frozen=True, array_like=True):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,10 +10,11 @@
 from typing import TYPE_CHECKING
 
 from ..fleet.cut_links import HANG, REFUSE, RESET
+from ..fleet.processes import FAILURE_DOMAINS
 from ..fleet.searcher import STATUS_DROP, ReplyPlan
-from .checks import DRAIN_S
+from .checks import DRAIN_S, EVACUATE_S
 from .proxy import NO_FAULT, Fault
-from .site import Period
+from .site import Evacuation, Period
 
 if TYPE_CHECKING:
     from ..fleet.processes import Machine
@@ -140,6 +141,19 @@
         site.acknowledged_version = max(site.acknowledged_version, await site.submit())
 
 
+async def evacuate(site: SoakSite, random_source: random.Random) -> None:
+    """Evacuate a failure domain for a while, and order that twice now and then."""
+    domain = random_source.choice(FAILURE_DOMAINS)
+    async with site.evacuation_lock:
+        await site.order_evacuation(domain, evacuated=True)
+        confirmed_s = time.monotonic()
+        await asyncio.sleep(random_source.uniform(0.2, EVACUATE_S + MAX_FAULT_S))
+        if random_source.random() < 0.5:
+            await site.order_evacuation(domain, evacuated=True)
+        site.evacuations.append(Evacuation(domain, confirmed_s, time.monotonic()))
+        await site.order_evacuation(domain, evacuated=False)
+
+
 FAULTS: tuple[FaultFunction, ...] = (
     kill_entry,
     kill_control,
@@ -151,6 +165,7 @@
     state_something,
     fill_disk,
     change_routes,
+    evacuate,
 )
 
 
