Keep organisations within their allotments over all instances

Cause: each instance served every request of an organisation, so nothing bounded their sum. Change: one advertised instance grants permits for each organisation from a token bucket; entry instances admit with a spare permit or ask first.

--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -69,6 +69,10 @@
         'PermitRequest',
         'PermitGrant',
     ),
+    'allotments': (
+        'AllotmentRequest',
+        'AllotmentGrant',
+    ),
     'agreement': (
         'VoteRequest',
         'VoteReply',
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..connection.reach import EndpointReach
+from ..process.allotments import DEFAULT_ALLOTMENT_BOUNDS, AllotmentBounds
 from ..process.budget import BudgetLimits, BudgetState, set_limits
 from ..process.directory import CONNECTION_FRACTION
 from ..process.endpoint_table import EndpointTable
@@ -38,6 +39,8 @@
     connection_count: int = 1_000_000
     # Capacity of the machine's network link.
     link_mbit_per_s: float = 1_000.0
+    # What organisations may send beyond their allotments.
+    allotments: AllotmentBounds = DEFAULT_ALLOTMENT_BOUNDS
 
 
 class RoutedState:
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.errors import CodedError, ResultCode
+from pistachioloft_core.messages.allotments import AllotmentGrant, AllotmentRequest
 from pistachioloft_core.messages.fleet import EntryStatus, FeedReply
 from pistachioloft_core.messages.permits import PermitGrant, PermitRequest
 from pistachioloft_core.messages.relay import (
@@ -20,6 +21,7 @@
     RelayTried,
 )
 from pistachioloft_core.process import endpoint_table, feed
+from pistachioloft_core.process.allotments import AllotmentBounds
 from pistachioloft_core.process.crash_watch import on_crash_reports
 from pistachioloft_core.request.delegation import (
     PRECONNECT_DELAY_MS,
@@ -96,6 +98,11 @@
             settings.bounds.extra_allowance_count,
             shares.endpoint_count,
             settings.link_mbit_per_s,
+            AllotmentBounds(
+                settings.bounds.allotment_window_ms,
+                settings.bounds.allotment_overage,
+                settings.bounds.allotment_slack_count,
+            ),
         )
         self.state = RoutedState(settings.instance, settings.failure_domain, limits, random_source)
         self.peers = Peers(settings.instance, settings.peer_address, self._on_message)
@@ -251,6 +258,7 @@
     def _tick(self, now_ms: float) -> None:
         self._update_serving(now_ms)
         self.requests.permits.request_wanted(now_ms)
+        self.requests.allotments.check(now_ms)
         self.requests.reach.check(now_ms)
         due_poll = feed.next_poll(self.feed, now_ms, self._status())
         for given_up in feed.take_given_up(self.feed):
@@ -315,6 +323,11 @@
                 self.requests.permits.on_request(sender, message)
             case PermitGrant():
                 self.requests.permits.on_grant(message)
+            case AllotmentRequest():
+                self._connect_entry(sender)
+                self.requests.allotments.on_request(sender, message)
+            case AllotmentGrant():
+                self.requests.allotments.on_grant(message)
 
     def _on_peer_left(self, instance: str) -> None:
         self.requests.relays.on_peer_left(instance)
@@ -364,6 +377,7 @@
         if advertised != self.advertised_locations:
             self.advertised_locations = advertised
             self.requests.permits.locations = advertised
+            self.requests.allotments.set_instances(now_ms, advertised)
             set_helpers(self.requests.helpers, advertised, self.settings.instance, now_ms)
             for location in advertised if self.advertised else ():
                 self._connect_entry(location.instance)
--- a/packages/daemon/src/pistachioloft_daemon/metrics.py
+++ b/packages/daemon/src/pistachioloft_daemon/metrics.py
@@ -15,6 +15,8 @@
     from pistachioloft_core.errors import ResultCode
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd
 
+# The organisations that have counters of their own; the others are counted together.
+NAMED_ORGANISATION_COUNT = 20
 TEXT_ACCEPT = ['text/plain']
 # Upper bounds of the latency histograms' buckets: close together up to the latency targets (60 to
 # 400 ms) and reaching to the longest time limit (4 s).
@@ -88,6 +90,13 @@
         # Incrementing a counter of the library takes 5 us, too long to do for each attempt, so
         # attempts are tallied here and set when the metrics are rendered.
         self.attempt_tally: Tally[tuple[str, bool, str]] = Tally()
+        self.admissions = Counter(
+            'pistachioloft_organisation_requests_total',
+            'Requests of organisations with an allotment, by organisation and outcome',
+            registry=self.registry,
+        )
+        self.admission_tally: Tally[tuple[str, bool]] = Tally()
+        self.named_organisations: set[str] = set()
         self.gauges: dict[str, Gauge] = {}
 
     def count_request(self, code: ResultCode, latency_ms: float) -> None:
@@ -109,6 +118,27 @@
         """Count a delegated group that has ended."""
         self.delegated_groups.inc({'end': end})
 
+    def count_admission(self, organisation: str, *, is_admitted: bool) -> None:
+        """Count a request that was admitted or refused because of its allotment."""
+        self.admission_tally[organisation, is_admitted] += 1
+
+    def _publish_admissions(self) -> None:
+        """Name the largest organisations; once named, one keeps its counter."""
+        totals: Tally[str] = Tally()
+        for (organisation, _), count in self.admission_tally.items():
+            totals[organisation] += count
+        for organisation, _ in totals.most_common():
+            if len(self.named_organisations) >= NAMED_ORGANISATION_COUNT:
+                break
+            self.named_organisations.add(organisation)
+        published: Tally[tuple[str, bool]] = Tally()
+        for (organisation, is_admitted), count in self.admission_tally.items():
+            label = organisation if organisation in self.named_organisations else 'other'
+            published[label, is_admitted] += count
+        for (label, is_admitted), count in published.items():
+            outcome = 'admitted' if is_admitted else 'refused'
+            self.admissions.set({'organisation': label, 'outcome': outcome}, count)
+
     def set_gauge(self, name: str, help_text: str, value: float) -> None:
         """Set a gauge, and create it at its first use."""
         gauge = self.gauges.get(name)
@@ -124,5 +154,6 @@
             self.attempts.set(labels, count)
         for histogram in (self.latency, self.attempt_latency, self.plan_time, self.answer_delay):
             histogram.publish()
+        self._publish_admissions()
         content, headers = render(self.registry, TEXT_ACCEPT)
         return content, headers.get('Content-Type', 'text/plain')
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -41,6 +41,7 @@
 from pistachioloft_core.request.split import SplitState, choose_service
 from pistachioloft_core.request.stopping import needed_time_ms
 
+from .allotments import Allotments
 from .crash_reports import CrashReports
 from .endpoint_pool import EndpointPool, OutgoingAttempt, PoolHooks
 from .in_flight import InFlight
@@ -121,6 +122,9 @@
         self.peer_work, self.relays, self.passed = peer_work, peer_work.relays, peer_work.passed
         self.reach.changed = self._on_reach_changed
         self.permits = Permits(state, peers.send, peers.reconnect)
+        self.allotments = Allotments(
+            state, timers, metrics, peers.send, peers.reconnect, lambda: self.feed_age_ms()
+        )
         self.splits = SplitState()
         self.requests: dict[int, InFlight] = {}
         self.in_flight_by_attempt: dict[str, InFlight] = {}
@@ -149,13 +153,28 @@
         if isinstance(accepted, Refuse):
             self._refuse_at_once(routed.request_id, routed.path, accepted, respond)
             return None
-        in_flight = self._start(now_ms, accepted, respond)
+        organisation = accepted.organisation
+        if organisation is None or organisation.rate_per_s <= 0:
+            return self._begin(now_ms, accepted, respond)
+        return self.allotments.admit(
+            now_ms,
+            organisation,
+            accepted,
+            lambda: self._begin(now_ms, accepted, respond),
+            lambda refusal: self._refuse_at_once(
+                routed.request_id, routed.path, refusal, respond, organisation.name
+            ),
+        )
+
+    def _begin(self, arrived_ms: float, accepted: AcceptedRequest, respond: Respond) -> Cancel:
+        in_flight = self._start(arrived_ms, accepted, respond)
         return lambda: self._cancel(in_flight)
 
     def forget_expired(self, now_ms: float) -> None:
         """Forget lost requests, suspects and queue waits that have expired."""
         self.state.queue_waits.forget_old_samples(now_ms)
         self.permits.forget_expired(now_ms)
+        self.allotments.forget_expired(now_ms)
         loads = self.state.table.endpoints.values()
         self.state.limited_endpoints = {
             load.record.endpoint for load in loads if load.limit.is_limited
@@ -191,6 +210,9 @@
 
     def end_all(self) -> None:
         """Answer everything that is in flight, because this instance ends."""
+        self.allotments.refuse_all(
+            Refuse(ResultCode.STOPPING, 'this instance ends', STOPPING_RETRY_MS)
+        )
         now_ms = monotonic_ms()
         for in_flight in list(self.requests.values()):
             state = in_flight.state
@@ -232,19 +254,25 @@
         return AcceptedRequest(routed, route, request_priority(route, organisation), organisation)
 
     def _refuse_at_once(
-        self, request_id: str, path: str, refusal: Refuse, respond: Respond
+        self,
+        request_id: str,
+        path: str,
+        refusal: Refuse,
+        respond: Respond,
+        organisation: str = '',
     ) -> None:
-        log_refused(request_id, path, refusal)
+        log_refused(request_id, path, refusal, organisation)
         self.metrics.count_request(refusal.code, 0.0)
         respond(self.wire.encode_refusal(refusal))
 
-    def _start(self, now_ms: float, accepted: AcceptedRequest, respond: Respond) -> InFlight:
+    def _start(self, arrived_ms: float, accepted: AcceptedRequest, respond: Respond) -> InFlight:
+        now_ms = monotonic_ms()
         routed, route = accepted.routed, accepted.route
         number = self.next_number()
         time_left_ms = route.time_limit_ms
         if routed.time_left_ms is not None:
             time_left_ms = min(time_left_ms, routed.time_left_ms)
-        deadline_at_ms = now_ms + max(0.0, time_left_ms - TIME_LIMIT_MARGIN_MS)
+        deadline_at_ms = arrived_ms + max(0.0, time_left_ms - TIME_LIMIT_MARGIN_MS)
         suspected = (
             classify_request(self.crashes.watch, now_ms, routed.digest) is not SuspicionLevel.CLEAR
         )
@@ -254,7 +282,7 @@
         if route.gather is not None:
             answer_at_ms = answer_due_ms(
                 route,
-                now_ms,
+                arrived_ms,
                 transit,
                 usual_latency_ms(self.state, route),
                 answer_transmission_ms(route, self.state.limits.link_mbit_per_s),
@@ -266,7 +294,7 @@
             service = choose_service(self.splits, route)
             state = ForwardState(str(number), route, service, deadline_at_ms, suspected)
         state.priority = accepted.priority
-        in_flight = InFlight(number, routed, state, respond, now_ms, version, transit.total_ms)
+        in_flight = InFlight(number, routed, state, respond, arrived_ms, version, transit.total_ms)
         self.add(in_flight)
         if isinstance(state, GatherState):
             actions = gather.start_gather(self.state, now_ms, state, self.helpers)
--- /dev/null
+++ b/tests/test_allotments/test_allotments.py
@@ -0,0 +1,171 @@
+"""Guard against organisations that get less than their allotment, or cost too much beyond it."""
+
+from __future__ import annotations
+
+import pytest
+
+from pistachioloft_core.errors import ResultCode
+from pistachioloft_core.messages.routes import Organisation
+from pistachioloft_core.process.allotments import AllotmentBounds
+
+from .allotment_fleet import AllotmentFleet, allowed_count, greatest_count
+
+INSTANCE_COUNT = 17
+BOUNDS = AllotmentBounds(5_000.0, 0.1, 20.0)
+# Room for a spare permit at each of the instances.
+ROOM_FOR_ALL = AllotmentBounds(5_000.0, 0.1, 25.0)
+START_MS = 30_000.0
+
+
+def started_fleet(organisation: Organisation, bounds: AllotmentBounds = BOUNDS) -> AllotmentFleet:
+    fleet = AllotmentFleet(INSTANCE_COUNT, organisation, bounds, seed=7)
+    fleet.advance(START_MS)
+    return fleet
+
+
+def organisation(rate_per_s: float, burst_count: float) -> Organisation:
+    return Organisation('east', (), rate_per_s=rate_per_s, burst_count=burst_count)
+
+
+def grantor_of(fleet: AllotmentFleet) -> str:
+    instances = fleet.instances.values()
+    return next(
+        standing.grantor for instance in instances for standing in instance.ranks.standings.values()
+    )
+
+
+def send_anywhere(fleet: AllotmentFleet, count: int = 1) -> None:
+    for _ in range(count):
+        fleet.send_request(fleet.random.choice(fleet.names))
+
+
+@pytest.mark.parametrize('slack_count', [0.0, 20.0])
+@pytest.mark.parametrize(('rate_per_s', 'burst_count'), [(0.3, 3.0), (4.0, 4.0), (50.0, 10.0)])
+def test_nothing_within_rate_and_burst_is_refused(
+    rate_per_s: float, burst_count: float, slack_count: float
+) -> None:
+    """Guard against the refusal of requests that the allotment covers."""
+    bounds = AllotmentBounds(5_000.0, 0.1, slack_count)
+    fleet = started_fleet(organisation(rate_per_s, burst_count), bounds)
+    interval_ms = 1_000.0 / rate_per_s
+    for _ in range(3):
+        send_anywhere(fleet, int(burst_count))
+        for _ in range(200):
+            fleet.advance(interval_ms)
+            send_anywhere(fleet)
+        fleet.advance(burst_count * interval_ms)
+    assert fleet.refusals == []
+
+
+def test_spare_permits_admit_without_waiting() -> None:
+    """Guard against requests in calm that wait for another instance."""
+    fleet = started_fleet(organisation(4.0, 4.0), ROOM_FOR_ALL)
+    for _ in range(200):
+        fleet.advance(300.0)
+        send_anywhere(fleet)
+    assert all(each.admitted_ms == each.sent_ms for each in fleet.admitted)
+    assert fleet.message_count <= 2 * len(fleet.admitted)
+
+
+def test_hot_organisation_gets_its_rate_and_few_messages() -> None:
+    """Guard against a hot organisation that gets less than its rate, or keeps the grantor busy."""
+    allotment = organisation(10.0, 10.0)
+    fleet = started_fleet(allotment)
+    sent_count = 4_000
+    for _ in range(sent_count):
+        fleet.advance(5.0)
+        send_anywhere(fleet)
+    assert greatest_count(fleet.admitted, BOUNDS.window_ms) <= allowed_count(allotment, BOUNDS)
+    assert len(fleet.admitted) >= 0.95 * 10.0 * sent_count * 0.005
+    assert fleet.message_count <= sent_count
+    assert {refusal.code for refusal in fleet.refusals} == {ResultCode.ALLOTMENT_USED}
+
+
+def test_denial_is_remembered() -> None:
+    """Guard against a message to the grantor for each of many refused requests."""
+    fleet = started_fleet(organisation(1.0, 1.0))
+    name = fleet.names[0]
+    for _ in range(5):
+        fleet.send_request(name)
+        fleet.advance(10.0)
+    count, refused_count = fleet.message_count, len(fleet.refusals)
+    for _ in range(100):
+        fleet.send_request(name)
+    assert fleet.message_count == count
+    assert len(fleet.refusals) == refused_count + 100
+    times_ms = [refusal.retry_after_ms or 0.0 for refusal in fleet.refusals[-100:]]
+    assert min(times_ms) > 0.0
+    assert max(times_ms) <= BOUNDS.window_ms
+
+
+def test_caller_that_waits_as_told_is_admitted() -> None:
+    """Guard against a Retry-After at whose end there is no room."""
+    fleet = started_fleet(organisation(2.0, 2.0), AllotmentBounds(5_000.0, 0.0, 0.0))
+    name = fleet.names[3]
+    for _ in range(4):
+        fleet.send_request(name)
+        fleet.advance(10.0)
+    (first, *_) = fleet.refusals
+    assert first.code is ResultCode.ALLOTMENT_USED
+    admitted_count = len(fleet.admitted)
+    fleet.advance(first.retry_after_ms or 0.0)
+    fleet.send_request(name)
+    fleet.advance(10.0)
+    assert len(fleet.admitted) == admitted_count + 1
+
+
+def test_lower_limit_binds_within_a_window() -> None:
+    """Guard against the old limit in a window that begins after the new one is known."""
+    fleet = started_fleet(organisation(40.0, 40.0))
+    lower = organisation(1.0, 2.0)
+    for step in range(1_000):
+        if step == 300:
+            fleet.organisation = lower
+        fleet.advance(20.0)
+        send_anywhere(fleet)
+    known_ms = START_MS + 300 * 20.0 + 200.0
+    count = greatest_count(fleet.admitted, BOUNDS.window_ms, known_ms)
+    assert count <= allowed_count(lower, BOUNDS)
+
+
+def test_requests_that_wait_together_share_one_message() -> None:
+    """Guard against a message for each request while the grantor's reply is awaited."""
+    fleet = started_fleet(organisation(100.0, 50.0), AllotmentBounds(5_000.0, 0.0, 0.0))
+    name = fleet.names[5]
+    for _ in range(30):
+        fleet.send_request(name)
+    fleet.advance(20.0)
+    assert len(fleet.admitted) == 30
+    assert fleet.message_count <= 4
+
+
+def test_spare_permits_bridge_the_loss_of_the_grantor() -> None:
+    """Guard against a small organisation that is refused while its grantor is replaced."""
+    fleet = started_fleet(organisation(1.0, 5.0), ROOM_FOR_ALL)
+    send_anywhere(fleet, 3)
+    fleet.advance(6_000.0)
+    grantor = grantor_of(fleet)
+    fleet.instances[grantor].is_frozen = True
+    for name in fleet.names:
+        if name != grantor:
+            fleet.advance(300.0)
+            fleet.send_request(name)
+    assert fleet.refusals == []
+
+
+@pytest.mark.parametrize('is_cut_off', [True, False])
+def test_successor_grants_once_the_old_grantor_has_stopped(is_cut_off: bool) -> None:
+    """Guard against two grantors, and against an organisation that stays without one."""
+    allotment = organisation(20.0, 20.0)
+    fleet = started_fleet(allotment)
+    send_anywhere(fleet, 2)
+    fleet.advance(100.0)
+    grantor = grantor_of(fleet)
+    fleet.instances[grantor].is_cut_off = is_cut_off
+    fleet.set_view(tuple(name for name in fleet.names if name != grantor))
+    for _ in range(600):
+        fleet.advance(20.0)
+        send_anywhere(fleet)
+    assert greatest_count(fleet.admitted, BOUNDS.window_ms) <= allowed_count(allotment, BOUNDS)
+    last = [each for each in fleet.admitted if each.admitted_ms > fleet.now_ms - 5_000.0]
+    assert len(last) >= 0.95 * 20.0 * 5.0
