Refuse first what is worth least for its work during an overload

Cause: during an overload the same fraction of each kind of query on a set of shards was refused, single requests had no admission, priorities and organisations were used by no decision, and attempts waited for connections first come, first served.

Change: the controller's fraction applies to the work. Kinds (route and priority) are refused in order of their value per work, pooled where a more urgent kind would be refused more often than a less urgent one, with a floor for each; organisations that use much more than their share go before the others of their kind. Queries without connections make the controller refuse more where there is a choice. A query whose time is too short is refused at once; requests to one endpoint get the same admission; waiting attempts are ordered by priority and deadline with a bound on the wait. Log part [admission] and the metric pistachioloft_refusals_total show it.

--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -11,7 +11,7 @@
 from ..process.endpoint_table import withdraw_leaving
 from ..process.observed import PROBE_TIMEOUT_MS
 from .hedge_delay import late_after_ms, usual_latency_ms
-from .queue_waits import record_load_report, record_service_time, record_withdrawn
+from .queue_waits import record_load_report, record_withdrawn
 from .routed_state import route_latency
 
 if TYPE_CHECKING:
@@ -168,6 +168,8 @@
     code: ResultCode
     detail: str
     retry_after_ms: float | None = None
+    # The limit that was reached, for the metrics of admission; empty for other refusals.
+    limit: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,10 +256,10 @@
     if end.statement is not None:
         _record_statement(state, now_ms, attempt, end.statement)
     latency_ms = attempt.latency_ms(now_ms)
-    if end.report is not None and attempt.route.gather is not None:
+    if end.report is not None:
         if end.outcome is AttemptOutcome.ANSWERED and end.report.waiting_count == 0:
-            record_service_time(state.queue_waits, latency_ms)
-        record_load_report(state.queue_waits, now_ms, load, end.report)
+            state.queue_waits.record_service_time(attempt.route, attempt.service, latency_ms)
+        record_load_report(state.queue_waits, now_ms, attempt.route, load, end.report)
     if end.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
         usual_ms = usual_latency_ms(state, attempt.route)
         if end.outcome is AttemptOutcome.ANSWERED:
@@ -308,8 +310,8 @@
     usual_ms = usual_latency_ms(state, attempt.route)
     age_ms = attempt.latency_ms(now_ms)
     attempt.load.record_overdue(now_ms, age_ms, usual_ms)
-    if attempt.route.gather is not None and attempt.endpoint_has_replied:
-        record_withdrawn(state.queue_waits, now_ms, attempt.load, age_ms)
+    if attempt.endpoint_has_replied:
+        record_withdrawn(state.queue_waits, now_ms, attempt.route, attempt.load, age_ms)
     # If the caller leaves early, a missing reply is no fault of the endpoint.
     if age_ms >= attempt.late_after_ms:
         _record_unanswered(now_ms, attempt)
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -24,6 +24,7 @@
 from .handover import choose_receiver
 from .permitted import lacks_only_permits, permitted_at_ms, unserved_retry_ms
 from .placement import choose_endpoint, served_at_ms
+from .query_admission import refuse_if_overloaded
 from .routed_state import budget_of
 from .shard_attempts import ABANDON_DELAY_MS
 
@@ -55,6 +56,8 @@
         'hedged',
         'may_have_run_count',
         'open_attempts',
+        'organisation',
+        'past_target',
         'priority',
         'receiver',
         'refused_endpoint',
@@ -79,6 +82,10 @@
         self.route = route
         # The priority of the caller's organisation or else of the route; 0 is the highest.
         self.priority = route.priority
+        # The name of the caller's organisation; empty without one.
+        self.organisation = ''
+        # The caller was refused before, so no answer can be within the latency target.
+        self.past_target = False
         self.service = service
         self.deadline_at_ms = deadline_at_ms
         self.open_attempts: list[Attempt] = []
@@ -118,6 +125,10 @@
         detail = f'service {request.service} has no endpoint{wanted}'
         retry_after_ms = unserved_retry_ms(state, now_ms, served_ms)
         return [Refuse(ResultCode.NO_ENDPOINT, detail, retry_after_ms)]
+    refusal = refuse_if_overloaded(state, now_ms, request)
+    if refusal is not None:
+        request.done = True
+        return [refusal]
     request.wait_until_ms = min(request.deadline_at_ms, now_ms + PERMIT_WAIT_MS)
     return _send_or_wait(state, now_ms, request)
 
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -65,7 +65,7 @@
         query.done = True
         return [refusal]
     if not query.is_group:
-        refusal = refuse_if_overloaded(state, now_ms, query.route, query.past_target)
+        refusal = refuse_if_overloaded(state, now_ms, query)
         if refusal is not None:
             query.done = True
             return [refusal]
@@ -75,13 +75,8 @@
     assignments = _assign_shards(state, now_ms, query, own_shards)
     if not query.is_group:
         delegated_count = sum(len(group.services) for group in near_groups)
-        refusal = refuse_without_connections(
-            state,
-            now_ms,
-            query.route,
-            query.past_target,
-            delegated_count + len(assignments),
-        )
+        connected_count = delegated_count + len(assignments)
+        refusal = refuse_without_connections(state, now_ms, query, connected_count)
         if refusal is not None:
             query.done = True
             return [refusal]
@@ -101,7 +96,7 @@
     state: RoutedState, now_ms: float, query: GatherState, groups: Iterable[GroupPlan]
 ) -> list[RoutedAction]:
     """Delegate all shards because this instance reaches no endpoint."""
-    refusal = refuse_if_overloaded(state, now_ms, query.route, query.past_target)
+    refusal = refuse_if_overloaded(state, now_ms, query)
     if refusal is not None:
         query.done = True
         return [refusal]
--- a/packages/core/src/pistachioloft_core/request/gather_state.py
+++ b/packages/core/src/pistachioloft_core/request/gather_state.py
@@ -71,6 +71,7 @@
         'exhausted_count',
         'is_group',
         'lost_count',
+        'organisation',
         'past_target',
         'priority',
         'replied_count',
@@ -100,6 +101,8 @@
         self.route = route
         # The priority of the caller's organisation or else of the route; 0 is the highest.
         self.priority = route.priority
+        # The name of the caller's organisation; empty without one.
+        self.organisation = ''
         # From this time on, a partial answer that reaches the coverage floor is sent.
         self.answer_at_ms = min(answer_at_ms, deadline_at_ms)
         self.deadline_at_ms = deadline_at_ms
--- a/packages/core/src/pistachioloft_core/request/queue_waits.py
+++ b/packages/core/src/pistachioloft_core/request/queue_waits.py
@@ -5,26 +5,33 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ..connection.endpoint_load import EndpointLoad, LoadReport
+    from ..messages.routes import Route
 
 # A queue changes within a few service times; an older observation says nothing about it.
 SAMPLE_LIFETIME_MS = 400.0
 # Weight of the newest reply in the service time.
 SERVICE_TIME_WEIGHT = 0.05
+# The shards of queries are alike, so they have one mean.
+QUERIES_KEY = ''
 
 
 class QueueWaits:
     """Hold the last observed queue waits of each shard, and the service time without a queue."""
 
-    __slots__ = ('_holds', '_samples', 'service_ms')
+    __slots__ = ('_holds', '_samples', '_service_ms', '_work_ms')
 
     def __init__(self) -> None:
         # By service and source, an endpoint or a helper: the wait and its time, in ms.
         self._samples: dict[str, dict[str, tuple[float, float]]] = {}
         # By service: how long sub-requests were held here, and when.
         self._holds: dict[str, tuple[float, float]] = {}
-        # Mean over the sub-requests of all queries, 0 until it is measured.
-        self.service_ms = 0.0
+        # Mean of the attempts of all queries, by service of the others.
+        self._service_ms: dict[str, float] = {}
+        # The same by route.
+        self._work_ms: dict[str, float] = {}
 
     def record(self, service: str, source: str, now_ms: float, wait_ms: float) -> None:
         """Record the queue wait of a shard that an endpoint or a helper reports."""
@@ -46,8 +53,29 @@
         wait_ms, observed_ms = self._samples.get(service, {}).get(source, (0.0, float('-inf')))
         return wait_ms if _is_recent(observed_ms, now_ms) else 0.0
 
+    def service_ms(self, route: Route, service: str) -> float:
+        """Return the mean time that an attempt takes without a queue, 0 until it is measured."""
+        return self._service_ms.get(_service_key(route, service), 0.0)
+
+    def route_service_ms(self, route_name: str) -> float:
+        """Return the mean time of a route's attempts without a queue, 0 until it is measured."""
+        return self._work_ms.get(route_name, 0.0)
+
+    def record_service_time(self, route: Route, service: str, latency_ms: float) -> None:
+        """Record the latency of an attempt whose endpoint reports no queue."""
+        _move_mean(self._service_ms, _service_key(route, service), latency_ms)
+        _move_mean(self._work_ms, route.name, latency_ms)
+
+    def forget_routes(self, current_routes: Collection[str]) -> None:
+        """Drop the routes that do not exist any more."""
+        for name in [name for name in self._work_ms if name not in current_routes]:
+            del self._work_ms[name]
+
     def forget_services(self, current_services: frozenset[str]) -> None:
-        """Drop the shards that no route queries any more."""
+        """Drop the services that no route uses any more."""
+        for service in [name for name in self._service_ms if name not in current_services]:
+            if service != QUERIES_KEY:
+                del self._service_ms[service]
         for service in [name for name in self._samples if name not in current_services]:
             del self._samples[service]
         for service in [name for name in self._holds if name not in current_services]:
@@ -63,30 +91,35 @@
 
 
 def record_load_report(
-    waits: QueueWaits, now_ms: float, load: EndpointLoad, report: LoadReport
+    waits: QueueWaits, now_ms: float, route: Route, load: EndpointLoad, report: LoadReport
 ) -> None:
-    """Record the queue that an endpoint of a shard reports with a reply."""
-    queued_work_ms = report.waiting_count * waits.service_ms * max(1.0, load.slowness(now_ms))
+    """Record the queue that an endpoint reports with a reply."""
     record = load.record
+    service_ms = waits.service_ms(route, record.service) * max(1.0, load.slowness(now_ms))
+    queued_work_ms = report.waiting_count * service_ms
     waits.record(record.service, record.endpoint, now_ms, queued_work_ms / report.slot_count)
 
 
-def record_service_time(waits: QueueWaits, latency_ms: float) -> None:
-    """Record the latency of a sub-request whose endpoint reports no queue."""
-    if waits.service_ms <= 0.0:
-        waits.service_ms = latency_ms
-    else:
-        waits.service_ms += SERVICE_TIME_WEIGHT * (latency_ms - waits.service_ms)
-
-
-def record_withdrawn(waits: QueueWaits, now_ms: float, load: EndpointLoad, age_ms: float) -> None:
-    """Record the age of a withdrawn sub-request as queue wait; its endpoint replied to others."""
-    if waits.service_ms > 0.0:
-        wait_ms = age_ms - waits.service_ms * max(1.0, load.slowness(now_ms))
-        record = load.record
+def record_withdrawn(
+    waits: QueueWaits, now_ms: float, route: Route, load: EndpointLoad, age_ms: float
+) -> None:
+    """Record the age of a withdrawn attempt as queue wait; its endpoint replied to others."""
+    record = load.record
+    service_ms = waits.service_ms(route, record.service)
+    if service_ms > 0.0:
+        wait_ms = age_ms - service_ms * max(1.0, load.slowness(now_ms))
         if wait_ms > waits.source_wait_ms(record.service, record.endpoint, now_ms):
             waits.record(record.service, record.endpoint, now_ms, wait_ms)
 
 
+def _service_key(route: Route, service: str) -> str:
+    return QUERIES_KEY if route.gather is not None else service
+
+
+def _move_mean(means_ms: dict[str, float], key: str, sample_ms: float) -> None:
+    mean_ms = means_ms.get(key, sample_ms)
+    means_ms[key] = mean_ms + SERVICE_TIME_WEIGHT * (sample_ms - mean_ms)
+
+
 def _is_recent(at_ms: float, now_ms: float) -> bool:
     return now_ms - at_ms < SAMPLE_LIFETIME_MS
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -40,6 +40,16 @@
     link_mbit_per_s: float = 1_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class OverloadChange:
+    """Describe the beginning or the end of an overload of some services, for the log."""
+
+    services: tuple[str, ...]
+    began: bool
+    wait_ms: float
+    wait_limit_ms: float
+
+
 class RoutedState:
     """Hold the routes, the endpoints and the budgets of one entry instance."""
 
@@ -55,6 +65,7 @@
         'latencies',
         'limited_endpoints',
         'limits',
+        'overload_changes',
         'queue_waits',
         'random',
         'reach',
@@ -82,8 +93,10 @@
         self.deadlines: dict[str, CallerDeadlines] = {}
         self.answer_delay = AnswerDelay()
         self.queue_waits = QueueWaits()
-        # By set of shards.
+        # By set of shards; other services are sets of one.
         self.admissions: dict[tuple[str, ...], QueryAdmission] = {}
+        # Overloads that began or ended and were not logged yet.
+        self.overload_changes: list[OverloadChange] = []
         # Endpoints that state a limit, and those with statements that were not logged yet.
         self.limited_endpoints: set[str] = set()
         self.changed_statements: list[EndpointLoad] = []
@@ -122,11 +135,15 @@
         del state.latencies.services[name]
     for name in [name for name in state.deadlines if name not in route_names]:
         del state.deadlines[name]
-    state.queue_waits.forget_services(shard_services(routes.routes))
+    services = shard_services(routes.routes)
+    single_services = {each.service for route in routes.routes.routes for each in route.services}
+    state.queue_waits.forget_services(services | single_services)
+    state.queue_waits.forget_routes(route_names)
     gathers = [route.gather for route in routes.routes.routes if route.gather is not None]
-    shard_sets = {gather.shards for gather in gathers}
-    for shards in [shards for shards in state.admissions if shards not in shard_sets]:
-        del state.admissions[shards]
+    service_sets = {gather.shards for gather in gathers}
+    service_sets |= {(service,) for service in single_services}
+    for names in [names for names in state.admissions if names not in service_sets]:
+        del state.admissions[names]
 
 
 def route_latency(state: RoutedState, route_name: str) -> ServiceLatency:
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from pistachioloft_core.request.attempts import AttemptEnd, AttemptOutcome, record_attempt_sent
+from pistachioloft_core.request.queue_order import QueuedWork, waiting_rank
 
 from .http1.client import ClientConnection
 from .http1.messages import find_header
@@ -36,6 +37,8 @@
 KEEP_ALIVE_PARAMETER = b'timeout='
 # A second reply comes at the latest where the next one is due, so a few ids would be enough.
 RECENT_REQUEST_COUNT = 32
+# Attempts with nothing else to order them by are sent in the order in which they were queued.
+UNORDERED_WORK = QueuedWork()
 
 # Returns how a response ends the attempt, or None if it answers an earlier request.
 DecodeReply = Callable[['Attempt', 'Response'], AttemptEnd | None]
@@ -49,6 +52,8 @@
     attempt: Attempt
     request_id: str
     data: bytes
+    # Decides which attempt gets the next connection.
+    work: QueuedWork = UNORDERED_WORK
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,10 +233,7 @@
         """Use a free connection for the next queued attempt, or keep it idle."""
         self._detach_attempt(connection)
         target = connection.target
-        outgoing = next(
-            (each for each in target.queue.values() if connection.can_identify(each.request_id)),
-            None,
-        )
+        outgoing = self._next_queued(connection)
         if outgoing is not None:
             del target.queue[outgoing.attempt.attempt_id]
             del self.queued_at[outgoing.attempt.attempt_id]
@@ -301,6 +303,12 @@
         if attempt is not None:
             self.connection_by_attempt.pop(attempt.attempt_id, None)
 
+    def _next_queued(self, connection: PooledConnection) -> OutgoingAttempt | None:
+        queued = connection.target.queue.values()
+        usable = [each for each in queued if connection.can_identify(each.request_id)]
+        now_ms = monotonic_ms()
+        return min(usable, key=lambda each: waiting_rank(now_ms, each.work), default=None)
+
     def _take_idle(self, target: _Target, request_id: str) -> PooledConnection | None:
         now_s = monotonic_ms() / 1000.0
         for connection in reversed(target.idle.copy()):
--- a/packages/daemon/src/pistachioloft_daemon/gauges.py
+++ b/packages/daemon/src/pistachioloft_daemon/gauges.py
@@ -26,7 +26,7 @@
         ('route_version', 'Version of the routes in force', routes.version if routes else 0),
         (
             'refused_query_fraction',
-            'Fraction of the queries that is refused because of overload',
+            'Fraction of the work that is refused because of overload',
             refused_fraction(instance.state),
         ),
         (
--- a/packages/daemon/src/pistachioloft_daemon/logs.py
+++ b/packages/daemon/src/pistachioloft_daemon/logs.py
@@ -20,6 +20,7 @@
     'agreement',
     'lease',
     'membership',
+    'admission',
     'endpoint',
     'caller',
     'operator',
--- a/packages/daemon/src/pistachioloft_daemon/metrics.py
+++ b/packages/daemon/src/pistachioloft_daemon/metrics.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from pistachioloft_core.errors import ResultCode
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd
+    from pistachioloft_core.request.forward import ForwardState
+    from pistachioloft_core.request.gather_state import GatherState
 
 TEXT_ACCEPT = ['text/plain']
 # Upper bounds of the latency histograms' buckets: close together up to the latency targets (60 to
@@ -75,6 +77,11 @@
         self.attempts = Counter(
             'pistachioloft_attempts_total', 'Attempts on endpoints by end', registry=self.registry
         )
+        self.refusals = Counter(
+            'pistachioloft_refusals_total',
+            'Requests that admission refused, by route, priority and the limit that was reached',
+            registry=self.registry,
+        )
         self.given_up_controls = Counter(
             'pistachioloft_given_up_controls_total',
             'Control instances given up by reason',
@@ -95,6 +102,11 @@
         self.requests.inc({'code': code.name.lower()})
         self.latency.add(latency_ms)
 
+    def count_refusal(self, request: GatherState | ForwardState, limit: str) -> None:
+        """Count a request that admission refused because of a limit."""
+        labels = {'route': request.route.name, 'priority': str(request.priority), 'limit': limit}
+        self.refusals.inc(labels)
+
     def count_attempt(self, now_ms: float, attempt: Attempt, end: AttemptEnd) -> None:
         """Record the end and the latency of an attempt."""
         self.attempt_tally[attempt.route.name, attempt.hedge, end.outcome.value] += 1
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -17,7 +17,7 @@
 from .loop_timers import monotonic_ms
 from .passed_requests import PassedHooks, PassedRequests
 from .relays import GIVE_UP_DELAY_MS, RelayHooks, Relays
-from .request_log import log_decision, log_group_placed
+from .request_log import log_decision, log_group_placed, log_overload_changes
 from .routed_messages import EndpointReply, RoutedRequest
 
 if TYPE_CHECKING:
@@ -126,10 +126,12 @@
         )
         if request.priority is not None:
             state.priority = request.priority
+        state.organisation = request.organisation
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
         in_flight.passed = incoming
         self.requests.add(in_flight)
         actions = forward.start_forward(self.state, now_ms, state)
+        log_overload_changes(self.state)
         log_group_placed(in_flight, incoming.sender, self.requests.feed_age_ms(), actions)
         self.requests.apply_actions(now_ms, in_flight, actions)
         self.requests.schedule_check(now_ms, in_flight)
--- a/packages/daemon/src/pistachioloft_daemon/request_log.py
+++ b/packages/daemon/src/pistachioloft_daemon/request_log.py
@@ -16,6 +16,7 @@
     from pistachioloft_core.errors import ResultCode
     from pistachioloft_core.messages.fleet import RequestCrash
     from pistachioloft_core.request.attempts import LogDecision, RoutedAction
+    from pistachioloft_core.request.routed_state import RoutedState
 
     from .in_flight import InFlight
 
@@ -50,6 +51,24 @@
     )
 
 
+def log_overload_changes(state: RoutedState) -> None:
+    """Log the overloads that have begun or ended."""
+    changes, state.overload_changes = state.overload_changes, []
+    for change in changes:
+        logger.info(
+            '[admission] overload %s: services=%s wait_ms=%.0f limit_ms=%.0f',
+            'began' if change.began else 'ended',
+            _format_services(change.services),
+            change.wait_ms,
+            change.wait_limit_ms,
+        )
+
+
+def _format_services(services: tuple[str, ...]) -> str:
+    more = f'+{len(services) - 1}' if len(services) > 1 else ''
+    return services[0] + more
+
+
 def log_placed(
     now_ms: float,
     in_flight: InFlight,
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -35,6 +35,7 @@
 from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.hedge_delay import usual_latency_ms
 from pistachioloft_core.request.identification import identify_caller, request_priority
+from pistachioloft_core.request.queue_order import QueuedWork
 from pistachioloft_core.request.records import greatest_records
 from pistachioloft_core.request.routed_state import deadlines_of, endpoint_connection_limit
 from pistachioloft_core.request.shard_attempts import ABANDON_DELAY_MS
@@ -53,6 +54,7 @@
     log_caller_left,
     log_decision,
     log_group_ended,
+    log_overload_changes,
     log_passed_ended,
     log_placed,
     log_refused,
@@ -261,11 +263,12 @@
                 self.state.answer_delay.allowance_ms,
             )
             state = GatherState(str(number), route, answer_at_ms, deadline_at_ms, suspected)
-            state.past_target = self._is_past_target(routed, route)
         else:
             service = choose_service(self.splits, route)
             state = ForwardState(str(number), route, service, deadline_at_ms, suspected)
         state.priority = accepted.priority
+        state.organisation = routed.organisation
+        state.past_target = self._is_past_target(routed, route)
         in_flight = InFlight(number, routed, state, respond, now_ms, version, transit.total_ms)
         self.add(in_flight)
         if isinstance(state, GatherState):
@@ -277,6 +280,7 @@
         plan_ms = monotonic_ms() - now_ms
         self.metrics.plan_time.add(plan_ms)
         log_placed(now_ms, in_flight, due_ms, self.feed_age_ms(), plan_ms, actions)
+        log_overload_changes(self.state)
         self.apply_actions(now_ms, in_flight, actions)
         self.schedule_check(now_ms, in_flight)
         return in_flight
@@ -433,7 +437,14 @@
             if shard.may_have_run_count > 1:
                 self.relays.report_extra_attempt(in_flight.group, attempt.service)
         data = self.wire.encode_attempt(in_flight.routed, endpoint, action.time_left_ms)
-        self.pool.send(OutgoingAttempt(attempt, in_flight.routed.request_id, data))
+        now_ms = monotonic_ms()
+        work = QueuedWork(
+            in_flight.state.priority,
+            now_ms,
+            now_ms + action.time_left_ms,
+            attempt.route.latency_target_ms,
+        )
+        self.pool.send(OutgoingAttempt(attempt, in_flight.routed.request_id, data, work))
 
     def _abandon(self, now_ms: float, action: AbandonAttempt) -> None:
         if action.after_ms > 0:
@@ -448,6 +459,8 @@
     def _answer(
         self, now_ms: float, in_flight: InFlight, action: Deliver | DeliverMerged | Refuse
     ) -> None:
+        if isinstance(action, Refuse) and action.limit:
+            self.metrics.count_refusal(in_flight.state, action.limit)
         if in_flight.group is not None:
             log_group_ended(in_flight, now_ms - in_flight.arrived_ms)
             self.relays.finish(in_flight.group, in_flight.query)
--- a/tests/test_gather/queueing_endpoint.py
+++ b/tests/test_gather/queueing_endpoint.py
@@ -25,10 +25,12 @@
     queue_limit_count: int = 60
     # From the first to the second time of each pair, no request begins or ends.
     pauses_ms: tuple[tuple[float, float], ...] = ()
+    # By route: the time that its requests take as a multiple of the service time.
+    work_ratios: dict[str, float] = field(default_factory=dict)
     starts_ms: list[float] = field(default_factory=list)
     ends_ms: list[float] = field(default_factory=list)
 
-    def __call__(self, now_ms: float, _attempt: Attempt) -> Reply:
+    def __call__(self, now_ms: float, attempt: Attempt) -> Reply:
         """Return when the request ends and how."""
         self._forget_ended(now_ms)
         if self._waiting_count(now_ms) >= self.queue_limit_count:
@@ -37,7 +39,8 @@
         start_ms = now_ms
         if len(self.ends_ms) >= self.slot_count:
             start_ms = max(now_ms, sorted(self.ends_ms)[-self.slot_count])
-        end_ms = start_ms + self.service_ms * self.simulation.random.uniform(0.5, 1.5)
+        service_ms = self.service_ms * self.work_ratios.get(attempt.route.name, 1.0)
+        end_ms = start_ms + service_ms * self.simulation.random.uniform(0.5, 1.5)
         for pause_start_ms, pause_end_ms in self.pauses_ms:
             if start_ms < pause_end_ms and end_ms > pause_start_ms:
                 end_ms += pause_end_ms - pause_start_ms
--- a/tests/test_gather/routed_simulation.py
+++ b/tests/test_gather/routed_simulation.py
@@ -159,6 +159,10 @@
         """Schedule a callback."""
         heapq.heappush(self._events, (at_ms, next(self._numbers), callback))
 
+    def next_event_ms(self) -> float:
+        """Return when the next callback is due."""
+        return self._events[0][0] if self._events else float('inf')
+
     def run(self, until_ms: float) -> None:
         """Advance the time and run the callbacks that are due."""
         while self._events and self._events[0][0] <= until_ms:
@@ -167,15 +171,20 @@
         self.now_ms = until_ms
 
     def query(
-        self, answer_after_ms: float = 95.0, limit_ms: float = 1_000.0, past_target: bool = False
+        self,
+        answer_after_ms: float = 95.0,
+        limit_ms: float = 1_000.0,
+        past_target: bool = False,
+        route: Route | None = None,
+        organisation: str = '',
     ) -> SimulatedRequest:
         """Start a query of all shards."""
         now_ms = self.now_ms
         number = next(self._numbers)
-        state = GatherState(
-            f'q{number}', self.gather_route, now_ms + answer_after_ms, now_ms + limit_ms
-        )
+        route = route or self.gather_route
+        state = GatherState(f'q{number}', route, now_ms + answer_after_ms, now_ms + limit_ms)
         state.past_target = past_target
+        state.organisation = organisation
         simulated = SimulatedRequest(state, now_ms)
         self.simulated.append(simulated)
         self._execute(simulated, gather.start_gather(self.state, now_ms, state))
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -11,6 +11,8 @@
 import pytest
 
 from pistachioloft_core.request.attempts import AttemptOutcome
+from pistachioloft_core.request.queue_order import QueuedWork
+from pistachioloft_daemon.loop_timers import monotonic_ms
 from tests.test_http1.pool_harness import PoolHarness, read_id, reply, run
 
 if TYPE_CHECKING:
@@ -34,6 +36,31 @@
     run(serve, scenario)
 
 
+def test_urgent_attempt_gets_the_next_connection() -> None:
+    """Guard against urgent attempts that wait behind all others for a connection."""
+    received: list[str] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            request_id = await read_id(reader)
+            received.append(request_id)
+            await asyncio.sleep(0.01)
+            writer.write(reply(request_id))
+
+    async def scenario(harness: PoolHarness) -> None:
+        harness.pool.hooks = harness.hooks_with_limit(1)
+        await harness.call()
+        now_ms = monotonic_ms()
+        for priority in (1, 2, 2, 0):
+            harness.send(work=QueuedWork(priority, now_ms, now_ms + 9_000.0, 60_000.0))
+        for _ in range(4):
+            await harness.ends.get()
+        # The first one found the connection free.
+        assert received == ['1', '2', '5', '3', '4']
+
+    run(serve, scenario)
+
+
 def test_late_reply_to_an_earlier_request_is_skipped() -> None:
     """Guard against a caller that gets the reply to another request."""
 
