Count bytes by kind and distance

Nothing showed which messages and attempts cross failure domains. Each instance now tallies what it sends to other instances by message name, and what it exchanges with endpoints by kind of attempt, near or far, as the metric pistachioloft_traffic_bytes_total and a log line each 10 s.

--- a/packages/core/src/pistachioloft_core/codec.py
+++ b/packages/core/src/pistachioloft_core/codec.py
@@ -19,6 +19,8 @@
     from collections.abc import Hashable, Iterable
 
 T = TypeVar('T')
+# The name of a message's type and the encoded message.
+NamedMessage = tuple[str, bytes]
 
 PEER_FORMAT = 1
 # Messages between instances are MessagePack, whose integers are limited to 64 bits.
@@ -143,8 +145,18 @@
 
 def encode_peer(sender: str, messages: Iterable[Any]) -> bytes:
     """Encode messages to another instance with their types and their sender."""
-    named_messages = [(type(message).__name__, message) for message in messages]
-    return _msgpack_encoder.encode((PEER_FORMAT, sender, named_messages))
+    return join_peer(sender, [encode_named(message) for message in messages])
+
+
+def encode_named(message: Any) -> NamedMessage:
+    """Encode one message to another instance and return it with its type."""
+    return type(message).__name__, _msgpack_encoder.encode(message)
+
+
+def join_peer(sender: str, named_messages: Iterable[NamedMessage]) -> bytes:
+    """Join encoded messages to another instance with their sender."""
+    raw_messages = [(name, msgspec.Raw(data)) for name, data in named_messages]
+    return _msgpack_encoder.encode((PEER_FORMAT, sender, raw_messages))
 
 
 def decode_peer(data: bytes) -> tuple[str, tuple[Any, ...]]:
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -361,6 +361,15 @@
     return 2 * count > len(voters)
 
 
+def failure_domain_of(state: FleetState, instance: str) -> str | None:
+    """Return the failure domain of an instance, or None if it is not known."""
+    control = state.controls.get(instance)
+    if control is not None:
+        return control.status.failure_domain
+    entry = state.entries.by_name.get(instance)
+    return None if entry is None else entry.status.failure_domain
+
+
 def live_members(state: FleetState, now_ms: float) -> tuple[str, ...]:
     """Return the members of the other control instances whose own shares are recent."""
     return tuple(
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -69,6 +69,7 @@
         'attempt_id',
         'check_at_ms',
         'hedge',
+        'is_retry',
         'late_after_ms',
         'load',
         'overdue',
@@ -99,6 +100,8 @@
         self.late_after_ms = late_after_ms
         self.check_at_ms = started_ms + CONNECT_GRACE_MS + late_after_ms
         self.hedge = hedge
+        # Another attempt of the request or shard ended without a reply.
+        self.is_retry = False
         self.overdue = False
         # Counted as unanswered while it is still in flight.
         self.silent = False
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -271,6 +271,7 @@
     request.attempt_count += 1
     attempt_id = f'{request.request_id}.{request.attempt_count}'
     attempt = begin_attempt(state, now_ms, attempt_id, request.route, request.service, load, hedge)
+    attempt.is_retry = request.attempt_count > 1 and not hedge
     request.tried.add(load.record.endpoint)
     request.open_attempts.append(attempt)
     request.may_have_run_count += 1
--- a/packages/core/src/pistachioloft_core/request/shard_attempts.py
+++ b/packages/core/src/pistachioloft_core/request/shard_attempts.py
@@ -71,6 +71,7 @@
     query.sent_count += 1
     attempt_id = f'{query.request_id}.{query.sent_count}'
     attempt = begin_attempt(state, now_ms, attempt_id, query.route, shard.service, load, hedge)
+    attempt.is_retry = shard.attempt_count > 0 and not hedge
     if shard.attempt_count == 0:
         state.queue_waits.record_hold(shard.service, now_ms, now_ms - query.started_ms)
     shard.tried.add(load.record.endpoint)
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -18,6 +18,7 @@
 from pistachioloft_core.process.voters import choose_voters, target_voter_count
 from pistachioloft_core.version.accepted import accepted_routes
 
+from .byte_counts import SUMMARY_INTERVAL_MS
 from .control_interface import ControlInterface
 from .endpoint_store import EndpointStore
 from .http1.receive_budget import memory_budget
@@ -82,6 +83,8 @@
             settings.control_address,
         )
         self.fleet = fleet.FleetState(own_status, settings.heartbeat_ms, monotonic_ms())
+        self.peers.on_sent = self._count_message
+        self.metrics.bytes.own_domain = settings.failure_domain
         self.seeds = settings.seeds
         self.proposals = Proposals(settings.instance, self._voters, self.peers.send)
         self.reads = QuorumReads(settings.instance, self.leader, self.peers.send)
@@ -132,6 +135,7 @@
         self.timers.every(TICK_MS, self._tick)
         self.timers.every(DIAL_CHECK_MS, self.peers.check_dials)
         self.timers.every(REPAIR_INTERVAL_MS, self._repair_membership)
+        self.timers.every(SUMMARY_INTERVAL_MS, self.metrics.bytes.log_summary)
         logger.info(
             '%s control instance started: instance=%s label=%s seeds=%s',
             PREFIX,
@@ -253,6 +257,10 @@
 
         return report_control(self)
 
+    def _count_message(self, instance: str, name: str, byte_count: int) -> None:
+        domain = fleet.failure_domain_of(self.fleet, instance)
+        self.metrics.bytes.add(name, domain, byte_count)
+
     def _log_quorum_changes(self) -> None:
         """Log when the quorum is lost or regained, and when the leader changes."""
         confirmed, leader = self.confirmed(), self.leader()
--- a/packages/daemon/src/pistachioloft_daemon/control_interface.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_interface.py
@@ -18,6 +18,7 @@
 from pistachioloft_core.process.announced import MergeResult
 from pistachioloft_core.version.route_table import check_routes
 
+from .byte_counts import ANNOUNCEMENT_KIND, header_bytes
 from .control_calls import (
     Addresses,
     Announce,
@@ -85,6 +86,7 @@
         call = self.wire.decode_call(request)
         match call:
             case Announce():
+                self._count_announcement(call, request)
                 self._announce(call, answer)
             case Depart():
                 self._depart(call, answer)
@@ -102,6 +104,11 @@
                 answer(Done(call.code, call.detail))
         return None
 
+    def _count_announcement(self, call: Announce, request: Request) -> None:
+        domain = call.record.failure_domain
+        byte_count = len(request.target) + len(request.body) + header_bytes(request.headers)
+        self.instance.metrics.bytes.add(ANNOUNCEMENT_KIND, domain, byte_count)
+
     def on_notice_confirmed(self, sender: str, notice_id: int) -> None:
         """Record that a control instance confirmed the notice of a leaving endpoint."""
         notice = self.notices.get(notice_id)
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -64,6 +64,8 @@
     # Called for each connection that was opened, and for each that could not be.
     connected: Callable[[AnnouncedEndpoint], None] = lambda _record: None
     connect_failed: Callable[[AnnouncedEndpoint], None] = lambda _record: None
+    # Called with the bytes of each request and of each reply.
+    transferred: Callable[[Attempt, int], None] = lambda _attempt, _byte_count: None
 
 
 class PooledConnection:
@@ -89,6 +91,7 @@
         attempt = self.attempt
         if attempt is None:
             return False
+        self.pool.hooks.transferred(attempt, self.http.received_bytes)
         end = self._decode(attempt, response)
         if end is None:
             name = self.target.record.endpoint
@@ -321,6 +324,7 @@
         attempt.load.round_trip_ms = connection.round_trip_ms
         record_attempt_sent(attempt, monotonic_ms())
         connection.http.send(outgoing.data)
+        self.hooks.transferred(attempt, len(outgoing.data))
 
     def _open_more(self, target: _Target) -> None:
         """Open connections for queued attempts, in place of idle ones that cannot carry them."""
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -34,6 +34,7 @@
 )
 from pistachioloft_core.version.route_table import RouteTable, route_services, shard_services
 
+from .byte_counts import SUMMARY_INTERVAL_MS
 from .control_calls import CheckReadiness, Done
 from .descriptors import descriptor_shares
 from .gauges import entry_gauges
@@ -115,9 +116,13 @@
         # Callers and groups are directed elsewhere once the control instances know.
         self.requests.on_reach_changed = lambda: feed.request_poll(self.feed, monotonic_ms())
         self.peers.on_left = self._on_peer_left
+        self.peers.on_sent = self._count_message
+        self.metrics.bytes.own_domain = settings.failure_domain
         self.stopping = False
         self.advertised = False
         self.advertised_locations: tuple[InstanceLocation, ...] = ()
+        # Failure domains of the control instances and of the advertised entry instances.
+        self.peer_domains: dict[str, str] = {}
         # When connections were last opened for this instance's share of the endpoints.
         self.preconnected_ms = 0.0
         self.caller_server = HttpServer(
@@ -141,6 +146,7 @@
         self.timers.every(TICK_MS, self._tick)
         self.timers.every(DIAL_CHECK_MS, self.peers.check_dials)
         self.timers.every(POOL_CHECK_MS, self._check_endpoints)
+        self.timers.every(SUMMARY_INTERVAL_MS, self.metrics.bytes.log_summary)
         self._tick(monotonic_ms())
         logger.info(
             '%s entry instance started: instance=%s label=%s callers=%s connections=%d+%d',
@@ -320,6 +326,9 @@
         self.requests.relays.on_peer_left(instance)
         self.requests.passed.on_peer_left(instance)
 
+    def _count_message(self, instance: str, name: str, byte_count: int) -> None:
+        self.metrics.bytes.add(name, self.peer_domains.get(instance), byte_count)
+
     def _report_crashes(self, crashes: tuple[RequestCrash, ...]) -> None:
         feed.report_crashes(self.feed, crashes)
         feed.request_poll(self.feed, monotonic_ms())
@@ -344,6 +353,8 @@
             self._tick(now_ms)
 
     def _apply_feed(self, now_ms: float, reply: FeedReply) -> None:
+        locations = (*reply.controls, *reply.advertised)
+        self.peer_domains = {each.instance: each.failure_domain for each in locations}
         table = self.state.table
         for received in reply.endpoints:
             load = table.endpoints.get(received.record.endpoint)
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -73,6 +73,11 @@
         self._surplus_count = 0
         self._replies: list[tuple[Response, bool]] = []
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes received since the last request was sent."""
+        return self._body_bytes + self._overhead_bytes
+
     def send(self, data: bytes) -> None:
         """Send one request; the next may follow once its reply is delivered."""
         assert self.transport is not None
@@ -115,8 +120,7 @@
         self._deliver_replies(self._fault or error or self._size_error())
         if self.awaiting_reply and not self.closing:
             object_bytes = HEADER_OBJECT_BYTES * len(self._headers)
-            received_bytes = self._body_bytes + self._overhead_bytes
-            self.budget.set_held_bytes(self, received_bytes + object_bytes)
+            self.budget.set_held_bytes(self, self.received_bytes + object_bytes)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end; a reply without a length is complete only after a clean close."""
--- a/packages/daemon/src/pistachioloft_daemon/metrics.py
+++ b/packages/daemon/src/pistachioloft_daemon/metrics.py
@@ -11,6 +11,8 @@
 from aioprometheus.histogram import Histogram as HistogramValue
 from aioprometheus.renderer import render
 
+from .byte_counts import ByteCounts
+
 if TYPE_CHECKING:
     from pistachioloft_core.errors import ResultCode
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd
@@ -89,6 +91,7 @@
         # attempts are tallied here and set when the metrics are rendered.
         self.attempt_tally: Tally[tuple[str, bool, str]] = Tally()
         self.gauges: dict[str, Gauge] = {}
+        self.bytes = ByteCounts(self.registry)
 
     def count_request(self, code: ResultCode, latency_ms: float) -> None:
         """Record the result code and the latency of a request."""
@@ -124,5 +127,6 @@
             self.attempts.set(labels, count)
         for histogram in (self.latency, self.attempt_latency, self.plan_time, self.answer_delay):
             histogram.publish()
+        self.bytes.publish()
         content, headers = render(self.registry, TEXT_ACCEPT)
         return content, headers.get('Content-Type', 'text/plain')
--- a/packages/daemon/src/pistachioloft_daemon/peers.py
+++ b/packages/daemon/src/pistachioloft_daemon/peers.py
@@ -9,7 +9,7 @@
 
 import pynng
 
-from pistachioloft_core.codec import UnreadableMessage, decode_peer, encode_peer
+from pistachioloft_core.codec import UnreadableMessage, decode_peer, encode_named, join_peer
 from pistachioloft_core.connection.dialing import (
     DialState,
     forget_connection,
@@ -55,6 +55,8 @@
         self._ignored_names: set[str] = set()
         # Called with a peer whose process has ended, as indicated by its broken connection.
         self.on_left: Callable[[str], None] = lambda _peer: None
+        # Called with the receiver, the name and the encoded size of each message that was sent.
+        self.on_sent: Callable[[str, str, int], None] = lambda _peer, _name, _byte_count: None
 
     def start(self) -> None:
         """Listen and start to receive."""
@@ -121,7 +123,8 @@
             sender = self.senders.get(peer)
             if sender is None:
                 continue
-            data = encode_peer(self.instance, messages)
+            named_messages = [encode_named(message) for message in messages]
+            data = join_peer(self.instance, named_messages)
             try:
                 sender.send(data, block=False)
             except pynng.exceptions.NNGException:
@@ -129,6 +132,8 @@
                 self.dropped_count += len(messages)
             else:
                 self.sent_bytes += len(data)
+                for name, encoded in named_messages:
+                    self.on_sent(peer, name, len(name) + len(encoded))
 
     def stop(self) -> None:
         """Close all sockets."""
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -112,6 +112,7 @@
                 self.crashes.on_connection_refused,
                 self.reach.on_connected,
                 self.reach.on_connect_failed,
+                metrics.bytes.add_attempt,
             ),
             budget,
         )
