Let hedges on distant replicas wait until they are needed

A query hedged every attempt past the 85th percentile on a replica of another failure domain, which is the only other one where each domain has one replica of each shard. Where the round trip shows that a domain is at another site, a hedge now waits until the answer needs it, and a near replica that is expected within half of the latency target is preferred.

--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -10,6 +10,7 @@
 from ..connection.statements import record_statement
 from ..process.endpoint_table import withdraw_leaving
 from ..process.observed import PROBE_TIMEOUT_MS
+from .distance import record_round_trip
 from .hedge_delay import late_after_ms, usual_latency_ms
 from .queue_waits import record_load_report, record_service_time, record_withdrawn
 from .routed_state import route_latency
@@ -248,6 +249,7 @@
     """Record the end of an attempt for its endpoint and its route."""
     load = attempt.load
     release_attempt(attempt)
+    record_round_trip(state, load)
     if end.outcome is AttemptOutcome.LOST:
         record_failed(state.reach, now_ms, load.record.endpoint)
     elif end.outcome is not AttemptOutcome.NOT_SENT:
--- a/packages/core/src/pistachioloft_core/request/gather_state.py
+++ b/packages/core/src/pistachioloft_core/request/gather_state.py
@@ -71,6 +71,7 @@
         'exhausted_count',
         'is_group',
         'lost_count',
+        'needed_at_ms',
         'past_target',
         'priority',
         'replied_count',
@@ -102,6 +103,8 @@
         self.priority = route.priority
         # From this time on, a partial answer that reaches the coverage floor is sent.
         self.answer_at_ms = min(answer_at_ms, deadline_at_ms)
+        # When replies are merged into an answer; a group sends those that it has at this time.
+        self.needed_at_ms = self.answer_at_ms
         self.deadline_at_ms = deadline_at_ms
         queried_services = gather.shards if services is None else services
         self.shards = [ShardState(name) for name in queried_services]
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .distance import is_distant, is_near_enough
 from .hedge_delay import usual_latency_ms
 from .routed_state import endpoint_connection_limit
 
@@ -38,6 +39,8 @@
     usual_ms = usual_latency_ms(state, route)
     chosen: EndpointLoad | None = None
     chosen_ms = float('inf')
+    near: EndpointLoad | None = None
+    near_ms = float('inf')
     wanted: EndpointLoad | None = None
     wanted_ms = float('inf')
     for load in state.table.usable(service):
@@ -50,10 +53,19 @@
             if expected_ms < wanted_ms:
                 wanted, wanted_ms = load, expected_ms
             continue
+        if load.record.failure_domain == state.failure_domain and expected_ms < near_ms:
+            near, near_ms = load, expected_ms
         if expected_ms < chosen_ms or (
             expected_ms == chosen_ms and chosen is not None and state.random.random() < 0.5
         ):
             chosen, chosen_ms = load, expected_ms
+    if (
+        chosen is not None
+        and near is not None
+        and is_distant(state, chosen)
+        and is_near_enough(state, now_ms, route, near, near_ms)
+    ):
+        chosen, chosen_ms = near, near_ms
     if wanted is not None and wanted_ms < chosen_ms:
         wanted.limit.wanted_count += 1
         state.wanted_permits[wanted.record.endpoint] = wanted
--- a/packages/core/src/pistachioloft_core/request/routed_state.py
+++ b/packages/core/src/pistachioloft_core/request/routed_state.py
@@ -58,6 +58,7 @@
         'queue_waits',
         'random',
         'reach',
+        'round_trips_ms',
         'routes',
         'table',
         'wanted_permits',
@@ -89,6 +90,8 @@
         self.changed_statements: list[EndpointLoad] = []
         # Endpoints that placements wanted to use and had no permit for.
         self.wanted_permits: dict[str, EndpointLoad] = {}
+        # Mean round trips to the endpoints of other failure domains.
+        self.round_trips_ms: dict[str, float] = {}
         # Number of instances that share the allowances and the endpoints' connections.
         self.entry_count = 1
 
--- a/packages/core/src/pistachioloft_core/request/shard_attempts.py
+++ b/packages/core/src/pistachioloft_core/request/shard_attempts.py
@@ -16,6 +16,7 @@
     SendAttempt,
     begin_attempt,
 )
+from .distance import latest_hedge_ms
 from .hedge_delay import usual_latency_ms
 from .permitted import UNSERVED_RETRY_MS
 from .placement import choose_endpoint
@@ -121,6 +122,12 @@
         return []
     late_attempt = shard.open_attempts[-1]
     load = choose_next_endpoint(state, now_ms, query, shard)
+    if load is not None:
+        latest_ms = latest_hedge_ms(state, query.route, load, query.needed_at_ms)
+        if now_ms < latest_ms:
+            # Most late replies arrive before that.
+            late_attempt.check_at_ms = latest_ms
+            return []
     if (
         load is None
         or _would_queue_again(state, now_ms, query, late_attempt, load)
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -173,6 +173,7 @@
         state = GatherState(
             str(number), route, deadline_at_ms, deadline_at_ms, suspected, request.services
         )
+        state.needed_at_ms = min(deadline_at_ms, group.received_ms + request.flush_after_ms)
         if request.priority is not None:
             state.priority = request.priority
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
