Share renewals by short numbers, and take feeds from the own domain

Control instances told each other every renewal of an endpoint with its id and its start. A renewal now states a short number twice, and the number stands for the endpoint after that, where all live control instances read it. An entry instance that starts asks the first control instance only for the others' locations if one is in its own failure domain, is pushed nothing by the one that it leaves, and returns to its own domain after 1 s if the instance there had no quorum yet.

--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -70,6 +70,9 @@
 # the age of the announcement. A tuple, because most of a share consists of them.
 Renewal = tuple[str, int, int, int]
 
+# A renewal by the number that an earlier one stated: the number, the sequence and the age.
+ShortRenewal = tuple[int, int, int]
+
 
 # The fields of an entry instance that can change while it runs: the instance, its incarnation and
 # sequence, whether it is ready and stopping, its route version, the number of its requests in
@@ -117,6 +120,11 @@
     entry_renewals: tuple[EntryRenewal, ...] = ()
     silent_entries: tuple[SilentEntry, ...] = ()
     control_renewals: tuple[ControlRenewal, ...] = ()
+    # The numbers that stand for the endpoints of `renewals` from now on, in their order.
+    renewal_numbers: tuple[int, ...] = ()
+    short_renewals: tuple[ShortRenewal, ...] = ()
+    # The sender reads short renewals; an earlier build does not.
+    reads_short_renewals: bool = False
 
 
 class LeavingNotice(Struct, frozen=True, array_like=True):
@@ -142,6 +150,8 @@
     # Time since the sender last received anything from the control instance that it polls.
     received_age_ms: float = 0.0
     crashes: tuple[RequestCrash, ...] = ()
+    # The sender wants the endpoints from a control instance of its failure domain if there is one.
+    prefers_near: bool = False
 
 
 class FeedReply(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/process/feed.py
+++ b/packages/core/src/pistachioloft_core/process/feed.py
@@ -25,6 +25,8 @@
 CRASH_LIMIT_COUNT = 64
 # An instance of the own failure domain that was given up is polled again after this time.
 GIVEN_UP_AVOID_MS = 5_000.0
+# One that replied without a quorum runs; after a start of all instances it has one soon.
+UNCONFIRMED_AVOID_MS = 1_000.0
 # Reasons for giving up a control instance: it did not reply, or it has no quorum.
 SILENT = 'silent'
 UNCONFIRMED = 'unconfirmed'
@@ -68,8 +70,8 @@
         self.cursors: dict[str, tuple[int, int]] = {}
         self.confirmed_ms: float | None = None
         self.crashes: list[RequestCrash] = []
-        # When each control instance was given up for being silent or without a quorum.
-        self.given_up_ms: dict[str, float] = {}
+        # Until when control instances that were silent or without a quorum are avoided.
+        self.avoided_until_ms: dict[str, float] = {}
         # Those given up since the last call of `take_given_up`.
         self.given_up: list[GivenUpControl] = []
         # When the last message of each control instance was received, or its first poll sent.
@@ -108,10 +110,14 @@
         del state.sent[next(iter(state.sent))]
     incarnation, revision = state.cursors.get(target, (0, 0))
     crashes, state.crashes = tuple(state.crashes), []
+    # Asked once of each: nothing is known yet of the control instances' failure domains.
+    prefers_near = not state.controls and target not in state.received_ms
     received_age_ms = now_ms - state.received_ms.setdefault(target, now_ms)
     state.poll_count += 1
     entry = replace(entry, sequence=state.poll_count)
-    poll = FeedPoll(state.poll_id, entry, incarnation, revision, received_age_ms, crashes)
+    poll = FeedPoll(
+        state.poll_id, entry, incarnation, revision, received_age_ms, crashes, prefers_near
+    )
     return SendPoll(target, poll)
 
 
@@ -124,16 +130,16 @@
 def _give_up_target(state: FeedState, now_ms: float, target: str, reason: str) -> None:
     received_age_ms = now_ms - state.received_ms.get(target, now_ms)
     state.given_up.append(GivenUpControl(target, reason, received_age_ms))
-    state.given_up_ms[target] = now_ms
+    avoid_ms = GIVEN_UP_AVOID_MS if reason == SILENT else UNCONFIRMED_AVOID_MS
+    state.avoided_until_ms[target] = now_ms + avoid_ms
     state.target = None
 
 
 def _choose_target(state: FeedState, now_ms: float, names: tuple[str, ...]) -> str:
     """Choose an instance of the own failure domain, or else the next one in rotation."""
-    for location in state.controls:
-        given_up_age_ms = now_ms - state.given_up_ms.get(location.instance, float('-inf'))
-        if location.failure_domain == state.failure_domain and given_up_age_ms >= GIVEN_UP_AVOID_MS:
-            return location.instance
+    near = _near_controls(state, now_ms)
+    if near:
+        return near[0]
     state.rotation_index += 1
     return names[state.rotation_index % len(names)]
 
@@ -156,6 +162,9 @@
         max(received_revision, reply.endpoint_revision),
     )
     if reply.controls:
+        if not state.controls:
+            # The endpoints may come from an instance of the own failure domain.
+            request_poll(state, now_ms)
         state.controls = reply.controls
         retained = {location.instance for location in reply.controls} | set(state.seeds)
         _return_to_own_domain(state, now_ms)
@@ -163,8 +172,8 @@
         state.received_ms = {
             name: value for name, value in state.received_ms.items() if name in retained
         }
-        state.given_up_ms = {
-            name: value for name, value in state.given_up_ms.items() if name in retained
+        state.avoided_until_ms = {
+            name: value for name, value in state.avoided_until_ms.items() if name in retained
         }
     return True
 
@@ -190,15 +199,20 @@
     domains = {location.instance: location.failure_domain for location in state.controls}
     if state.target is None or domains.get(state.target) == state.failure_domain:
         return
-    near = [
+    near = _near_controls(state, now_ms)
+    if near:
+        state.target = near[0]
+        state.missed_count = 0
+
+
+def _near_controls(state: FeedState, now_ms: float) -> list[str]:
+    """Return the control instances of the own failure domain that are not avoided."""
+    return [
         location.instance
         for location in state.controls
         if location.failure_domain == state.failure_domain
-        and now_ms - state.given_up_ms.get(location.instance, float('-inf')) >= GIVEN_UP_AVOID_MS
+        and now_ms >= state.avoided_until_ms.get(location.instance, float('-inf'))
     ]
-    if near:
-        state.target = near[0]
-        state.missed_count = 0
 
 
 def _record_reply(
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -36,12 +36,19 @@
     renew_entry,
     status_with_age,
 )
+from .renewals import (
+    RenewalNumbers,
+    expand_renewals,
+    forget_numbers,
+    shorten_renewals,
+    state_again,
+)
 from .suspects import RecentCrash
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from ..messages.fleet import AnnouncedEndpoint
+    from ..messages.fleet import AnnouncedEndpoint, ShortRenewal
 
 SHARE_INTERVAL_MS = 200.0
 # An instance counts as lost after five missing or late shares.
@@ -93,11 +100,14 @@
         self.needs_full_share = False
         # Draining and departed endpoints, and until when their states are shared again.
         self.urgent: dict[str, float] = {}
+        # Entry instances that polled here once to find the control instance nearest to them.
+        self.moving_entries: set[str] = set()
         # How many entry instances the endpoints' connection limits allow; None if unlimited.
         self.entry_limit: int | None = None
         # When each other control instance last received a share of this one, as it reported.
         self.reached_ms: dict[str, float] = {}
         self.unshared_crashes: set[tuple[str, str, int]] = set()
+        self.numbers = RenewalNumbers()
 
 
 def is_synchronized(state: FleetState) -> bool:
@@ -163,6 +173,10 @@
         for name in sorted(state.renewed_endpoints)
         if (entry := state.announced.endpoints.get(name)) is not None
     )
+    numbers: tuple[int, ...] = ()
+    short_renewals: tuple[ShortRenewal, ...] = ()
+    if all(name in state.numbers.peers for name in live_controls(state, now_ms)):
+        renewals, numbers, short_renewals = shorten_renewals(state.numbers, renewals)
     state.changed_endpoints, state.renewed_endpoints, state.unshared_crashes = set(), set(), set()
     state.share_pending = False
     entries, entry_renewals, silent_entries = collect_entry_changes(state.entries, now_ms)
@@ -176,6 +190,8 @@
         silent_entries=silent_entries,
         controls=controls,
         control_renewals=control_renewals,
+        renewal_numbers=numbers,
+        short_renewals=short_renewals,
     )
 
 
@@ -222,6 +238,7 @@
         entries,
         aged_endpoints(state.announced, now_ms, names),
         crashes=tuple(_crash_report(now_ms, key, state.crashes[key]) for key in crashes),
+        reads_short_renewals=True,
     )
 
 
@@ -249,9 +266,15 @@
         record_entry_silent(state.entries, now_ms, silent)
     for received in share.endpoints:
         merge(state.announced, received.record, now_ms - received.age_ms)
-    for endpoint, born_ms, sequence, age_ms in share.renewals:
+    for known in expand_renewals(state.numbers, share):
+        if known is None:
+            state.needs_full_share = True
+            continue
+        endpoint, born_ms, sequence, age_ms = known
         if renew(state.announced, endpoint, born_ms, sequence, now_ms - age_ms) is None:
             state.needs_full_share = True
+    if share.wants_full:
+        state_again(state.numbers)
     for crash in share.crashes:
         record_crash(state, now_ms, crash, pass_on=False)
     if share.full and share.synchronized:
@@ -276,7 +299,14 @@
     since = poll.endpoint_revision if same_incarnation else 0
     reply = make_feed(state, now_ms, since, confirmed, route_version, document)
     newer = route_version > poll.entry.route_version
-    return replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
+    reply = replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
+    state.moving_entries.discard(poll.entry.instance)
+    if poll.prefers_near and _has_nearer_control(state, now_ms, poll.entry.failure_domain):
+        state.moving_entries.add(poll.entry.instance)
+        reply = replace(
+            reply, synchronized=False, full=False, endpoint_revision=0, endpoints=(), document=b''
+        )
+    return reply
 
 
 def make_feed(
@@ -328,9 +358,11 @@
     lapsed = expire(state.announced, now_ms, state.lease_ms) if is_synchronized(state) else []
     state.urgent = {name: until_ms for name, until_ms in state.urgent.items() if now_ms < until_ms}
     forget_entries(state.entries, now_ms, FORGET_MS)
+    state.moving_entries &= state.entries.by_name.keys()
     state.controls = {
         name: peer for name, peer in state.controls.items() if now_ms - peer.received_ms < FORGET_MS
     }
+    forget_numbers(state.numbers, state.announced.endpoints.keys(), state.controls)
     state.crashes = {
         key: crash
         for key, crash in state.crashes.items()
@@ -400,6 +432,12 @@
     )
 
 
+def push_receivers(state: FleetState, now_ms: float) -> tuple[str, ...]:
+    """Return the entry instances to which changes are pushed."""
+    names = (entry.instance for entry in direct_entries(state, now_ms))
+    return tuple(name for name in names if name not in state.moving_entries)
+
+
 def record_crash(state: FleetState, now_ms: float, crash: RequestCrash, pass_on: bool) -> None:
     """Record that a request was in flight when an endpoint crashed."""
     key = (crash.digest, crash.endpoint, crash.born_ms)
@@ -416,6 +454,13 @@
     return now_ms - peer.received_ms < CONTROL_LIVE_MS
 
 
+def _has_nearer_control(state: FleetState, now_ms: float, failure_domain: str) -> bool:
+    """Return whether another control instance is in a failure domain and this one is not."""
+    return failure_domain != state.own_status.failure_domain and any(
+        location.failure_domain == failure_domain for location in _live_locations(state, now_ms)
+    )
+
+
 def _live_locations(state: FleetState, now_ms: float) -> tuple[InstanceLocation, ...]:
     others = (peer.status for peer in state.controls.values() if _is_live(peer, now_ms))
     return tuple(
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -350,8 +350,8 @@
             self.fleet, now_ms, self.pushed_revision, self.confirmed(), version, document
         )
         self.pushed_revision, self.pushed_version = revision, version
-        for entry in fleet.direct_entries(self.fleet, now_ms):
-            self.peers.send(entry.instance, update)
+        for instance in fleet.push_receivers(self.fleet, now_ms):
+            self.peers.send(instance, update)
 
     def _on_push_timer(self) -> None:
         self.push_timer = 0
