--- a/packages/core/src/pistachioloft_core/request/distance.py
+++ b/packages/core/src/pistachioloft_core/request/distance.py
@@ -42,22 +42,19 @@
     return state.round_trips_ms.get(load.record.failure_domain, 0.0) >= DISTANT_ROUND_TRIP_MS
 
 
-def is_near_enough(
-    state: RoutedState, now_ms: float, route: Route, load: EndpointLoad, expected_ms: float
-) -> bool:
+def is_near_enough(route: Route, now_ms: float, load: EndpointLoad, expected_ms: float) -> bool:
     """Return whether a near endpoint serves a shard in time although a distant one is faster."""
     return (
         route.gather is not None
-        and load.record.failure_domain == state.failure_domain
         and expected_ms <= NEAR_TARGET_RATIO * route.latency_target_ms
         and load.shed_fraction(now_ms) <= NEAR_SHED_LIMIT
     )
 
 
-def latest_hedge_ms(
+def hedge_due_ms(
     state: RoutedState, route: Route, load: EndpointLoad, needed_at_ms: float
 ) -> float:
-    """Return until when a hedge on an endpoint can wait; 0 unless the endpoint is distant."""
+    """Return from when on a hedge on an endpoint is worth it; 0 unless the endpoint is distant."""
     if not is_distant(state, load):
         return 0.0
     late_ms = late_after_ms(state, route, load.record.service)
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -39,8 +39,6 @@
     usual_ms = usual_latency_ms(state, route)
     chosen: EndpointLoad | None = None
     chosen_ms = float('inf')
-    near: EndpointLoad | None = None
-    near_ms = float('inf')
     wanted: EndpointLoad | None = None
     wanted_ms = float('inf')
     for load in state.table.usable(service):
@@ -53,25 +51,40 @@
             if expected_ms < wanted_ms:
                 wanted, wanted_ms = load, expected_ms
             continue
-        if load.record.failure_domain == state.failure_domain and expected_ms < near_ms:
-            near, near_ms = load, expected_ms
         if expected_ms < chosen_ms or (
             expected_ms == chosen_ms and chosen is not None and state.random.random() < 0.5
         ):
             chosen, chosen_ms = load, expected_ms
-    if (
-        chosen is not None
-        and near is not None
-        and is_distant(state, chosen)
-        and is_near_enough(state, now_ms, route, near, near_ms)
-    ):
-        chosen, chosen_ms = near, near_ms
+    if chosen is not None and is_distant(state, chosen):
+        near = _choose_near(state, now_ms, route, service, excluded)
+        chosen = near or chosen
     if wanted is not None and wanted_ms < chosen_ms:
         wanted.limit.wanted_count += 1
         state.wanted_permits[wanted.record.endpoint] = wanted
     return chosen
 
 
+def _choose_near(
+    state: RoutedState, now_ms: float, route: Route, service: str, excluded: Container[str]
+) -> EndpointLoad | None:
+    """Return an endpoint of the own failure domain that spares a query a distant one."""
+    limit_count = endpoint_connection_limit(state, service)
+    usual_ms = usual_latency_ms(state, route)
+    chosen: EndpointLoad | None = None
+    chosen_ms = float('inf')
+    for load in state.table.usable(service):
+        if load.record.failure_domain != state.failure_domain or load.record.endpoint in excluded:
+            continue
+        expected_ms = expected_latency_ms(state, now_ms, load, usual_ms)
+        if (
+            expected_ms < chosen_ms
+            and is_available(load, now_ms, limit_count)
+            and is_near_enough(route, now_ms, load, expected_ms)
+        ):
+            chosen, chosen_ms = load, expected_ms
+    return chosen
+
+
 def is_available(load: EndpointLoad, now_ms: float, connection_limit_count: int) -> bool:
     """Return whether an endpoint can take an attempt now, within the limit that it states."""
     return has_capacity(load, now_ms, connection_limit_count) and load.limit.admits(now_ms)
--- a/packages/core/src/pistachioloft_core/request/shard_attempts.py
+++ b/packages/core/src/pistachioloft_core/request/shard_attempts.py
@@ -16,7 +16,7 @@
     SendAttempt,
     begin_attempt,
 )
-from .distance import latest_hedge_ms
+from .distance import hedge_due_ms
 from .hedge_delay import usual_latency_ms
 from .permitted import UNSERVED_RETRY_MS
 from .placement import choose_endpoint
@@ -123,10 +123,10 @@
     late_attempt = shard.open_attempts[-1]
     load = choose_next_endpoint(state, now_ms, query, shard)
     if load is not None:
-        latest_ms = latest_hedge_ms(state, query.route, load, query.needed_at_ms)
-        if now_ms < latest_ms:
+        due_ms = hedge_due_ms(state, query.route, load, query.needed_at_ms)
+        if now_ms < due_ms:
             # Most late replies arrive before that.
-            late_attempt.check_at_ms = latest_ms
+            late_attempt.check_at_ms = due_ms
             return []
     if (
         load is None
