Repeat departures of endpoints a bounded number of times

The instance that the endpoint told now repeats it for four shares and once a second after that, those that got a notice once a second.

--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -36,6 +36,7 @@
     renew_entry,
     status_with_age,
 )
+from .leaving import LeavingEndpoints, record_leaving, take_due
 from .renewals import (
     RenewalNumbers,
     expand_renewals,
@@ -60,8 +61,6 @@
 # reach an instance that answers.
 HEARTBEATS_PER_LEASE = 3.0
 LEASE_SLACK_MS = 600.0
-# Urgent changes are shared again for this long, in case a share is lost.
-URGENT_REPEAT_MS = 3_000.0
 FORGET_MS = 60_000.0
 CRASH_RETENTION_MS = 600_000.0
 CRASH_LIMIT_COUNT = 4_096
@@ -98,8 +97,8 @@
         self.renewed_endpoints: set[str] = set()
         # Whether a peer renewed an endpoint or instance that is unknown here.
         self.needs_full_share = False
-        # Draining and departed endpoints, and until when their states are shared again.
-        self.urgent: dict[str, float] = {}
+        # Draining and departed endpoints, whose states are shared more than once.
+        self.leaving = LeavingEndpoints()
         # Entry instances that polled here once to find the control instance nearest to them.
         self.moving_entries: set[str] = set()
         # How many entry instances the endpoints' connection limits allow; None if unlimited.
@@ -136,7 +135,8 @@
         else:
             state.changed_endpoints.add(record.endpoint)
             state.renewed_endpoints.discard(record.endpoint)
-        _record_urgent(state, now_ms, record.endpoint)
+    if merged is MergeResult.CHANGED:
+        _record_leaving(state, now_ms, record.endpoint, True)
     return merged
 
 
@@ -145,14 +145,16 @@
 ) -> bool:
     """Record that an endpoint left and return whether its state changed."""
     changed = mark_left(state.announced, endpoint, born_ms, latest_born_ms, now_ms)
-    _record_urgent(state, now_ms, endpoint)
+    if changed:
+        _record_leaving(state, now_ms, endpoint, True)
     return changed
 
 
 def on_notice(state: FleetState, now_ms: float, received: ReceivedEndpoint) -> MergeResult:
     """Merge a notice of a leaving endpoint that another control instance received."""
     merged = merge(state.announced, received.record, now_ms - received.age_ms)
-    _record_urgent(state, now_ms, received.record.endpoint)
+    if merged is MergeResult.CHANGED:
+        _record_leaving(state, now_ms, received.record.endpoint, False)
     return merged
 
 
@@ -166,7 +168,7 @@
 
 def incremental_share(state: FleetState, now_ms: float) -> ControlShare:
     """Build a share of what was received here since the last call."""
-    names = sorted(state.changed_endpoints | set(state.urgent))
+    names = sorted(state.changed_endpoints | take_due(state.leaving, now_ms))
     crashes = sorted(state.unshared_crashes)
     renewals = tuple(
         (name, entry.record.born_ms, entry.record.sequence, round(now_ms - entry.received_ms))
@@ -356,7 +358,6 @@
     elif not is_synchronized(state) and now_ms - (state.unsynced_since_ms or 0.0) >= state.lease_ms:
         state.unsynced_since_ms = None
     lapsed = expire(state.announced, now_ms, state.lease_ms) if is_synchronized(state) else []
-    state.urgent = {name: until_ms for name, until_ms in state.urgent.items() if now_ms < until_ms}
     forget_entries(state.entries, now_ms, FORGET_MS)
     state.moving_entries &= state.entries.by_name.keys()
     state.controls = {
@@ -479,10 +480,10 @@
     return RequestCrash(*key, now_ms - crash.time_ms, crash.failure_domain)
 
 
-def _record_urgent(state: FleetState, now_ms: float, endpoint: str) -> None:
+def _record_leaving(state: FleetState, now_ms: float, endpoint: str, from_endpoint: bool) -> None:
     entry = state.announced.endpoints.get(endpoint)
     if entry is not None and entry.record.endpoint_state in (ENDPOINT_DRAINING, ENDPOINT_LEFT):
-        state.urgent.setdefault(endpoint, now_ms + URGENT_REPEAT_MS)
+        record_leaving(state.leaving, now_ms, endpoint, from_endpoint)
 
 
 def _merge_control(state: FleetState, now_ms: float, status: ControlStatus) -> None:
--- a/tests/test_fleet/test_feed.py
+++ b/tests/test_fleet/test_feed.py
@@ -195,3 +195,34 @@
     apply_record(table, other, True)
     remove_missing_endpoints(table, (ReceivedEndpoint(other, 0.0),))
     assert usable(table) == ['i-2']
+
+
+def test_near_instance_is_polled_again_soon_after_it_had_no_quorum() -> None:
+    """Guard against feeds from another failure domain for seconds after all have started."""
+    state = feed.FeedState(SEEDS, 'b', random.Random(3))
+    near, others = SEEDS[1], []
+    for now_ms in range(0, 3_000, 50):
+        due = feed.next_poll(state, float(now_ms), ENTRY)
+        if due is None:
+            continue
+        has_quorum = now_ms >= 700
+        answer = replace(reply(due.poll.poll_id), confirmed=has_quorum, synchronized=has_quorum)
+        feed.on_feed(state, now_ms + 1.0, due.to, answer)
+        if due.to != near and now_ms > 700 + feed.UNCONFIRMED_AVOID_MS + 300:
+            others.append(now_ms)
+    assert others == []
+
+
+def test_first_poll_asks_for_the_nearest_instance_only() -> None:
+    """Guard against a full update from another failure domain, and against a start without one."""
+    state = make_feed_state()
+    first = feed.next_poll(state, 0.0, ENTRY)
+    assert first is not None
+    assert first.poll.prefers_near
+    short = replace(reply(first.poll.poll_id, revision=0), full=False, synchronized=False)
+    feed.on_feed(state, 1.0, first.to, short)
+    second = feed.next_poll(state, 1.0, ENTRY)
+    assert second is not None
+    assert second.to == SEEDS[1]
+    assert not second.poll.prefers_near
+    assert second.poll.endpoint_revision == 0
--- a/tests/test_fleet/test_fleet.py
+++ b/tests/test_fleet/test_fleet.py
@@ -309,3 +309,24 @@
     )
     assert fleet.has_urgent_change(state, revision)
     assert not fleet.has_urgent_change(state, state.announced.revision)
+
+
+def test_entry_on_its_way_to_a_nearer_instance_gets_no_endpoints() -> None:
+    """Guard against updates that an entry instance gets from two failure domains."""
+    far, near = make_control(1), make_control(2)
+    near.own_status = replace(near.own_status, failure_domain='b')
+    set_synchronized(far)
+    entry = replace(ENTRY, failure_domain='b')
+    fleet.on_announcement(far, 0.0, RECORD)
+    first_poll = FeedPoll(1, replace(entry, sequence=1), 0, 0, prefers_near=True)
+    # Without an instance there, the entry gets everything here.
+    assert len(fleet.on_feed_poll(far, 10.0, first_poll, True, 5, b'document').endpoints) == 1
+    exchange([far, near], 20.0)
+    reply = fleet.on_feed_poll(far, 30.0, first_poll, True, 5, b'document')
+    assert (reply.endpoints, reply.document, reply.endpoint_revision) == ((), b'', 0)
+    assert {location.failure_domain for location in reply.controls} == {'a', 'b'}
+    assert fleet.push_receivers(far, 40.0) == ()
+    # It comes back if the nearer instance does not answer.
+    later_poll = FeedPoll(2, replace(entry, sequence=2), 0, 0)
+    assert len(fleet.on_feed_poll(far, 500.0, later_poll, True, 5, b'document').endpoints) == 1
+    assert fleet.push_receivers(far, 510.0) == (entry.instance,)
