--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -37,12 +37,20 @@
     renew_entry,
     status_with_age,
 )
+from .leaving import LeavingEndpoints, record_leaving, take_due
+from .renewals import (
+    RenewalNumbers,
+    expand_renewals,
+    forget_numbers,
+    shorten_renewals,
+    state_again,
+)
 from .suspects import RecentCrash
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from ..messages.fleet import AnnouncedEndpoint
+    from ..messages.fleet import AnnouncedEndpoint, ShortRenewal
 
 SHARE_INTERVAL_MS = 200.0
 # An instance counts as lost after five missing or late shares.
@@ -54,8 +62,6 @@
 # reach an instance that answers.
 HEARTBEATS_PER_LEASE = 3.0
 LEASE_SLACK_MS = 600.0
-# Urgent changes are shared again for this long, in case a share is lost.
-URGENT_REPEAT_MS = 3_000.0
 FORGET_MS = 60_000.0
 CRASH_RETENTION_MS = 600_000.0
 CRASH_LIMIT_COUNT = 4_096
@@ -93,8 +99,10 @@
         self.renewed_endpoints: set[str] = set()
         # Whether a peer renewed an endpoint or instance that is unknown here.
         self.needs_full_share = False
-        # Draining and departed endpoints, and until when their states are shared again.
-        self.urgent: dict[str, float] = {}
+        # Draining and departed endpoints, whose states are shared more than once.
+        self.leaving = LeavingEndpoints()
+        # Entry instances that polled here once to find the control instance nearest to them.
+        self.moving_entries: set[str] = set()
         # How many entry instances the endpoints' connection limits allow; None if unlimited.
         self.entry_limit: int | None = None
         # The shards of the largest query.
@@ -102,6 +110,7 @@
         # When each other control instance last received a share of this one, as it reported.
         self.reached_ms: dict[str, float] = {}
         self.unshared_crashes: set[tuple[str, str, int]] = set()
+        self.numbers = RenewalNumbers()
 
 
 def is_synchronized(state: FleetState) -> bool:
@@ -130,7 +139,8 @@
         else:
             state.changed_endpoints.add(record.endpoint)
             state.renewed_endpoints.discard(record.endpoint)
-        _record_urgent(state, now_ms, record.endpoint)
+    if merged is MergeResult.CHANGED:
+        _record_leaving(state, now_ms, record.endpoint, True)
     return merged
 
 
@@ -139,14 +149,16 @@
 ) -> bool:
     """Record that an endpoint left and return whether its state changed."""
     changed = mark_left(state.announced, endpoint, born_ms, latest_born_ms, now_ms)
-    _record_urgent(state, now_ms, endpoint)
+    if changed:
+        _record_leaving(state, now_ms, endpoint, True)
     return changed
 
 
 def on_notice(state: FleetState, now_ms: float, received: ReceivedEndpoint) -> MergeResult:
     """Merge a notice of a leaving endpoint that another control instance received."""
     merged = merge(state.announced, received.record, now_ms - received.age_ms)
-    _record_urgent(state, now_ms, received.record.endpoint)
+    if merged is MergeResult.CHANGED:
+        _record_leaving(state, now_ms, received.record.endpoint, False)
     return merged
 
 
@@ -160,13 +172,17 @@
 
 def incremental_share(state: FleetState, now_ms: float) -> ControlShare:
     """Build a share of what was received here since the last call."""
-    names = sorted(state.changed_endpoints | set(state.urgent))
+    names = sorted(state.changed_endpoints | take_due(state.leaving, now_ms))
     crashes = sorted(state.unshared_crashes)
     renewals = tuple(
         (name, entry.record.born_ms, entry.record.sequence, round(now_ms - entry.received_ms))
         for name in sorted(state.renewed_endpoints)
         if (entry := state.announced.endpoints.get(name)) is not None
     )
+    numbers: tuple[int, ...] = ()
+    short_renewals: tuple[ShortRenewal, ...] = ()
+    if all(name in state.numbers.peers for name in live_controls(state, now_ms)):
+        renewals, numbers, short_renewals = shorten_renewals(state.numbers, renewals)
     state.changed_endpoints, state.renewed_endpoints, state.unshared_crashes = set(), set(), set()
     state.share_pending = False
     entries, entry_renewals, silent_entries = collect_entry_changes(state.entries, now_ms)
@@ -180,6 +196,8 @@
         silent_entries=silent_entries,
         controls=controls,
         control_renewals=control_renewals,
+        renewal_numbers=numbers,
+        short_renewals=short_renewals,
     )
 
 
@@ -226,6 +244,7 @@
         entries,
         aged_endpoints(state.announced, now_ms, names),
         crashes=tuple(_crash_report(now_ms, key, state.crashes[key]) for key in crashes),
+        reads_short_renewals=True,
     )
 
 
@@ -253,9 +272,15 @@
         record_entry_silent(state.entries, now_ms, silent)
     for received in share.endpoints:
         merge(state.announced, received.record, now_ms - received.age_ms)
-    for endpoint, born_ms, sequence, age_ms in share.renewals:
+    for known in expand_renewals(state.numbers, share):
+        if known is None:
+            state.needs_full_share = True
+            continue
+        endpoint, born_ms, sequence, age_ms = known
         if renew(state.announced, endpoint, born_ms, sequence, now_ms - age_ms) is None:
             state.needs_full_share = True
+    if share.wants_full:
+        state_again(state.numbers)
     for crash in share.crashes:
         record_crash(state, now_ms, crash, pass_on=False)
     if share.full and share.synchronized:
@@ -281,7 +306,14 @@
     since = poll.endpoint_revision if same_incarnation else 0
     reply = make_feed(state, now_ms, since, confirmed, route_version, document, evacuations)
     newer = route_version > poll.entry.route_version
-    return replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
+    reply = replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
+    state.moving_entries.discard(poll.entry.instance)
+    if poll.prefers_near and _has_nearer_control(state, now_ms, poll.entry.failure_domain):
+        state.moving_entries.add(poll.entry.instance)
+        reply = replace(
+            reply, synchronized=False, full=False, endpoint_revision=0, endpoints=(), document=b''
+        )
+    return reply
 
 
 def make_feed(
@@ -339,11 +371,12 @@
     elif not is_synchronized(state) and now_ms - (state.unsynced_since_ms or 0.0) >= state.lease_ms:
         state.unsynced_since_ms = None
     lapsed = expire(state.announced, now_ms, state.lease_ms) if is_synchronized(state) else []
-    state.urgent = {name: until_ms for name, until_ms in state.urgent.items() if now_ms < until_ms}
     forget_entries(state.entries, now_ms, FORGET_MS)
+    state.moving_entries &= state.entries.by_name.keys()
     state.controls = {
         name: peer for name, peer in state.controls.items() if now_ms - peer.received_ms < FORGET_MS
     }
+    forget_numbers(state.numbers, state.announced.endpoints.keys(), state.controls)
     state.crashes = {
         key: crash
         for key, crash in state.crashes.items()
@@ -374,6 +407,15 @@
     return 2 * count > len(voters)
 
 
+def failure_domain_of(state: FleetState, instance: str) -> str | None:
+    """Return the failure domain of an instance, or None if it is not known."""
+    control = state.controls.get(instance)
+    if control is not None:
+        return control.status.failure_domain
+    entry = state.entries.by_name.get(instance)
+    return None if entry is None else entry.status.failure_domain
+
+
 def live_members(state: FleetState, now_ms: float) -> tuple[str, ...]:
     """Return the members of the other control instances whose own shares are recent."""
     return tuple(
@@ -404,6 +446,12 @@
     )
 
 
+def push_receivers(state: FleetState, now_ms: float) -> tuple[str, ...]:
+    """Return the entry instances to which changes are pushed."""
+    names = (entry.instance for entry in direct_entries(state, now_ms))
+    return tuple(name for name in names if name not in state.moving_entries)
+
+
 def record_crash(state: FleetState, now_ms: float, crash: RequestCrash, pass_on: bool) -> None:
     """Record that a request was in flight when an endpoint crashed."""
     key = (crash.digest, crash.endpoint, crash.born_ms)
@@ -420,6 +468,13 @@
     return now_ms - peer.received_ms < CONTROL_LIVE_MS
 
 
+def _has_nearer_control(state: FleetState, now_ms: float, failure_domain: str) -> bool:
+    """Return whether another control instance is in a failure domain and this one is not."""
+    return failure_domain != state.own_status.failure_domain and any(
+        location.failure_domain == failure_domain for location in _live_locations(state, now_ms)
+    )
+
+
 def _live_locations(state: FleetState, now_ms: float) -> tuple[InstanceLocation, ...]:
     others = (peer.status for peer in state.controls.values() if _is_live(peer, now_ms))
     return tuple(
@@ -438,10 +493,10 @@
     return RequestCrash(*key, now_ms - crash.time_ms, crash.failure_domain)
 
 
-def _record_urgent(state: FleetState, now_ms: float, endpoint: str) -> None:
+def _record_leaving(state: FleetState, now_ms: float, endpoint: str, from_endpoint: bool) -> None:
     entry = state.announced.endpoints.get(endpoint)
     if entry is not None and entry.record.endpoint_state in (ENDPOINT_DRAINING, ENDPOINT_LEFT):
-        state.urgent.setdefault(endpoint, now_ms + URGENT_REPEAT_MS)
+        record_leaving(state.leaving, now_ms, endpoint, from_endpoint)
 
 
 def _merge_control(state: FleetState, now_ms: float, status: ControlStatus) -> None:
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .distance import is_distant, is_near_enough
 from .hedge_delay import usual_latency_ms
 from .routed_state import endpoint_connection_limit
 
@@ -54,12 +55,36 @@
             expected_ms == chosen_ms and chosen is not None and state.random.random() < 0.5
         ):
             chosen, chosen_ms = load, expected_ms
+    if chosen is not None and is_distant(state, chosen):
+        near = _choose_near(state, now_ms, route, service, excluded)
+        chosen = near or chosen
     if wanted is not None and wanted_ms < chosen_ms:
         wanted.limit.wanted_count += 1
         state.wanted_permits[wanted.record.endpoint] = wanted
     return chosen
 
 
+def _choose_near(
+    state: RoutedState, now_ms: float, route: Route, service: str, excluded: Container[str]
+) -> EndpointLoad | None:
+    """Return an endpoint of the own failure domain that spares a query a distant one."""
+    limit_count = endpoint_connection_limit(state, service)
+    usual_ms = usual_latency_ms(state, route)
+    chosen: EndpointLoad | None = None
+    chosen_ms = float('inf')
+    for load in state.table.usable(service):
+        if load.record.failure_domain != state.failure_domain or load.record.endpoint in excluded:
+            continue
+        expected_ms = expected_latency_ms(state, now_ms, load, usual_ms)
+        if (
+            expected_ms < chosen_ms
+            and is_available(load, now_ms, limit_count)
+            and is_near_enough(route, now_ms, load, expected_ms)
+        ):
+            chosen, chosen_ms = load, expected_ms
+    return chosen
+
+
 def is_available(load: EndpointLoad, now_ms: float, connection_limit_count: int) -> bool:
     """Return whether an endpoint can take an attempt now, within the limit that it states."""
     return has_capacity(load, now_ms, connection_limit_count) and load.limit.admits(now_ms)
--- a/packages/core/src/pistachioloft_core/request/shard_attempts.py
+++ b/packages/core/src/pistachioloft_core/request/shard_attempts.py
@@ -16,6 +16,7 @@
     SendAttempt,
     begin_attempt,
 )
+from .distance import hedge_due_ms
 from .hedge_delay import usual_latency_ms
 from .permitted import UNSERVED_RETRY_MS
 from .placement import choose_endpoint
@@ -71,6 +72,7 @@
     query.sent_count += 1
     attempt_id = f'{query.request_id}.{query.sent_count}'
     attempt = begin_attempt(state, now_ms, attempt_id, query.route, shard.service, load, hedge)
+    attempt.is_retry = shard.attempt_count > 0 and not hedge
     if shard.attempt_count == 0:
         state.queue_waits.record_hold(shard.service, now_ms, now_ms - query.started_ms)
     shard.tried.add(load.record.endpoint)
@@ -120,6 +122,12 @@
         return []
     late_attempt = shard.open_attempts[-1]
     load = choose_next_endpoint(state, now_ms, query, shard)
+    if load is not None:
+        due_ms = hedge_due_ms(state, query.route, load, query.needed_at_ms)
+        if now_ms < due_ms:
+            # Most late replies arrive before that.
+            late_attempt.check_at_ms = due_ms
+            return []
     if (
         load is None
         or _would_queue_again(state, now_ms, query, late_attempt, load)
