--- a/packages/cli/src/pistachioloft_cli/fleet_commands.py
+++ b/packages/cli/src/pistachioloft_cli/fleet_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Annotated
 
@@ -74,6 +75,7 @@
         output.lines(*describe_evacuations(view.reports))
         output.lines(*_entry_table(view.reports), *_endpoint_table(view.reports, endpoints))
         output.lines(*_budget_table(view.reports))
+        output.lines(*_organisation_table(view.reports))
         output.lines(*_suspect_lines(view.reports))
         output.document(view)
         output.exit_unless_done(ExitCode.PARTIAL if view.unreachable else ExitCode.DONE)
@@ -233,6 +235,25 @@
     return ('', *format_table(header, rows)) if rows else ()
 
 
+def _organisation_table(reports: Iterable[FleetReport]) -> tuple[str, ...]:
+    """Return the requests of each organisation, summed over the instances that reported."""
+    admitted: Counter[str] = Counter()
+    refused: Counter[str] = Counter()
+    limits: dict[str, tuple[str, str]] = {}
+    for report in reports:
+        for organisation in report.organisations:
+            name = organisation.organisation
+            admitted[name] += organisation.admitted_count
+            refused[name] += organisation.refused_count
+            limits[name] = f'{organisation.rate_per_s:g}', f'{organisation.burst_count:g}'
+    rows = [
+        (name, *limits[name], admitted[name], refused[name])
+        for name, _ in (admitted + refused).most_common()
+    ]
+    header = ('ORGANISATION', 'RATE/S', 'BURST', 'ADMITTED', 'REFUSED')
+    return ('', *format_table(header, rows)) if rows else ()
+
+
 def _suspect_lines(reports: Iterable[FleetReport]) -> list[str]:
     return [
         f'{report.instance}: content {suspect.digest} is {suspect.standing}'
--- a/packages/core/src/pistachioloft_core/messages/report.py
+++ b/packages/core/src/pistachioloft_core/messages/report.py
@@ -63,6 +63,17 @@
     standing: str
 
 
+@dataclass(frozen=True, slots=True)
+class OrganisationReport:
+    """Describe an organisation's allotment, and its requests at an instance since its start."""
+
+    organisation: str
+    rate_per_s: float
+    burst_count: float
+    admitted_count: int
+    refused_count: int
+
+
 @dataclass(frozen=True, slots=True)
 class FleetReport:
     """Describe one instance and its view; `confirmed_age_ms` is None before a confirmation."""
@@ -82,3 +93,5 @@
     budgets: tuple[BudgetReport, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
     evacuated_domains: tuple[str, ...] = ()
+    # The organisations with an allotment that sent most requests.
+    organisations: tuple[OrganisationReport, ...] = ()
--- a/packages/daemon/src/pistachioloft_daemon/reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/reports.py
@@ -13,6 +13,7 @@
     BudgetReport,
     EntryReport,
     FleetReport,
+    OrganisationReport,
     SuspectReport,
 )
 from pistachioloft_core.process import agreement, feed, fleet
@@ -21,6 +22,7 @@
 from pistachioloft_core.process.suspects import SuspicionLevel, suspicion_level
 
 from .loop_timers import monotonic_ms
+from .metrics import NAMED_ORGANISATION_COUNT
 
 if TYPE_CHECKING:
     from pistachioloft_core.connection.endpoint_load import EndpointLoad
@@ -90,9 +92,30 @@
             if level is not SuspicionLevel.CLEAR
         ),
         evacuated_domains=tuple(sorted(state.table.evacuated_domains)),
+        organisations=_describe_organisations(instance),
     )
 
 
+def _describe_organisations(instance: EntryInstance) -> tuple[OrganisationReport, ...]:
+    """Describe the organisations that are limited and sent most requests here."""
+    routes = instance.state.routes
+    tally = instance.requests.metrics.admission_tally
+    known = routes.organisations if routes is not None else {}
+    reports = [
+        OrganisationReport(
+            name,
+            organisation.rate_per_s,
+            organisation.burst_count,
+            tally[name, True],
+            tally[name, False],
+        )
+        for name, organisation in known.items()
+        if tally[name, True] + tally[name, False]
+    ]
+    reports.sort(key=lambda report: report.admitted_count + report.refused_count, reverse=True)
+    return tuple(reports[:NAMED_ORGANISATION_COUNT])
+
+
 def report_control(instance: ControlInstance) -> FleetReport:
     """Return the report of a control instance."""
     now_ms = monotonic_ms()
--- a/tests/test_cli/test_fleet_commands.py
+++ b/tests/test_cli/test_fleet_commands.py
@@ -11,6 +11,7 @@
     BudgetReport,
     EntryReport,
     FleetReport,
+    OrganisationReport,
     SuspectReport,
 )
 
@@ -145,3 +146,15 @@
     assert any(line.startswith('i-2') and 'left' in line for line in lines)
     plain = run('fleet', 'status', '--at', addresses[1])
     assert 'Evacuated' not in plain.out
+
+
+def test_organisations_are_summed_over_the_instances(run: Run, make_instance: MakeInstance) -> None:
+    """Guard against hiding which organisations are refused beyond their allotments."""
+    busy = OrganisationReport('east', 2.5, 10.0, 7, 30)
+    quiet = OrganisationReport('west', 4.0, 0.0, 12, 0)
+    first = replace(ENTRY, organisations=(busy, quiet))
+    second = replace(ENTRY, instance='10.1.0.10', organisations=(busy,))
+    addresses = serve(make_instance, first), serve(make_instance, second)
+    result = run('fleet', 'status', '--at', addresses[0], '--at', addresses[1])
+    lines = [' '.join(line.split()) for line in result.out.splitlines()]
+    assert lines.index('east 2.5 10 14 60') + 1 == lines.index('west 4 0 12 0')
