Shorten the change of a grantor, and tell callers when it ends

Change: the successor begins after 2 s; a refusal until then carries that time. Measured: tests/test_allotments and the tests of processes with organisations pass.

--- a/packages/core/src/pistachioloft_core/process/allotment_purses.py
+++ b/packages/core/src/pistachioloft_core/process/allotment_purses.py
@@ -175,6 +175,7 @@
             _spend(purse, now_ms)
     if grant.outcome != GRANTED:
         purse.unready_until_ms = now_ms + min(ASK_AGAIN_MS, grant.room_ms)
+        purse.retry_at_ms = now_ms + grant.room_ms
     elif grant.room_ms > 0:
         purse.denied_until_ms = now_ms + min(DENIAL_MAX_MS, max(DENIAL_MIN_MS, grant.room_ms))
         purse.room_ms = grant.room_ms
@@ -195,7 +196,7 @@
             standing = standing_of(table.ranks, table.bounds, purse.organisation)
             if now_ms - sent.sent_ms >= REPLY_LIMIT_MS:
                 purse.sent, purse.overdue_grantor = None, sent.grantor
-                purse.unready_until_ms = now_ms + ASK_AGAIN_MS
+                purse.unready_until_ms = purse.retry_at_ms = now_ms + ASK_AGAIN_MS
                 outcomes += _refuse_waiting(table, now_ms, purse, sent.tickets)
             elif sent.grantor != standing.grantor:
                 purse.sent = None
@@ -293,6 +294,6 @@
 
 
 def _refuse_unready(now_ms: float, purse: Purse) -> Refuse:
-    retry_after_ms = max(ASK_AGAIN_MS, purse.unready_until_ms - now_ms)
+    retry_after_ms = max(ASK_AGAIN_MS, purse.retry_at_ms - now_ms)
     detail = f'no permit came for a request of {purse.organisation.name}'
     return Refuse(ResultCode.FENCED, detail, retry_after_ms)
--- a/packages/core/src/pistachioloft_core/process/allotments.py
+++ b/packages/core/src/pistachioloft_core/process/allotments.py
@@ -14,9 +14,9 @@
     from ..messages.routes import Organisation
 
 # A grantor grants while a quorum confirmed its view of the instances at most this time ago.
-GRANTOR_CONFIRMED_MS = 2_000.0
+GRANTOR_CONFIRMED_MS = 1_500.0
 # The views of instances in touch differ for at most this time.
-VIEW_SKEW_MS = 1_000.0
+VIEW_SKEW_MS = 500.0
 # An instance that becomes the grantor begins after this time, once its predecessor has stopped.
 TAKEOVER_MS = GRANTOR_CONFIRMED_MS + VIEW_SKEW_MS
 # Spare permits may be spent for this many windows after the last confirmation.
