Order waiting attempts only where several wait for a connection

Cause: each attempt built its rank although most find a connection free. Change: the pool takes priority and deadline, and ranks what waits when a connection is free. Measured: tests/test_http1 and test_value_order.py pass.

--- a/packages/core/src/pistachioloft_core/request/queue_order.py
+++ b/packages/core/src/pistachioloft_core/request/queue_order.py
@@ -16,10 +16,10 @@
 class QueuedWork:
     """Describe an attempt that waits; priority 0 is the highest."""
 
-    priority: int = 0
-    queued_ms: float = 0.0
-    deadline_at_ms: float = float('inf')
-    latency_target_ms: float = 0.0
+    priority: int
+    queued_ms: float
+    deadline_at_ms: float
+    latency_target_ms: float
 
 
 def waiting_rank(now_ms: float, work: QueuedWork) -> tuple[bool, float, float]:
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -37,8 +37,6 @@
 KEEP_ALIVE_PARAMETER = b'timeout='
 # A second reply comes at the latest where the next one is due, so a few ids would be enough.
 RECENT_REQUEST_COUNT = 32
-# Attempts with nothing else to order them by are sent in the order in which they were queued.
-UNORDERED_WORK = QueuedWork()
 
 # Returns how a response ends the attempt, or None if it answers an earlier request.
 DecodeReply = Callable[['Attempt', 'Response'], AttemptEnd | None]
@@ -52,8 +50,9 @@
     attempt: Attempt
     request_id: str
     data: bytes
-    # Decides which attempt gets the next connection.
-    work: QueuedWork = UNORDERED_WORK
+    # Decide which attempt gets the next connection; priority 0 is the highest.
+    priority: int = 0
+    deadline_at_ms: float = float('inf')
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +151,16 @@
         self.queue: dict[str, OutgoingAttempt] = {}
 
 
+def _queued_work(outgoing: OutgoingAttempt) -> QueuedWork:
+    attempt = outgoing.attempt
+    return QueuedWork(
+        outgoing.priority,
+        attempt.started_ms,
+        outgoing.deadline_at_ms,
+        attempt.route.latency_target_ms,
+    )
+
+
 class EndpointPool:
     """Hold the connections to all endpoints."""
 
@@ -306,8 +315,10 @@
     def _next_queued(self, connection: PooledConnection) -> OutgoingAttempt | None:
         queued = connection.target.queue.values()
         usable = [each for each in queued if connection.can_identify(each.request_id)]
+        if len(usable) < 2:
+            return usable[0] if usable else None
         now_ms = monotonic_ms()
-        return min(usable, key=lambda each: waiting_rank(now_ms, each.work), default=None)
+        return min(usable, key=lambda each: waiting_rank(now_ms, _queued_work(each)))
 
     def _take_idle(self, target: _Target, request_id: str) -> PooledConnection | None:
         now_s = monotonic_ms() / 1000.0
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -35,7 +35,6 @@
 from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.hedge_delay import usual_latency_ms
 from pistachioloft_core.request.identification import identify_caller, request_priority
-from pistachioloft_core.request.queue_order import QueuedWork
 from pistachioloft_core.request.records import greatest_records
 from pistachioloft_core.request.routed_state import deadlines_of, endpoint_connection_limit
 from pistachioloft_core.request.shard_attempts import ABANDON_DELAY_MS
@@ -437,14 +436,10 @@
             if shard.may_have_run_count > 1:
                 self.relays.report_extra_attempt(in_flight.group, attempt.service)
         data = self.wire.encode_attempt(in_flight.routed, endpoint, action.time_left_ms)
-        now_ms = monotonic_ms()
-        work = QueuedWork(
-            in_flight.state.priority,
-            now_ms,
-            now_ms + action.time_left_ms,
-            attempt.route.latency_target_ms,
+        request_id, state = in_flight.routed.request_id, in_flight.state
+        self.pool.send(
+            OutgoingAttempt(attempt, request_id, data, state.priority, state.deadline_at_ms)
         )
-        self.pool.send(OutgoingAttempt(attempt, in_flight.routed.request_id, data, work))
 
     def _abandon(self, now_ms: float, action: AbandonAttempt) -> None:
         if action.after_ms > 0:
--- a/tests/test_http1/pool_harness.py
+++ b/tests/test_http1/pool_harness.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from msgspec.structs import replace
 
@@ -12,17 +12,10 @@
 from pistachioloft_core.messages.fleet import ENDPOINT_READY, AnnouncedEndpoint
 from pistachioloft_core.messages.routes import Route, WeightedService
 from pistachioloft_core.request.attempts import Attempt, AttemptEnd, AttemptOutcome
-from pistachioloft_daemon.endpoint_pool import (
-    UNORDERED_WORK,
-    EndpointPool,
-    OutgoingAttempt,
-    PoolHooks,
-)
+from pistachioloft_daemon.endpoint_pool import EndpointPool, OutgoingAttempt, PoolHooks
 from pistachioloft_daemon.http1.messages import Response, find_header
 from pistachioloft_daemon.http1.receive_budget import ReceiveBudget
-
-if TYPE_CHECKING:
-    from pistachioloft_core.request.queue_order import QueuedWork
+from pistachioloft_daemon.loop_timers import monotonic_ms
 
 ROUTE = Route('r', 'h', '/', True, 1_000.0, 100.0, 1, 2, (WeightedService('s'),))
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -45,6 +38,7 @@
         self.connection_count = 0
         self.load: EndpointLoad | None = None
         self.number = 0
+        self.route = ROUTE
         self.request_ids: dict[str, str] = {}
         # The replies that were taken for the answers to attempts.
         self.responses: list[Response] = []
@@ -83,15 +77,15 @@
     def ended(self, attempt: Attempt, end: AttemptEnd) -> None:
         self.ends.put_nowait((attempt.attempt_id, end))
 
-    def send(self, request_id: str = '', work: QueuedWork = UNORDERED_WORK) -> Attempt:
+    def send(self, request_id: str = '', priority: int = 0) -> Attempt:
         """Send an attempt, whose request id is its number unless another is given."""
         assert self.load is not None
         self.number += 1
-        attempt = Attempt(str(self.number), ROUTE, 's', self.load, 0.0, 50.0, False)
+        attempt = Attempt(str(self.number), self.route, 's', self.load, monotonic_ms(), 50.0, False)
         request_id = request_id or attempt.attempt_id
         self.request_ids[attempt.attempt_id] = request_id
         data = f'GET /{request_id} HTTP/1.1\r\nHost: h\r\n\r\n'.encode()
-        self.pool.send(OutgoingAttempt(attempt, request_id, data, work))
+        self.pool.send(OutgoingAttempt(attempt, request_id, data, priority))
         return attempt
 
     def move(self, address: str) -> None:
--- a/tests/test_http1/test_pool.py
+++ b/tests/test_http1/test_pool.py
@@ -11,8 +11,6 @@
 import pytest
 
 from pistachioloft_core.request.attempts import AttemptOutcome
-from pistachioloft_core.request.queue_order import QueuedWork
-from pistachioloft_daemon.loop_timers import monotonic_ms
 from tests.test_http1.pool_harness import PoolHarness, read_id, reply, run
 
 if TYPE_CHECKING:
@@ -50,9 +48,9 @@
     async def scenario(harness: PoolHarness) -> None:
         harness.pool.hooks = harness.hooks_with_limit(1)
         await harness.call()
-        now_ms = monotonic_ms()
+        harness.route = dataclasses.replace(harness.route, latency_target_ms=60_000.0)
         for priority in (1, 2, 2, 0):
-            harness.send(work=QueuedWork(priority, now_ms, now_ms + 9_000.0, 60_000.0))
+            harness.send(priority=priority)
         for _ in range(4):
             await harness.ends.get()
         # The first one found the connection free.
