--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -152,6 +152,8 @@
     crashes: tuple[RequestCrash, ...] = ()
     # The sender wants the endpoints from a control instance of its failure domain if there is one.
     prefers_near: bool = False
+    # Identifies the helpers that the sender knows, 0 without any.
+    helpers_digest: int = 0
 
 
 class FeedReply(Struct, frozen=True, array_like=True):
@@ -171,8 +173,10 @@
     # The entry instances whose addresses callers get.
     advertised: tuple[InstanceLocation, ...]
     crashes: tuple[RequestCrash, ...] = ()
-    # The entry instances among which shards are divided; empty if these are the advertised ones.
+    # The entry instances among which shards are divided, and their digest; digest 0 means the
+    # advertised ones, and no instances mean those that the receiver knows by the digest.
     helpers: tuple[InstanceLocation, ...] = ()
+    helpers_digest: int = 0
     # The evacuated failure domains, and the log index of their last change.
     evacuation_index: int = 0
     evacuated_domains: tuple[str, ...] = ()
--- a/packages/core/src/pistachioloft_core/process/directory.py
+++ b/packages/core/src/pistachioloft_core/process/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
@@ -11,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..messages.fleet import EntryStatus
+    from ..messages.fleet import EntryStatus, InstanceLocation
     from ..messages.routes import RouteSet
 
 ADDRESS_LIMIT_COUNT = 64
@@ -97,6 +98,12 @@
     return tuple(chosen)
 
 
+def locations_digest(locations: Iterable[InstanceLocation]) -> int:
+    """Return a number other than 0 that identifies instances and their failure domains."""
+    text = '\n'.join(f'{each.instance} {each.failure_domain}' for each in locations)
+    return zlib.crc32(text.encode()) or 1
+
+
 def caller_addresses(advertised: Iterable[EntryStatus], failure_domain: str) -> tuple[str, ...]:
     """Return the addresses for a caller, preferring its own failure domain."""
     advertised = tuple(advertised)
--- a/packages/core/src/pistachioloft_core/process/feed.py
+++ b/packages/core/src/pistachioloft_core/process/feed.py
@@ -70,6 +70,8 @@
         self.cursors: dict[str, tuple[int, int]] = {}
         self.confirmed_ms: float | None = None
         self.crashes: list[RequestCrash] = []
+        # Identifies the helpers that the last update named.
+        self.helpers_digest = 0
         # Until when control instances that were silent or without a quorum are avoided.
         self.avoided_until_ms: dict[str, float] = {}
         # Those given up since the last call of `take_given_up`.
@@ -116,7 +118,14 @@
     state.poll_count += 1
     entry = replace(entry, sequence=state.poll_count)
     poll = FeedPoll(
-        state.poll_id, entry, incarnation, revision, received_age_ms, crashes, prefers_near
+        state.poll_id,
+        entry,
+        incarnation,
+        revision,
+        received_age_ms,
+        crashes,
+        prefers_near,
+        state.helpers_digest,
     )
     return SendPoll(target, poll)
 
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -23,7 +23,7 @@
     RequestCrash,
 )
 from .announced import AnnouncedState, MergeResult, aged_endpoints, expire, mark_left, merge, renew
-from .directory import advertised_entries, helper_entries
+from .directory import advertised_entries, helper_entries, locations_digest
 from .known_entries import (
     ENTRY_LIVE_MS,
     INSTANCE_LIMIT_COUNT,
@@ -307,6 +307,8 @@
     reply = make_feed(state, now_ms, since, confirmed, route_version, document, evacuations)
     newer = route_version > poll.entry.route_version
     reply = replace(reply, poll_id=poll.poll_id, document=document if newer else b'')
+    if reply.helpers_digest == poll.helpers_digest:
+        reply = replace(reply, helpers=())
     state.moving_entries.discard(poll.entry.instance)
     if poll.prefers_near and _has_nearer_control(state, now_ms, poll.entry.failure_domain):
         state.moving_entries.add(poll.entry.instance)
@@ -329,7 +331,8 @@
     names = state.announced.changed_since(since)
     entries = live_entries(state, now_ms)
     advertised = advertised_entries(entries, state.entry_limit)
-    helpers = helper_entries(entries, advertised, state.query_shard_count)
+    helpers = _locations(helper_entries(entries, advertised, state.query_shard_count))
+    has_more_helpers = len(helpers) > len(advertised)
     return FeedReply(
         poll_id=0,
         control_incarnation=state.own_status.incarnation,
@@ -344,7 +347,8 @@
         controls=_live_locations(state, now_ms),
         advertised=_locations(advertised),
         crashes=_newest_crashes(state, now_ms),
-        helpers=_locations(helpers) if len(helpers) > len(advertised) else (),
+        helpers=helpers if has_more_helpers else (),
+        helpers_digest=locations_digest(helpers) if has_more_helpers else 0,
         evacuation_index=evacuations.index,
         evacuated_domains=evacuations.failure_domains,
     )
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -370,7 +370,7 @@
             self._tick(now_ms)
 
     def _apply_feed(self, now_ms: float, reply: FeedReply) -> None:
-        locations = (*reply.controls, *(reply.helpers or reply.advertised))
+        locations = (*reply.controls, *self._named_helpers(reply))
         self.peer_domains = {each.instance: each.failure_domain for each in locations}
         table = self.state.table
         for received in reply.endpoints:
@@ -381,7 +381,17 @@
         if reply.full and reply.synchronized:
             changes += endpoint_table.remove_missing_endpoints(table, reply.endpoints)
         self._on_endpoint_changes(changes)
-        self._apply_advertised(now_ms, reply.advertised, reply.helpers or reply.advertised)
+        self._apply_advertised(now_ms, reply.advertised, self._named_helpers(reply))
+
+    def _named_helpers(self, reply: FeedReply) -> tuple[InstanceLocation, ...]:
+        """Return the helpers that an update names or identifies by their digest."""
+        if reply.helpers:
+            self.feed.helpers_digest = reply.helpers_digest
+            return reply.helpers
+        if reply.helpers_digest and reply.helpers_digest == self.feed.helpers_digest:
+            return self.helper_locations
+        self.feed.helpers_digest = 0
+        return reply.advertised
 
     def _apply_evacuations(self, now_ms: float, reply: FeedReply) -> None:
         """Withdraw or restore endpoints, and place anew what waits for the withdrawn ones."""
--- a/tests/test_fleet/test_entry_instance.py
+++ b/tests/test_fleet/test_entry_instance.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.errors import ResultCode
-from pistachioloft_core.messages.fleet import FeedPoll, FeedReply
+from pistachioloft_core.messages.fleet import FeedPoll, FeedReply, InstanceLocation
 from pistachioloft_core.messages.routes import RouteSet
+from pistachioloft_core.process import feed
 from pistachioloft_core.request.attempts import Refuse
 from pistachioloft_daemon import entry_instance
 from pistachioloft_daemon.entry_instance import EntryInstance
@@ -21,6 +22,7 @@
     from pathlib import Path
 
     import pytest
+from msgspec.structs import replace
 
 SETTINGS = """
 [instance]
@@ -131,3 +133,34 @@
         assert refusal.code is ResultCode.FENCED
 
     run(scenario)
+
+
+def test_helpers_are_kept_while_their_digest_is_confirmed(tmp_path: Path) -> None:
+    """Guard against an instance without helpers, or with old ones, after a short update."""
+    advertised = (InstanceLocation('10.0.0.2', 'a'),)
+    helpers = (*advertised, InstanceLocation('10.0.0.3', 'a'))
+
+    def scenario() -> None:
+        instance, sent = make_instance(tmp_path)
+
+        def update(named: tuple[InstanceLocation, ...], digest: int) -> set[str]:
+            feed.request_poll(instance.feed, monotonic_ms())
+            instance._tick(monotonic_ms())
+            message = replace(
+                reply(sent[-1], True, b''),
+                advertised=advertised,
+                helpers=named,
+                helpers_digest=digest,
+            )
+            instance._on_message(SEED, message)
+            return set(instance.requests.helpers.helpers)
+
+        assert update(helpers, 7) == {'10.0.0.2', '10.0.0.3'}
+        assert update((), 7) == {'10.0.0.2', '10.0.0.3'}
+        assert sent[-1].helpers_digest == 7
+        assert update((), 8) == {'10.0.0.2'}
+        assert update(helpers, 8) == {'10.0.0.2', '10.0.0.3'}
+        assert sent[-1].helpers_digest == 0
+        assert update((), 0) == {'10.0.0.2'}
+
+    run(scenario)
--- a/tests/test_fleet/test_fleet.py
+++ b/tests/test_fleet/test_fleet.py
@@ -330,3 +330,32 @@
     later_poll = FeedPoll(2, replace(entry, sequence=2), 0, 0)
     assert len(fleet.on_feed_poll(far, 500.0, later_poll, True, 5, b'document').endpoints) == 1
     assert fleet.push_receivers(far, 510.0) == (entry.instance,)
+
+
+def test_helpers_are_named_once_and_then_by_their_digest() -> None:
+    """Guard against the list of helpers in each reply, and an entry that keeps an old one."""
+    state = make_control(1)
+    state.entry_limit, state.query_shard_count = 2, 40
+    for number in range(6):
+        name = f'10.0.1.{number}'
+        poll_of_entry = FeedPoll(1, replace(ENTRY, instance=name, sequence=1), 0, 0)
+        fleet.on_feed_poll(state, 10.0, poll_of_entry, True, 5, b'')
+
+    def ask(digest: int, now_ms: float) -> FeedReply:
+        entry = replace(ENTRY, instance='10.0.1.0', sequence=int(now_ms))
+        feed_poll = FeedPoll(1, entry, 0, 0, helpers_digest=digest)
+        return fleet.on_feed_poll(state, now_ms, feed_poll, True, 5, b'')
+
+    first = ask(0, 20.0)
+    assert len(first.advertised) == 2
+    assert len(first.helpers) == 4
+    assert first.helpers[:2] == first.advertised
+    assert ask(first.helpers_digest, 30.0).helpers == ()
+    stopping = replace(ENTRY, instance=first.helpers[-1].instance, sequence=2, stopping=True)
+    fleet.on_feed_poll(state, 40.0, FeedPoll(1, stopping, 0, 0), True, 5, b'')
+    changed = ask(first.helpers_digest, 50.0)
+    assert changed.helpers_digest != first.helpers_digest
+    assert stopping.instance not in {each.instance for each in changed.helpers}
+    # Without helpers beyond the advertised instances there is nothing to name.
+    state.query_shard_count = 10
+    assert (ask(0, 60.0).helpers, ask(0, 70.0).helpers_digest) == ((), 0)
