--- a/packages/core/src/pistachioloft_core/process/allotment_purses.py
+++ b/packages/core/src/pistachioloft_core/request/allotment_purses.py
@@ -8,13 +8,13 @@
 
 from ..errors import ResultCode
 from ..messages.allotments import GRANTED, AllotmentRequest
-from ..request.attempts import Refuse
-from .allotments import AllotmentBounds, InstanceRanks, standing_of
+from ..process.allotments import AllotmentBounds, InstanceRanks, standing_of
+from .attempts import Refuse
 
 if TYPE_CHECKING:
     from ..messages.allotments import AllotmentGrant
     from ..messages.routes import Organisation
-    from .allotments import Standing
+    from ..process.allotments import Standing
 
 # A grantor that has not replied for this long is silent, and requests do not wait for it.
 REPLY_LIMIT_MS = 250.0
--- a/packages/daemon/src/pistachioloft_daemon/allotments.py
+++ b/packages/daemon/src/pistachioloft_daemon/allotments.py
@@ -7,7 +7,8 @@
 
 from pistachioloft_core.messages.allotments import NOT_READY
 from pistachioloft_core.process.allotment_grants import GrantTable, forget_buckets, grant_permits
-from pistachioloft_core.process.allotment_purses import (
+from pistachioloft_core.process.allotments import InstanceRanks, set_instances
+from pistachioloft_core.request.allotment_purses import (
     Admission,
     PurseTable,
     admit,
@@ -18,7 +19,6 @@
     refuse_late,
     withdraw,
 )
-from pistachioloft_core.process.allotments import InstanceRanks, set_instances
 
 from .loop_timers import monotonic_ms, wall_clock_ms
 
@@ -28,7 +28,7 @@
     from pistachioloft_core.messages.allotments import AllotmentGrant, AllotmentRequest
     from pistachioloft_core.messages.fleet import InstanceLocation
     from pistachioloft_core.messages.routes import Organisation
-    from pistachioloft_core.process.allotment_purses import Outcome
+    from pistachioloft_core.request.allotment_purses import Outcome
     from pistachioloft_core.request.attempts import Refuse
     from pistachioloft_core.request.routed_state import RoutedState
 
--- a/tests/test_allotments/allotment_fleet.py
+++ b/tests/test_allotments/allotment_fleet.py
@@ -8,7 +8,8 @@
 
 from pistachioloft_core.messages.allotments import AllotmentGrant, AllotmentRequest
 from pistachioloft_core.process.allotment_grants import GrantTable, forget_buckets, grant_permits
-from pistachioloft_core.process.allotment_purses import (
+from pistachioloft_core.process.allotments import AllotmentBounds, InstanceRanks, set_instances
+from pistachioloft_core.request.allotment_purses import (
     Admission,
     Outcome,
     PurseTable,
@@ -18,7 +19,6 @@
     next_request,
     on_grant,
 )
-from pistachioloft_core.process.allotments import AllotmentBounds, InstanceRanks, set_instances
 
 if TYPE_CHECKING:
     from pistachioloft_core.messages.routes import Organisation
--- a/tests/test_fleet_processes/test_allotments.py
+++ b/tests/test_fleet_processes/test_allotments.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+import aiohttp
+
 from tools.fleet.site import Answer, Site
 
 if TYPE_CHECKING:
@@ -74,6 +76,11 @@
         assert all(float(answer.headers['Retry-After']) > 0 for answer in denied)
         for machine in site.fleet.entries:
             assert (await call(site, FREE_KEY, machine)).status == 200
+            address = site.fleet.metrics_address(machine)
+            async with aiohttp.request('GET', f'http://{address}/metrics') as reply:
+                metrics = await reply.text()
+            assert 'organisation="limited",outcome="admitted"' in metrics
+            assert 'organisation="limited",outcome="refused"' in metrics
 
     async def run() -> None:
         async with Site(tmp_path, entry_count=ENTRY_COUNT) as site:
