Let a new grantor begin sooner, and with a part of the headroom

Change: a grantor stops 0.9 s after its last confirmation, so its successor begins after 1.2 s, and with the tokens that the headroom bears for as many grantors as can begin within a window. Spare permits take less of it.

--- a/packages/core/src/pistachioloft_core/process/allotment_grants.py
+++ b/packages/core/src/pistachioloft_core/process/allotment_grants.py
@@ -18,6 +18,7 @@
     InstanceRanks,
     bucket_capacity_count,
     standing_of,
+    start_count,
 )
 
 if TYPE_CHECKING:
@@ -35,12 +36,14 @@
 
     __slots__ = ('backlog_until_ms', 'level_count', 'start_level_count', 'start_ms', 'updated_ms')
 
-    def __init__(self, now_ms: float, start_ms: float, capacity_count: float) -> None:
+    def __init__(
+        self, now_ms: float, start_ms: float, capacity_count: float, start_level_count: float
+    ) -> None:
         self.start_ms = start_ms
         self.updated_ms = start_ms
         self.level_count = capacity_count
         # Limits the grants of the first window, which may contain grants of the predecessor.
-        self.start_level_count = 0.0
+        self.start_level_count = start_level_count
         # When there is room for the instances that were denied so far.
         self.backlog_until_ms = now_ms
 
@@ -107,7 +110,8 @@
     capacity_count = bucket_capacity_count(table.bounds, organisation)
     bucket = table.buckets.get(organisation.name)
     if bucket is None or bucket.start_ms != start_ms:
-        bucket = TokenBucket(now_ms, start_ms, capacity_count)
+        start_level_count = start_count(table.bounds, organisation)
+        bucket = TokenBucket(now_ms, start_ms, capacity_count, start_level_count)
         table.buckets[organisation.name] = bucket
     gained_count = (now_ms - bucket.updated_ms) * organisation.rate_per_s / 1_000.0
     bucket.level_count = min(capacity_count, bucket.level_count + gained_count)
--- a/packages/core/src/pistachioloft_core/process/allotments.py
+++ b/packages/core/src/pistachioloft_core/process/allotments.py
@@ -14,16 +14,18 @@
     from ..messages.routes import Organisation
 
 # A grantor grants while a quorum confirmed its view of the instances at most this time ago.
-GRANTOR_CONFIRMED_MS = 1_500.0
+GRANTOR_CONFIRMED_MS = 900.0
 # The views of instances in touch differ for at most this time.
-VIEW_SKEW_MS = 500.0
+VIEW_SKEW_MS = 300.0
 # An instance that becomes the grantor begins after this time, once its predecessor has stopped.
 TAKEOVER_MS = GRANTOR_CONFIRMED_MS + VIEW_SKEW_MS
 # Spare permits may be spent for this many windows after the last confirmation.
 SPARE_CONFIRMED_WINDOW_COUNT = 2
-# Fractions of what may be admitted beyond the allotment. The rest is for instances whose views
+# Fractions of what may be admitted beyond the allotment: for spare permits, for the grantors that
+# begin within one window, and for the size of the bucket. The rest is for instances whose views
 # differ.
-SPARE_FRACTION = 0.85
+SPARE_FRACTION = 0.6
+START_FRACTION = 0.3
 BUCKET_FRACTION = 0.05
 
 
@@ -91,6 +93,13 @@
     return max(1.0, organisation.burst_count + margin_count)
 
 
+def start_count(bounds: AllotmentBounds, organisation: Organisation) -> float:
+    """Return the tokens with which a grantor begins, whatever its predecessor has granted."""
+    # Each grantor waits for its predecessor to stop, which bounds how many begin within a window.
+    begun_count = math.ceil(bounds.window_ms / TAKEOVER_MS) + 1
+    return START_FRACTION * headroom_count(bounds, organisation) / begun_count
+
+
 def set_instances(ranks: InstanceRanks, now_ms: float, names: Iterable[str]) -> None:
     """Replace the advertised instances."""
     new_names = tuple(sorted(names))
