Refuse beforehand for lack of connections only while it spares the best kind

Cause: on an entry with a large part of the callers, the refused fraction rose until also the kind that is worth most was refused, while other entries admitted the least valuable ones. Change: the part of the controller for connections acts while a larger fraction refuses none of the most valuable kind. Deadline refusals no longer prolong an overload, and credits of removed routes are dropped.

--- a/packages/core/src/pistachioloft_core/request/query_admission.py
+++ b/packages/core/src/pistachioloft_core/request/query_admission.py
@@ -36,9 +36,11 @@
 # Some queries are always admitted, since only replies show that the queues are shorter.
 MAX_REFUSED_FRACTION = 0.95
 # Queries without connections are refused whatever they are worth. Where there is a choice, the
-# controller refuses more beforehand: each second this part of the work that lacked connections.
-CONNECTIONS_GAIN_PER_S = 1.0
+# controller refuses more beforehand: each second this fraction of the work that lacked them.
+CONNECTIONS_GAIN_PER_S = 0.6
 CONNECTED_HALF_LIFE_MS = 500.0
+# Shares are found by halving, so that of a kind that is not refused may be slightly below 1.
+ALL_ADMITTED_SHARE = 0.999
 # Queues that are short again within this time result from the pause of an endpoint.
 BURST_ALLOWANCE_MS = 150.0
 # Below this pressure there is no overload, and the refused fraction halves in this time.
@@ -154,7 +156,8 @@
         f'waiting {wait_ms:.0f} ms in queues and running {needed_ms:.0f} ms exceeds'
         f' the {left_ms:.0f} ms that are left'
     )
-    return _refuse(state, now_ms, admission, ResultCode.DEADLINE_TOO_SHORT, detail, 'deadline')
+    retry_after_ms = _retry_after_ms(state, now_ms, admission)
+    return Refuse(ResultCode.DEADLINE_TOO_SHORT, detail, retry_after_ms, 'deadline')
 
 
 def _refuse_part(
@@ -184,7 +187,7 @@
         f'{over_share}'
     )
     limit = 'organisation' if kind.over_share else 'capacity'
-    return _refuse(state, now_ms, admission, ResultCode.OVERLOADED, detail, limit)
+    return _refuse(state, now_ms, admission, detail, limit)
 
 
 def refuse_without_connections(
@@ -205,7 +208,7 @@
     if not lacks_connections:
         return None
     detail = f'{connected_count} shards of the required {required_count} have a free connection'
-    return _refuse(state, now_ms, admission, ResultCode.OVERLOADED, detail, 'connections')
+    return _refuse(state, now_ms, admission, detail, 'connections')
 
 
 def is_refusing(state: RoutedState, route: Route) -> bool:
@@ -235,6 +238,9 @@
         # Another instance may have chosen a service that the route has not here.
         sharing = [each for each in state.routes.routes.routes if _runs_at(each, services)]
         admission.routes = tuple(sharing) or (route,)
+        names = {each.name for each in admission.routes}
+        for kind in [kind for kind in admission.refusal_credits if kind.route not in names]:
+            del admission.refusal_credits[kind]
         gathers = [each.gather for each in admission.routes if each.gather is not None]
         admission.required_count = max(map(coverage_floor_count, gathers), default=1)
         target_ms = min(each.latency_target_ms for each in admission.routes)
@@ -259,6 +265,12 @@
     return work_ms.get(route_name, 1.0)
 
 
+def _can_refuse_others(admission: QueryAdmission) -> bool:
+    """Return whether a larger fraction refuses none of the kind that is worth most."""
+    is_choice = len(admission.arrivals.amounts) > 1
+    return is_choice and max(admission.shares.values(), default=1.0) >= ALL_ADMITTED_SHARE
+
+
 def _unconnected_fraction(admission: QueryAdmission) -> float:
     amounts = admission.connected_work_ms.amounts
     return amounts.get(False, 0.0) / max(MIN_WORK_MS, sum(amounts.values()))
@@ -307,7 +319,7 @@
             _set_overloaded(state, admission, services, now_ms)
         change = INTEGRAL_GAIN_PER_S * (admission.pressure - 1.0) * elapsed_ms / 1_000.0
         change += PROPORTIONAL_GAIN * (admission.pressure - before)
-        if len(admission.arrivals.amounts) > 1:
+        if _can_refuse_others(admission):
             unconnected = _unconnected_fraction(admission)
             change += CONNECTIONS_GAIN_PER_S * unconnected * elapsed_ms / 1_000.0
         fraction = max(0.0, admission.refused_fraction + change)
@@ -336,17 +348,16 @@
 
 
 def _refuse(
-    state: RoutedState,
-    now_ms: float,
-    admission: QueryAdmission,
-    code: ResultCode,
-    detail: str,
-    limit: str,
+    state: RoutedState, now_ms: float, admission: QueryAdmission, detail: str, limit: str
 ) -> Refuse:
     admission.last_refused_ms = now_ms
+    retry_after_ms = _retry_after_ms(state, now_ms, admission)
+    return Refuse(ResultCode.OVERLOADED, detail, retry_after_ms, limit)
+
+
+def _retry_after_ms(state: RoutedState, now_ms: float, admission: QueryAdmission) -> float:
     # An overload that began a while ago is likely to last about as long again.
     since_ms = admission.overloaded_since_ms
     elapsed_ms = 0.0 if since_ms is None else now_ms - since_ms
     retry_after_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, elapsed_ms))
-    retry_after_ms *= state.random.uniform(*RETRY_SPREAD)
-    return Refuse(code, detail, retry_after_ms, limit)
+    return retry_after_ms * state.random.uniform(*RETRY_SPREAD)
--- a/tests/test_gather/test_overload_by_value.py
+++ b/tests/test_gather/test_overload_by_value.py
@@ -191,10 +191,12 @@
     return [item for item in items if item.state.organisation == name]
 
 
+@pytest.mark.parametrize('seed', [1, 5, 7])
 @pytest.mark.parametrize('factor', [1.5, 2.5, 4.0])
-def test_capacity_serves_what_is_worth_most(factor: float) -> None:
+def test_capacity_serves_what_is_worth_most(factor: float, seed: int) -> None:
     """Guard against goodput far below what the same capacity can reach."""
     fleet = Fleet()
+    fleet.random.seed(seed)
     fleet.offer(0.4, 0.0, 1_000.0)
     fleet.offer(factor, 1_000.0, 6_000.0)
     fleet.offer(0.4, 6_000.0, 10_000.0)
