--- a/packages/core/src/pistachioloft_core/request/distance.py
+++ b/packages/core/src/pistachioloft_core/request/distance.py
@@ -23,7 +23,7 @@
 DISTANT_LATE_FACTOR = 1.5
 # A near endpoint that is expected to reply within this fraction of the latency target leaves time
 # for an attempt on a distant one.
-NEAR_TARGET_RATIO = 0.5
+NEAR_TARGET_RATIO = 0.35
 # A near endpoint that refuses or loses more requests than this is not preferred for its distance.
 NEAR_SHED_LIMIT = 0.1
 
