Take no bytes with an unassigned status for an answer

Cause: the client told interim replies from answers by comparing the status with 200, and the parser accepts any three digits. 000 to 099 without a length and 600 to 999 were delivered, 000 to 099 with a length left the attempt waiting; the product's own interface and replies that instances pass back checked no status at all.

Change: http1/messages.py decides which statuses end or announce a reply. Any other ends the attempt as lost once its head is complete, and closes the connection. A passed reply with one ends the request as lost, a sub-request, ping or probe fails, and encode_response writes 502 in its place. The stand-in searchers can answer so, the soak does, and a faulty build switches the check off.

--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -18,6 +18,7 @@
     SubRequest,
 )
 
+from .http1.messages import is_final_status
 from .http1.receive_budget import ReceiveBudget
 
 if TYPE_CHECKING:
@@ -238,6 +239,8 @@
     limit_bytes: int = SHORT_REPLY_LIMIT_BYTES,
     record_held: Callable[[int], None] = lambda _size_bytes: None,
 ) -> bytes:
+    if not is_final_status(response.status):
+        raise aiohttp.ClientPayloadError(f'unassigned status {response.status:03}')
     # Enlarging one buffer of many megabytes again and again would leave holes in the heap.
     parts: list[bytes] = []
     size_bytes = 0
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import logging
 import re
 from typing import TYPE_CHECKING, Protocol
 
 import httptools
 
-from .messages import FRAMING_BYTES_PER_BODY_BYTE, Response
+from .messages import (
+    FRAMING_BYTES_PER_BODY_BYTE,
+    Response,
+    is_final_status,
+    is_interim_status,
+)
 from .receive_budget import HEADER_OBJECT_BYTES
 
 if TYPE_CHECKING:
@@ -33,6 +39,7 @@
 # Headers that give the length of a body.
 FRAMING_NAMES = frozenset((b'content-length', b'transfer-encoding'))
 FRAMING_NAME_LENGTHS = frozenset(map(len, FRAMING_NAMES))
+OTHER_PROTOCOL = 'another protocol that was not asked for'
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
@@ -109,7 +116,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            error = 'another protocol that was not asked for'
+            error = OTHER_PROTOCOL
         except httptools.HttpParserError as parse_error:
             error = f'not HTTP: {parse_error}'
         self._deliver_replies(self._fault or error or self._size_error())
@@ -164,6 +171,11 @@
         """Begin the body."""
         self._in_message = True
         self._check_spliced(self._reason)
+        status = self._parser.get_status_code()
+        if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            self._fault = OTHER_PROTOCOL
+        elif not (is_final_status(status) or is_interim_status(status)):
+            self._fault = f'unassigned status {status:03}'
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -173,7 +185,7 @@
 
     def on_message_complete(self) -> None:
         """End a reply; interim replies are not delivered."""
-        if self._parser.get_status_code() >= 200 and not self._fault:
+        if is_final_status(self._parser.get_status_code()) and not self._fault:
             self._replies.append((self._make_response(), self._parser.should_keep_alive()))
         self._in_message = self._receiving = False
 
--- a/packages/daemon/src/pistachioloft_daemon/http1/messages.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/messages.py
@@ -25,6 +25,8 @@
 # Bytes of framing allowed for each byte of a chunked body: a chunk of one byte takes five for its
 # size and line ends, and extensions may double that.
 FRAMING_BYTES_PER_BODY_BYTE = 10
+# The gateway got no usable answer; it does not say that the request has not run.
+_BAD_GATEWAY = 502
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +51,17 @@
     body: bytes = b''
 
 
+def is_interim_status(status: int) -> bool:
+    """Return whether a reply with this status announces another one to the same request."""
+    # After 101 the connection would carry another protocol.
+    return 100 <= status <= 199 and status != http.HTTPStatus.SWITCHING_PROTOCOLS
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a status can be that of an answer (RFC 9110, section 15)."""
+    return 200 <= status <= 599
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first header whose lower-case name is `name`."""
     for key, value in headers:
@@ -70,6 +83,8 @@
 
 def encode_response(response: Response, close: bool) -> bytes:
     """Encode a response with its Content-Length."""
+    if not is_final_status(response.status):
+        response = Response(_BAD_GATEWAY)
     reason = _REASONS.get(response.status, b'Unknown')
     parts = [b'HTTP/1.1 ', str(response.status).encode(), b' ', reason, b'\r\n']
     _add_headers(parts, response.headers)
--- a/packages/daemon/src/pistachioloft_daemon/passed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/passed_requests.py
@@ -16,7 +16,7 @@
 from pistachioloft_core.request import delegation
 from pistachioloft_core.request.attempts import Deliver, Refuse
 
-from .http1.messages import Response
+from .http1.messages import Response, is_final_status
 from .loop_timers import monotonic_ms
 from .routed_messages import EndpointReply
 
@@ -103,7 +103,11 @@
     def on_reply(self, reply: PassedReply) -> None:
         """Deliver the reply of the endpoint."""
         in_flight = self._take(reply.relay_id)
-        if in_flight is not None:
+        if in_flight is not None and not is_final_status(reply.status):
+            # A helper of an earlier build passes back what is no answer.
+            logger.info('%s unassigned status %03d: relay=%s', PREFIX, reply.status, reply.relay_id)
+            self.hooks.lost(in_flight)
+        elif in_flight is not None:
             response = Response(reply.status, reply.headers, reply.body)
             self.hooks.replied(in_flight, EndpointReply(reply.receipt, response))
 
--- a/tests/test_relay/test_passed_requests.py
+++ b/tests/test_relay/test_passed_requests.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+import pytest
+
 from pistachioloft_core.codec import decode_peer, encode_peer
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.relay import (
@@ -164,3 +166,14 @@
     pair.helping.finish(pair.begun[0], Deliver(large))
     ((kind, refusal),) = pair.outcomes
     assert (kind, refusal.code) == ('refusal', ResultCode.OUTCOME_UNKNOWN)
+
+
+@pytest.mark.parametrize('status', [0, 99, 101, 600, 999])
+def test_reply_with_an_unassigned_status_is_none(status: int) -> None:
+    """Guard against an answer without a meaning that an earlier build passes back."""
+    pair = Pair()
+    pair.pass_on()
+    relay_id = pair.begun[0].request.relay_id
+    pair.receive_back('helping', PassedReply(relay_id, b'stamp', status, (), b'body'))
+    assert pair.outcomes == [('lost', None)]
+    assert pair.cut_off.outgoing == {}
--- a/tests/test_soak/test_short_soak.py
+++ b/tests/test_soak/test_short_soak.py
@@ -56,6 +56,7 @@
         ('all', 0, answer(200, 'q1.s0.1, q1.s1.1, q1.s2.1')),
         ('all', 0, answer(200, 'q1.s0.1, q1.s0.2', SHARD_COUNT - 2)),
         ('all', 0, answer(200, 'q2.s0.1', SHARD_COUNT - 1)),
+        ('one', 1, answer(600)),
     ],
 )
 def test_check_answer_with_false_answer_reports_violation(
--- a/tools/fleet/byte_searcher.py
+++ b/tools/fleet/byte_searcher.py
@@ -43,6 +43,8 @@
         self.surplus: Surplus = lambda _answer: NO_SURPLUS
         # What it sends without end in place of an answer, after a first part; none if empty.
         self.endless: tuple[bytes, ...] = ()
+        # Gives no length and closes the connection after each answer.
+        self.closes_after_answer = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -73,6 +75,10 @@
                 late = surplus.late
                 writer.write(answer + surplus.at_once)
                 await writer.drain()
+                if self.closes_after_answer:
+                    writer.close()
+                    await writer.wait_closed()
+                    return
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -99,8 +105,12 @@
         self.answers.append(SentAnswer(request_id, target, status, stamp))
         headers = {'Content-Type': 'application/octet-stream', 'X-Request-Id': request_id}
         headers |= {'X-Response-Stamp': stamp} if ran else {'X-Not-Executed': '1'}
-        headers |= {'X-Server-Load': f'0,0,{self.slot_count}', 'Content-Length': str(len(body))}
-        lines = [f'HTTP/1.1 {status} Done', *(f'{key}: {value}' for key, value in headers.items())]
+        headers |= {'X-Server-Load': f'0,0,{self.slot_count}'}
+        headers |= {} if self.closes_after_answer else {'Content-Length': str(len(body))}
+        lines = [
+            f'HTTP/1.1 {status:03} Done',
+            *(f'{key}: {value}' for key, value in headers.items()),
+        ]
         return '\r\n'.join([*lines, '', '']).encode() + body
 
 
--- a/tools/fleet/searcher.py
+++ b/tools/fleet/searcher.py
@@ -13,6 +13,8 @@
 RESTART_AFTER_S = 1.5
 # Closes the connection in place of a reply.
 STATUS_DROP = 0
+# A status that no class assigns, so that the reply is none.
+UNASSIGNED_STATUS = 600
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from ..fleet.cut_links import HANG, REFUSE, RESET
-from ..fleet.searcher import STATUS_DROP, ReplyPlan
+from ..fleet.searcher import STATUS_DROP, UNASSIGNED_STATUS, ReplyPlan
 from .checks import DRAIN_S
 from .proxy import NO_FAULT, Fault
 from .site import Period
@@ -84,10 +84,15 @@
 
 
 async def disturb_searcher(site: SoakSite, random_source: random.Random) -> None:
-    """Make one searcher refuse, drop or delay a share of its requests."""
+    """Make one searcher refuse, drop, delay or answer with no status a share of its requests."""
     searcher = site.searchers[_choose_searcher(site, random_source)]
     plan = random_source.choice(
-        (ReplyPlan(not_run=True), ReplyPlan(status=STATUS_DROP), ReplyPlan(delay_s=0.2))
+        (
+            ReplyPlan(not_run=True),
+            ReplyPlan(status=STATUS_DROP),
+            ReplyPlan(delay_s=0.2),
+            ReplyPlan(status=UNASSIGNED_STATUS),
+        )
     )
     plan_share = random_source.uniform(0.2, 1.0)
     searcher.behaviour = lambda _id: plan if random_source.random() < plan_share else ReplyPlan()
--- a/tools/soak/faulty_builds.py
+++ b/tools/soak/faulty_builds.py
@@ -10,7 +10,7 @@
 
 from ..experiment.variants import UNCHANGED, Variant, apply_variant, load_variants
 from ..fleet.processes import REPOSITORY, SOURCES
-from .faults import FAULTS, change_routes, pause, restart_entry, state_something
+from .faults import FAULTS, change_routes, disturb_searcher, pause, restart_entry, state_something
 from .run import soak
 
 BUILDS_FILE = Path(__file__).parent / 'faulty_builds.toml'
@@ -21,6 +21,7 @@
     'rest-ignored': (state_something,),
     'leaving-ignored': (state_something,),
     'stop-at-once': (restart_entry,),
+    'unassigned-status-used': (disturb_searcher,),
 }
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -112,6 +112,8 @@
     """Check an answer against the requests that the searchers ran."""
     total_run_count = sum(searcher.run_count(answer.request_id) for searcher in site.searchers)
     name = f'{kind} {answer.request_id} with status {answer.status}'
+    if answer.status and not 200 <= answer.status <= 599:
+        site.violations.append(f'{name}: the status is unassigned')
     if answer.status in NOT_RUN_STATUSES and total_run_count:
         site.violations.append(f'{name}: ran {total_run_count} times')
     if kind == 'once' and total_run_count > 1:
