--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -63,6 +63,8 @@
     extra_share: float = 0.2
     extra_allowance_count: int = 60
     memory_mb: int = 300
+    # Limits the open descriptors of each process; 0 keeps the limit of this one.
+    descriptor_count: int = 0
 
 
 class Fleet:
@@ -99,11 +101,10 @@
         folder.mkdir(parents=True, exist_ok=True)
         settings = folder / 'settings.toml'
         settings.write_text(self._settings(machine))
-        entry = machine.role == 'entry'
         with self.log_path(machine).open('ab') as log:
             self.processes[machine.name] = subprocess.Popen(
                 # Runs the sources even if built packages exist below target/.
-                [sys.executable, '-c', CUTTABLE_START_CODE if entry else START_CODE],
+                [sys.executable, '-c', self._start_code(machine)],
                 stdout=output or log,
                 stderr=log,
                 env={
@@ -203,6 +204,14 @@
             for number in range(count)
         )
 
+    def _start_code(self, machine: Machine) -> str:
+        code = CUTTABLE_START_CODE if machine.role == 'entry' else START_CODE
+        count = self.bounds.descriptor_count
+        if not count:
+            return code
+        limit = f'resource.setrlimit(resource.RLIMIT_NOFILE, ({count}, {count}))'
+        return f'import resource; {limit}; {code}'
+
     def _settings(self, machine: Machine) -> str:
         ports, bounds = self.ports, self.bounds
         control = machine.role == 'control'
