--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -19,6 +19,7 @@
 from pistachioloft_core.version.accepted import accepted_routes
 
 from .control_interface import ControlInterface
+from .descriptors import descriptor_shares
 from .endpoint_store import EndpointStore
 from .http1.receive_budget import memory_budget
 from .http1.server import HttpServer, ServerLimits
@@ -103,11 +104,19 @@
         )
         self.was_confirmed = False
         self.last_leader: str | None = None
-        limits = ServerLimits(header_limit_bytes=65_536, body_limit_bytes=16 * 1024 * 1024)
         budget = memory_budget(settings.memory_mb)
-        self.servers = (
-            HttpServer(settings.control_address, self.interface.handle, limits, budget),
-            HttpServer(settings.directory_address, self.interface.handle, limits, budget),
+        shares = descriptor_shares()
+        self.servers = tuple(
+            HttpServer(
+                address,
+                self.interface.handle,
+                ServerLimits(65_536, 16 * 1024 * 1024, connection_limit_count=limit_count),
+                budget,
+            )
+            for address, limit_count in (
+                (settings.control_address, shares.control_count),
+                (settings.directory_address, shares.caller_count),
+            )
         )
 
     def _make_supervisor(self, folder: Path) -> VoterSupervisor:
--- a/packages/daemon/src/pistachioloft_daemon/descriptors.py
+++ b/packages/daemon/src/pistachioloft_daemon/descriptors.py
@@ -11,6 +11,11 @@
 # connections to other instances, the log and files.
 ENDPOINT_FRACTION = 0.25
 CALLER_FRACTION = 0.2
+# A control instance connects to no endpoints; endpoints and operators connect to it.
+CONTROL_FRACTION = 0.25
+# Readiness is checked by few clients.
+READINESS_FRACTION = 0.02
+READINESS_LIMIT_COUNT = 64
 # Assumed where the system sets no limit.
 UNLIMITED_COUNT = 1_048_576
 # Each of these connections holds some tens of kilobytes.
@@ -23,6 +28,10 @@
 
     endpoint_count: int
     caller_count: int
+    # On a control instance, in place of those to endpoints.
+    control_count: int
+    # On an entry instance.
+    readiness_count: int
 
 
 def descriptor_shares() -> DescriptorShares:
@@ -33,7 +42,13 @@
 
 def divide_descriptors(descriptor_limit_count: int) -> DescriptorShares:
     """Divide a descriptor limit between endpoints and callers."""
-    callers = min(CALLER_LIMIT_COUNT, int(descriptor_limit_count * CALLER_FRACTION))
+
+    def share(fraction: float, limit_count: int = UNLIMITED_COUNT) -> int:
+        return max(1, min(limit_count, int(descriptor_limit_count * fraction)))
+
     return DescriptorShares(
-        max(1, int(descriptor_limit_count * ENDPOINT_FRACTION)), max(1, callers)
+        share(ENDPOINT_FRACTION),
+        share(CALLER_FRACTION, CALLER_LIMIT_COUNT),
+        share(CONTROL_FRACTION, CALLER_LIMIT_COUNT),
+        share(READINESS_FRACTION, READINESS_LIMIT_COUNT),
     )
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -61,6 +61,8 @@
 class Connection:
     """Hold one HTTP connection to one endpoint."""
 
+    is_from_caller = False
+
     def __init__(self, connection_id: str, address: str) -> None:
         self.connection_id = connection_id
         self.address = address
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -49,6 +49,8 @@
     attempt: Attempt
     request_id: str
     data: bytes
+    # A large body, which all attempts of a request share.
+    body: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -320,7 +322,7 @@
         self.connection_by_attempt[attempt.attempt_id] = connection
         attempt.load.round_trip_ms = connection.round_trip_ms
         record_attempt_sent(attempt, monotonic_ms())
-        connection.http.send(outgoing.data)
+        connection.http.send(outgoing.data, outgoing.body)
 
     def _open_more(self, target: _Target) -> None:
         """Open connections for queued attempts, in place of idle ones that cannot carry them."""
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -126,7 +126,12 @@
             ServerLimits(connection_limit_count=shares.caller_count),
             budget,
         )
-        self.readiness = HttpServer(settings.readiness_address, self._on_readiness, ServerLimits())
+        self.readiness = HttpServer(
+            settings.readiness_address,
+            self._on_readiness,
+            ServerLimits(connection_limit_count=shares.readiness_count),
+            budget,
+        )
         self.monitoring = MonitoringInterface(
             settings.metrics_address, self.metrics, lambda: entry_gauges(self), self._report
         )
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -56,6 +56,8 @@
 class ClientConnection(asyncio.Protocol):
     """Hold one connection, which is usable until `closing` is true."""
 
+    is_from_caller = False
+
     def __init__(self, events: ClientEvents, budget: ReceiveBudget) -> None:
         self.events = events
         self.budget = budget
@@ -80,12 +82,25 @@
         self._surplus_count = 0
         self._replies: list[tuple[Response, bool]] = []
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, body: bytes = b'') -> None:
         """Send one request; the next may follow once its reply is delivered."""
         assert self.transport is not None
         self.awaiting_reply = True
         self._body_bytes = self._overhead_bytes = 0
         self.transport.write(data)
+        if body:
+            self.transport.write(body)
+
+    def pause_writing(self) -> None:
+        """Count the part of a request that the server has not read yet."""
+        if self.transport is not None and not self.closing:
+            # Nothing is shed at once, as a request is just being sent.
+            self.budget.record_held_bytes(self, self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Count the request no more."""
+        if not self._receiving:
+            self.budget.release(self)
 
     def close(self) -> None:
         """Close the connection without any further event."""
@@ -214,7 +229,8 @@
 
     def _make_response(self) -> Response:
         headers: Headers = tuple(self._headers)
-        return Response(self._parser.get_status_code(), headers, bytes(self._body))
+        body, self._body = bytes(self._body), bytearray()
+        return Response(self._parser.get_status_code(), headers, body)
 
     def _deliver_replies(self, error: str) -> None:
         replies, self._replies = self._replies, []
--- a/packages/daemon/src/pistachioloft_daemon/http1/messages.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/messages.py
@@ -4,6 +4,10 @@
 
 import http
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -25,6 +29,8 @@
 # Bytes of framing allowed for each byte of a chunked body: a chunk of one byte takes five for its
 # size and line ends, and extensions may double that.
 FRAMING_BYTES_PER_BODY_BYTE = 10
+# Bodies up to this size are joined with their heads: a copy costs less than a write.
+JOINED_LIMIT_BYTES = 65_536
 # The gateway got no usable answer; it does not say that the request has not run.
 _BAD_GATEWAY = 502
 
@@ -81,10 +87,24 @@
     return tuple((key, value) for key, value in headers if key.lower() not in dropped_names)
 
 
+def write_response(transport: asyncio.WriteTransport, response: Response, close: bool) -> None:
+    """Write a response; a large body is not copied."""
+    if len(response.body) <= JOINED_LIMIT_BYTES or not is_final_status(response.status):
+        transport.write(encode_response(response, close))
+        return
+    transport.write(encode_head(response, close))
+    transport.write(response.body)
+
+
 def encode_response(response: Response, close: bool) -> bytes:
     """Encode a response with its Content-Length."""
     if not is_final_status(response.status):
         response = Response(_BAD_GATEWAY)
+    return encode_head(response, close) + response.body
+
+
+def encode_head(response: Response, close: bool) -> bytes:
+    """Encode the head of a response."""
     reason = _REASONS.get(response.status, b'Unknown')
     parts = [b'HTTP/1.1 ', str(response.status).encode(), b' ', reason, b'\r\n']
     _add_headers(parts, response.headers)
@@ -92,7 +112,7 @@
         parts += (b'Content-Length: ', str(len(response.body)).encode(), b'\r\n')
     if close:
         parts.append(b'Connection: close\r\n')
-    parts += (b'\r\n', response.body)
+    parts.append(b'\r\n')
     return b''.join(parts)
 
 
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -17,8 +18,10 @@
     Response,
     encode_response,
     find_header,
+    write_response,
 )
 from .receive_budget import HEADER_OBJECT_BYTES, ReceiveBudget
+from .repeated_lines import RepeatedLines
 from .round_trip import read_round_trip_ms
 
 logger = logging.getLogger(__name__)
@@ -29,6 +32,11 @@
 # Pipelined requests are queued until the earlier ones are answered; reading pauses at this many.
 PIPELINE_LIMIT_COUNT = 16
 BACKLOG_COUNT = 1024
+# Connections accepted in one turn of the event loop, before those beyond the limit are closed.
+ACCEPT_BATCH_COUNT = 16
+# Past the connection limit, a connection on which no request has been answered or finished for
+# this long gives its place to a new one.
+SILENT_S = 1.0
 # For servers whose clients send only small bodies.
 DEFAULT_RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
 
@@ -72,6 +80,9 @@
         # A closing server answers requests and closes each connection after its next answer.
         self.closing = False
         self.connections: set[ServerConnection] = set()
+        self.repeated = RepeatedLines(logger, PREFIX)
+        # Connections that may give their place to new ones; None until they are looked for.
+        self._silent: list[ServerConnection] | None = None
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -80,8 +91,12 @@
         host, port = self.address.rsplit(':', 1)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, int(port), backlog=BACKLOG_COUNT
+            lambda: ServerConnection(self), host, int(port), backlog=ACCEPT_BATCH_COUNT
         )
+        for listener in self._server.sockets:
+            # The event loop accepts as many connections at once as the backlog that it is given.
+            with contextlib.suppress(OSError), listener.dup() as duplicate:
+                duplicate.listen(BACKLOG_COUNT)
         self._sweep()
 
     def stop_listening(self) -> None:
@@ -104,7 +119,27 @@
         for connection in list(self.connections):
             connection.close()
 
+    def make_room(self) -> bool:
+        """End a silent connection if no further one may be open; return whether one may."""
+        if len(self.connections) < self.limits.connection_limit_count:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        if self._silent is None:
+            silent = [each for each in self.connections if each.silent_since_s(now_s) is not None]
+            # Those that have never sent a request are the first to go, at the end of the list.
+            silent.sort(key=lambda each: (not each.has_sent, -(each.silent_since_s(now_s) or 0.0)))
+            self._silent = silent
+        while self._silent:
+            connection = self._silent.pop()
+            if connection in self.connections and connection.silent_since_s(now_s) is not None:
+                self.repeated.add('silent connection ended in favour of a new one')
+                connection.abort()
+                return True
+        return False
+
     def _sweep(self) -> None:
+        self._silent = None
+        self.repeated.report()
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         for connection in list(self.connections):
@@ -115,6 +150,8 @@
 class ServerConnection(asyncio.Protocol):
     """Hold one client's connection and answer its requests in order."""
 
+    is_from_caller = True
+
     def __init__(self, server: HttpServer) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
@@ -152,10 +189,8 @@
         """Register the connection, or abort it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if len(self.server.connections) >= self.server.limits.connection_limit_count:
-            logger.warning(
-                '%s connection refused: %d are open', PREFIX, len(self.server.connections)
-            )
+        if not self.server.make_room():
+            self.server.repeated.add('connection refused: too many are open')
             transport.abort()
             return
         self.server.connections.add(self)
@@ -206,22 +241,46 @@
     def resume_writing(self) -> None:
         """Continue with the queued requests."""
         self._write_paused = False
+        self._update_budget()
         self._start_next()
 
     def shed(self) -> None:
-        """Refuse an unfinished request because all of them together exceed the budget."""
-        logger.warning(
-            '%s request refused: unfinished ones take over %d bytes',
-            PREFIX,
-            self.server.budget.limit_bytes,
-        )
+        """Refuse an unfinished request, or end a connection whose client reads no answers."""
+        limit_bytes = self.server.budget.limit_bytes
+        if self._write_paused:
+            self.server.repeated.add(f'unread answers dropped: held bytes exceed {limit_bytes}')
+            self.abort()
+            return
+        self.server.repeated.add(f'request refused: held bytes exceed {limit_bytes}')
         self._queued.clear()
         self._refuse(503)
         self._start_next()
 
+    @property
+    def has_sent(self) -> bool:
+        """Return whether a whole request has come on this connection."""
+        return self._request_count > 0
+
+    def silent_since_s(self, now_s: float) -> float | None:
+        """Return since when no request has been finished or answered, None for a short while."""
+        if self._answering or self._queued or self._write_paused:
+            return None
+        since_s = self._request_start_s if self._receiving else self._idle_since_s
+        return since_s if now_s - since_s >= SILENT_S else None
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._closed = True
+        self.server.connections.discard(self)
+        self.server.budget.release(self)
+        if self.transport is not None:
+            self.transport.abort()
+
     def check_timeouts(self, now_s: float) -> None:
         """Close a connection that is idle, or whose client sends or reads too slowly."""
         limits = self.server.limits
+        if self._write_paused and not self._closed:
+            self._update_budget()
         receiving_time_s = now_s - self._request_start_s
         if self._has_stalled_reader(now_s, limits.answer_timeout_s):
             logger.info('%s connection ended: client did not read its answers in time', PREFIX)
@@ -244,7 +303,7 @@
         return now_s - self._unread_since_s > timeout_s
 
     def _update_budget(self) -> None:
-        """Record the bytes that are held for requests that have not started."""
+        """Record the bytes of requests that have not started and of answers that wait."""
         held_bytes = sum(
             len(request.body) + HEADER_OBJECT_BYTES * len(request.headers)
             for request, _ in self._queued
@@ -252,6 +311,8 @@
         if self._receiving and not self._refused:
             held_bytes += self._body_bytes + self._header_bytes
             held_bytes += HEADER_OBJECT_BYTES * len(self._headers)
+        if self._write_paused and self.transport is not None:
+            held_bytes += self.transport.get_write_buffer_size()
         if held_bytes:
             self.server.budget.set_held_bytes(self, held_bytes)
         else:
@@ -308,7 +369,9 @@
         self._idle_since_s = self._loop.time()
         if self._refused or self._body_bytes > self.server.limits.body_limit_bytes:
             return
-        headers = tuple(self._headers)
+        # What an idle connection keeps would not be counted.
+        headers, self._headers = tuple(self._headers), []
+        body, self._body = bytes(self._body), bytearray()
         round_trip_ms = read_round_trip_ms(self.transport)
         # Connecting takes a round trip before the first request on a connection can be sent.
         connecting_ms = round_trip_ms * (
@@ -318,7 +381,7 @@
             self._parser.get_method(),
             self._target,
             headers,
-            bytes(self._body),
+            body,
             connecting_ms,
             round_trip_ms / 2,
         )
@@ -372,11 +435,15 @@
         if self._closed or self.transport is None:
             return
         close = not keep_alive or self.server.closing
-        self.transport.write(encode_response(response, close))
+        write_response(self.transport, response, close)
         if close:
             self.transport.close()
             self._closed = True
             return
+        if self._write_paused:
+            self._update_budget()
+            if self._closed:
+                return
         if len(self._queued) < PIPELINE_LIMIT_COUNT:
             self.transport.resume_reading()
         if self._queued or self._refused:
--- a/packages/daemon/src/pistachioloft_daemon/in_flight.py
+++ b/packages/daemon/src/pistachioloft_daemon/in_flight.py
@@ -25,6 +25,7 @@
         'number',
         'passed',
         'relay_ids',
+        'reserved_bytes',
         'respond',
         'route_version',
         'routed',
@@ -59,6 +60,8 @@
         # answer.
         self.transit_ms = transit_ms
         self.timer = 0
+        # Of the process's budget, until this request is finished.
+        self.reserved_bytes = 0
         self.check_at_ms = float('inf')
 
     @property
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from pistachioloft_core.errors import ResultCode
@@ -43,6 +44,8 @@
 
 from .crash_reports import CrashReports
 from .endpoint_pool import EndpointPool, OutgoingAttempt, PoolHooks
+from .http1.messages import JOINED_LIMIT_BYTES
+from .http1.receive_budget import body_cost_bytes
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
 from .peer_work import PeerWork
@@ -97,6 +100,7 @@
         budget: ReceiveBudget,
     ) -> None:
         self.state = state
+        self.budget = budget
         self.timers = timers
         self.wire = wire
         self.metrics = metrics
@@ -174,9 +178,13 @@
 
     def add(self, in_flight: InFlight) -> None:
         """Add a request until it has its outcome."""
+        cost_bytes = body_cost_bytes(in_flight.routed.body)
+        # `usable_routes` was asked in this turn of the event loop.
+        if cost_bytes and self.budget.reserve(cost_bytes):
+            in_flight.reserved_bytes = cost_bytes
         self.requests[in_flight.number] = in_flight
 
-    def usable_routes(self) -> Refuse | RouteTable:
+    def usable_routes(self, body: bytes = b'') -> Refuse | RouteTable:
         """Return the routes for a new request, or the refusal if none is accepted."""
         routes = self.state.routes
         if routes is None or self.fenced or not self.can_serve():
@@ -187,6 +195,9 @@
         if len(self.requests) >= IN_FLIGHT_LIMIT_COUNT:
             detail = 'too many requests are in flight here'
             return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
+        if not self.budget.has_room(body_cost_bytes(body)):
+            detail = 'the bodies of the requests in flight take too much memory'
+            return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
         return routes
 
     def end_all(self) -> None:
@@ -208,7 +219,7 @@
 
     def _accept(self, now_ms: float, routed: RoutedRequest) -> Refuse | AcceptedRequest:
         """Find the route and the organisation of a request, or the reason to refuse it."""
-        routes = self.usable_routes()
+        routes = self.usable_routes(routed.body)
         if isinstance(routes, Refuse):
             return routes
         route = routes.find(routed.host, routed.path)
@@ -432,8 +443,11 @@
             shard = in_flight.query.shard_by_service[attempt.service]
             if shard.may_have_run_count > 1:
                 self.relays.report_extra_attempt(in_flight.group, attempt.service)
-        data = self.wire.encode_attempt(in_flight.routed, endpoint, action.time_left_ms)
-        self.pool.send(OutgoingAttempt(attempt, in_flight.routed.request_id, data))
+        routed, body = in_flight.routed, b''
+        if len(routed.body) > JOINED_LIMIT_BYTES:
+            routed, body = replace(routed, body=b''), routed.body
+        data = self.wire.encode_attempt(routed, endpoint, action.time_left_ms)
+        self.pool.send(OutgoingAttempt(attempt, routed.request_id, data, body))
 
     def _abandon(self, now_ms: float, action: AbandonAttempt) -> None:
         if action.after_ms > 0:
@@ -504,6 +518,8 @@
     def finish(self, in_flight: InFlight) -> None:
         """Forget a request that has its outcome."""
         self.requests.pop(in_flight.number, None)
+        self.budget.free(in_flight.reserved_bytes)
+        in_flight.reserved_bytes = 0
         if in_flight.timer:
             self.timers.cancel(in_flight.timer)
             in_flight.timer = 0
