--- a/tests/test_fleet_processes/test_unfinished_bodies.py
+++ b/tests/test_fleet_processes/test_unfinished_bodies.py
@@ -23,6 +23,8 @@
 
 # An instance without callers takes 32 MB.
 MEMORY_MB = 96
+# A document of the largest size is held twice while it is read.
+CONTROL_MEMORY_MB = 120
 DESCRIPTOR_COUNT = 200
 # Descriptors that remain for files and for connections to other instances.
 SPARE_DESCRIPTOR_COUNT = 20
@@ -88,6 +90,38 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize('address_of', [Fleet.control_address, Fleet.directory_address])
+@pytest.mark.parametrize(
+    'crowd',
+    [Crowd(10, 'whole document', in_turn=True), Crowd(10, 'unfinished document')],
+    ids=lambda crowd: crowd.message,
+)
+def test_crowd_leaves_the_memory_of_a_control_instance(
+    tmp_path: Path, crowd: Crowd, address_of: Callable[[Fleet, Machine], str]
+) -> None:
+    """Guard against a control instance that ends because of what clients make it hold."""
+
+    async def scenario(site: Site) -> None:
+        machine = control(site.fleet)
+        opened = OpenCrowd(crowd, address_of(site.fleet, machine))
+        await opened.send()
+        await asyncio.sleep(WAIT_S)
+        assert site.fleet.is_running(machine)
+        assert await site.submit() == 2
+        peak_bytes = largest_memory_bytes(site.fleet.process_id(machine))
+        await opened.disperse()
+        assert peak_bytes < CONTROL_MEMORY_MB * 1_000_000
+        assert site.fleet.log_path(machine).stat().st_size < LOG_LIMIT_BYTES
+
+    async def main() -> None:
+        bounds = FleetBounds(memory_mb=CONTROL_MEMORY_MB)
+        async with Site(tmp_path, entry_count=1, bounds=bounds) as site:
+            await site.serving()
+            await scenario(site)
+
+    asyncio.run(main())
+
+
 def entry(fleet: Fleet) -> Machine:
     return fleet.entries[0]
 
--- /dev/null
+++ b/tests/test_http1/test_receive_budget.py
@@ -0,0 +1,151 @@
+"""Guard against messages that are given up although others only sit there."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from pistachioloft_daemon.http1.receive_budget import (
+    ReceiveBudget,
+    body_cost_bytes,
+    memory_budget,
+)
+from pistachioloft_daemon.http1.repeated_lines import INTERVAL_S, RepeatedLines
+
+BODY_BYTES = 262_144
+PIECE_BYTES = 32_768
+
+
+class Clock:
+    """Return the time that the test sets."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class Message:
+    """Record whether the message was shed."""
+
+    def __init__(self, is_from_caller: bool = True) -> None:
+        self.is_from_caller = is_from_caller
+        self.is_shed = False
+
+    def shed(self) -> None:
+        self.is_shed = True
+
+
+def test_body_in_progress_outlives_those_that_only_sit_there() -> None:
+    """Guard against a body inside the limits that is given up because it is the largest."""
+    clock = Clock()
+    budget = ReceiveBudget(10 * BODY_BYTES, clock)
+    sitting = [Message() for _ in range(100)]
+    for message in sitting:
+        clock.now_s += 0.05
+        budget.set_held_bytes(message, BODY_BYTES // 2)
+    ordinary = Message()
+    for size_bytes in range(PIECE_BYTES, BODY_BYTES + 1, PIECE_BYTES):
+        clock.now_s += 0.5
+        budget.set_held_bytes(ordinary, size_bytes)
+        assert budget.total_bytes <= budget.limit_bytes
+    assert not ordinary.is_shed
+    assert any(message.is_shed for message in sitting)
+
+
+def test_single_bytes_are_no_progress() -> None:
+    """Guard against a crowd that keeps its place by a byte now and then."""
+    clock = Clock()
+    budget = ReceiveBudget(3 * BODY_BYTES, clock)
+    trickling, standing = Message(), Message()
+    budget.set_held_bytes(trickling, BODY_BYTES)
+    clock.now_s = 1.0
+    budget.set_held_bytes(standing, BODY_BYTES)
+    for number in range(100):
+        clock.now_s += 0.1
+        budget.set_held_bytes(trickling, BODY_BYTES + number)
+    budget.set_held_bytes(Message(), BODY_BYTES)
+    assert trickling.is_shed
+    assert not standing.is_shed
+
+
+@pytest.mark.parametrize('callers_hold_most', [True, False])
+def test_the_kind_that_holds_most_is_shed(callers_hold_most: bool) -> None:
+    """Guard against sound replies lost to a crowd, and callers refused for endless replies."""
+    clock = Clock()
+    budget = ReceiveBudget(10 * BODY_BYTES, clock)
+    requests = [Message() for _ in range(8 if callers_hold_most else 2)]
+    replies = [Message(False) for _ in range(2 if callers_hold_most else 8)]
+    for message in (*requests, *replies):
+        budget.set_held_bytes(message, BODY_BYTES)
+        clock.now_s += 1.0
+    budget.set_held_bytes(replies[-1], 2 * BODY_BYTES)
+    assert any(message.is_shed for message in requests) is callers_hold_most
+    # Of replies, the largest may never end.
+    assert [message.is_shed for message in replies[:-1]] == [False] * (len(replies) - 1)
+    assert replies[-1].is_shed is not callers_hold_most
+
+
+def test_whole_request_takes_the_place_of_unfinished_ones() -> None:
+    """Guard against whole requests that are refused or shed for unfinished ones."""
+    budget = ReceiveBudget(10 * BODY_BYTES, Clock())
+    unfinished = [Message() for _ in range(10)]
+    for message in unfinished:
+        budget.set_held_bytes(message, BODY_BYTES)
+    assert budget.reserve(4 * BODY_BYTES)
+    assert sum(message.is_shed for message in unfinished) == 4
+    assert not budget.reserve(7 * BODY_BYTES)
+    assert sum(message.is_shed for message in unfinished) == 4
+    budget.free(4 * BODY_BYTES)
+    for message in unfinished:
+        budget.release(message)
+    assert budget.total_bytes == budget.reserved_bytes == 0
+
+
+def test_requests_of_the_usual_size_are_not_limited() -> None:
+    """Guard against refusals of clients that stay inside the limits of the pages."""
+    assert body_cost_bytes(b'x' * 4_096) == 0
+    # As many bodies of the largest size at once as a request of an ordinary caller meets.
+    assert memory_budget(300).limit_bytes == 75_000_000
+    assert memory_budget(192).limit_bytes == 48_000_000
+    assert memory_budget(32).limit_bytes >= body_cost_bytes(b'x' * BODY_BYTES)
+
+
+def test_choice_does_not_look_at_every_caller() -> None:
+    """Guard against a crowd whose each piece costs a look at all connections."""
+    asked: list[object] = []
+
+    class Counted(Message):
+        def __hash__(self) -> int:
+            asked.append(self)
+            return id(self)
+
+    budget = ReceiveBudget(4_000 * BODY_BYTES, Clock())
+    for _ in range(4_000):
+        budget.set_held_bytes(Counted(), BODY_BYTES)
+    asked.clear()
+    budget.set_held_bytes(Counted(), BODY_BYTES)
+    assert len(asked) < 50
+
+
+def test_repeated_lines_are_summed_up(caplog: pytest.LogCaptureFixture) -> None:
+    """Guard against a client that decides how fast the disk of the logs fills."""
+    clock = Clock()
+    lines = RepeatedLines(logging.getLogger('pistachioloft.test'), '[caller]', clock)
+    with caplog.at_level('WARNING'):
+        for number in range(10_000):
+            lines.add('request refused')
+            clock.now_s = INTERVAL_S * number / 10_000
+            lines.report()
+        clock.now_s = INTERVAL_S
+        lines.report()
+        clock.now_s = 2 * INTERVAL_S
+        lines.report()
+        lines.add('request refused')
+    assert caplog.messages == [
+        '[caller] request refused',
+        '[caller] request refused: count=9999 in 5s',
+        '[caller] request refused',
+    ]
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
@@ -327,3 +328,64 @@
         assert server.budget.total_bytes == 0
 
     run(Handler(), scenario)
+
+
+def test_idle_connection_keeps_nothing_of_its_request() -> None:
+    """Guard against memory that idle connections hold and nothing counts."""
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1500\r\n\r\n' + b'x' * 1_500)
+        await read_reply(reader)
+        (connection,) = server.connections
+        assert not connection._body
+        assert not connection._headers
+        assert server.budget.total_bytes == 0
+
+    run(Handler(), scenario)
+
+
+def test_unread_answers_count_and_are_dropped() -> None:
+    """Guard against answers that wait for clients without a limit on all of them."""
+    handler = Handler(immediate=False)
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        await asyncio.sleep(0.1)
+        (connection,) = server.connections
+        handler.respond_callbacks[0](Response(200, (), b'x' * 16_000_000))
+        assert connection not in server.connections
+        assert server.budget.total_bytes == 0
+
+    run(handler, scenario, budget_bytes=1_000_000)
+
+
+def test_silent_connections_make_room_for_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a crowd that takes all connections and sends nothing."""
+    monkeypatch.setattr('pistachioloft_daemon.http1.server.SILENT_S', 0.05)
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, port = server.address.rsplit(':', 1)
+        server.limits = replace(server.limits, connection_limit_count=8)
+        # This one is known, and is the last of the silent ones to go.
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        await read_reply(reader)
+        crowd = [await asyncio.open_connection(host, int(port)) for _ in range(20)]
+        await asyncio.sleep(0.3)
+        for _ in range(5):
+            other_reader, other = await asyncio.open_connection(host, int(port))
+            other.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+            assert (await read_reply(other_reader))[0].startswith(b'HTTP/1.1 200 ')
+            assert len(server.connections) <= 8
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        assert (await read_reply(reader))[0].startswith(b'HTTP/1.1 200 ')
+        for _, member in crowd:
+            member.close()
+
+    run(Handler(), scenario)
--- a/tools/fleet/crowd.py
+++ b/tools/fleet/crowd.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
 BODY_LIMIT_BYTES = 262_144
+DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
 # A crowd is left alone at last; until then its members are given the time that they need.
 SEND_TIMEOUT_S = 30.0
 READ_SIZE_BYTES = 65_536
@@ -48,6 +49,11 @@
     return request_head(number, framing, target) + b'x' * BODY_LIMIT_BYTES
 
 
+def _document(framing: str, size_bytes: int) -> bytes:
+    lines = ('PUT /-/config HTTP/1.1', f'Host: {ROUTE_HOST}', framing)
+    return '\r\n'.join(lines).encode() + b'[' * size_bytes
+
+
 # What each member of a crowd sends.
 MESSAGES: dict[str, Callable[[int], bytes]] = {
     'nothing': lambda _number: b'',
@@ -56,6 +62,13 @@
     'unfinished head': lambda number: request_head(number, '') + b'a:b\r\n' * 3_000,
     'whole body': _whole,
     'whole body to all shards': lambda number: _whole(number, '/all/x'),
+    'whole document': lambda _number: _document(
+        f'Content-Length: {DOCUMENT_LIMIT_BYTES}\r\n\r\n', DOCUMENT_LIMIT_BYTES
+    ),
+    'unfinished document': lambda _number: _document(
+        f'Transfer-Encoding: chunked\r\n\r\n{DOCUMENT_LIMIT_BYTES:x}\r\n',
+        DOCUMENT_LIMIT_BYTES - 1,
+    ),
     'whole bodies at once': lambda number: _whole(number) * 16,
 }
 
