--- a/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_client.py
@@ -18,6 +18,7 @@
     SubRequest,
 )
 
+from .http1.messages import is_final_status
 from .http1.receive_budget import ReceiveBudget
 
 if TYPE_CHECKING:
@@ -60,6 +61,8 @@
 class Connection:
     """Hold one HTTP connection to one endpoint."""
 
+    is_from_caller = False
+
     def __init__(self, connection_id: str, address: str) -> None:
         self.connection_id = connection_id
         self.address = address
@@ -238,6 +241,8 @@
     limit_bytes: int = SHORT_REPLY_LIMIT_BYTES,
     record_held: Callable[[int], None] = lambda _size_bytes: None,
 ) -> bytes:
+    if not is_final_status(response.status):
+        raise aiohttp.ClientPayloadError(f'unassigned status {response.status:03}')
     # Enlarging one buffer of many megabytes again and again would leave holes in the heap.
     parts: list[bytes] = []
     size_bytes = 0
--- a/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
+++ b/packages/daemon/src/pistachioloft_daemon/endpoint_pool.py
@@ -53,6 +53,8 @@
     # Decide which attempt gets the next connection; priority 0 is the highest.
     priority: int = 0
     deadline_at_ms: float = float('inf')
+    # A large body, which all attempts of a request share.
+    body: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -342,8 +344,8 @@
         self.connection_by_attempt[attempt.attempt_id] = connection
         attempt.load.round_trip_ms = connection.round_trip_ms
         record_attempt_sent(attempt, monotonic_ms())
-        connection.http.send(outgoing.data)
-        self.hooks.transferred(attempt, len(outgoing.data))
+        connection.http.send(outgoing.data, outgoing.body)
+        self.hooks.transferred(attempt, len(outgoing.data) + len(outgoing.body))
 
     def _open_more(self, target: _Target) -> None:
         """Open connections for queued attempts, in place of idle ones that cannot carry them."""
--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import logging
 import re
 from typing import TYPE_CHECKING, Protocol
 
 import httptools
 
-from .messages import FRAMING_BYTES_PER_BODY_BYTE, Response
+from .messages import (
+    FRAMING_BYTES_PER_BODY_BYTE,
+    Response,
+    is_final_status,
+    is_interim_status,
+)
 from .receive_budget import HEADER_OBJECT_BYTES
 
 if TYPE_CHECKING:
@@ -33,6 +39,7 @@
 # Headers that give the length of a body.
 FRAMING_NAMES = frozenset((b'content-length', b'transfer-encoding'))
 FRAMING_NAME_LENGTHS = frozenset(map(len, FRAMING_NAMES))
+OTHER_PROTOCOL = 'another protocol that was not asked for'
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
@@ -49,6 +56,8 @@
 class ClientConnection(asyncio.Protocol):
     """Hold one connection, which is usable until `closing` is true."""
 
+    is_from_caller = False
+
     def __init__(self, events: ClientEvents, budget: ReceiveBudget) -> None:
         self.events = events
         self.budget = budget
@@ -78,12 +87,25 @@
         """Return the number of bytes received since the last request was sent."""
         return self._body_bytes + self._overhead_bytes
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, body: bytes = b'') -> None:
         """Send one request; the next may follow once its reply is delivered."""
         assert self.transport is not None
         self.awaiting_reply = True
         self._body_bytes = self._overhead_bytes = 0
         self.transport.write(data)
+        if body:
+            self.transport.write(body)
+
+    def pause_writing(self) -> None:
+        """Count the part of a request that the server has not read yet."""
+        if self.transport is not None and not self.closing:
+            # Nothing is shed at once, as a request is just being sent.
+            self.budget.record_held_bytes(self, self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Count the request no more."""
+        if not self._receiving:
+            self.budget.release(self)
 
     def close(self) -> None:
         """Close the connection without any further event."""
@@ -114,7 +136,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            error = 'another protocol that was not asked for'
+            error = OTHER_PROTOCOL
         except httptools.HttpParserError as parse_error:
             error = f'not HTTP: {parse_error}'
         self._deliver_replies(self._fault or error or self._size_error())
@@ -168,6 +190,11 @@
         """Begin the body."""
         self._in_message = True
         self._check_spliced(self._reason)
+        status = self._parser.get_status_code()
+        if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            self._fault = OTHER_PROTOCOL
+        elif not (is_final_status(status) or is_interim_status(status)):
+            self._fault = f'unassigned status {status:03}'
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -177,7 +204,7 @@
 
     def on_message_complete(self) -> None:
         """End a reply; interim replies are not delivered."""
-        if self._parser.get_status_code() >= 200 and not self._fault:
+        if is_final_status(self._parser.get_status_code()) and not self._fault:
             self._replies.append((self._make_response(), self._parser.should_keep_alive()))
         self._in_message = self._receiving = False
 
@@ -206,7 +233,8 @@
 
     def _make_response(self) -> Response:
         headers: Headers = tuple(self._headers)
-        return Response(self._parser.get_status_code(), headers, bytes(self._body))
+        body, self._body = bytes(self._body), bytearray()
+        return Response(self._parser.get_status_code(), headers, body)
 
     def _deliver_replies(self, error: str) -> None:
         replies, self._replies = self._replies, []
--- a/tools/soak/faulty_builds.py
+++ b/tools/soak/faulty_builds.py
@@ -10,7 +10,15 @@
 
 from ..experiment.variants import UNCHANGED, Variant, apply_variant, load_variants
 from ..fleet.processes import REPOSITORY, SOURCES
-from .faults import FAULTS, change_routes, evacuate, pause, restart_entry, state_something
+from .faults import (
+    FAULTS,
+    change_routes,
+    disturb_searcher,
+    evacuate,
+    pause,
+    restart_entry,
+    state_something,
+)
 from .run import soak
 
 BUILDS_FILE = Path(__file__).parent / 'faulty_builds.toml'
@@ -22,6 +30,7 @@
     'leaving-ignored': (state_something,),
     'stop-at-once': (restart_entry,),
     'evacuation-ignored': (evacuate,),
+    'unassigned-status-used': (disturb_searcher,),
 }
 
 
