--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -44,6 +44,8 @@
     """Stop an entry instance gracefully and restart it."""
     machine = random_source.choice(site.fleet.entries)
     async with site.entry_fault_lock:
+        # On a busy machine a process that was just started has no handler for the signal yet.
+        await site.wait_until(lambda: site.runs(machine), f'{machine.name} to run')
         with site.disturbed(machine.ip):
             signalled_s = time.monotonic()
             code = await asyncio.to_thread(site.fleet.terminate, machine)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -22,6 +22,8 @@
     from collections.abc import Iterator, Sequence
     from pathlib import Path
 
+    from ..fleet.processes import Machine
+
 # Organisations by name, each with one key; the last one has an allotment.
 ORGANISATIONS = ('east', 'west', 'small')
 LIMITED = ORGANISATIONS[-1]
@@ -136,6 +138,14 @@
             period.ip == ip and period.overlaps(from_s, until_s) for period in self.disturbances
         )
 
+    async def runs(self, machine: Machine) -> bool:
+        """Return whether the process of an entry machine has started and answers calls."""
+        url = f'http://{self.fleet.readiness_address(machine)}/-/readiness'
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self.session.get(url):
+                return True
+        return False
+
     async def has_all_voters(self) -> bool:
         """Return whether a leader has three voters and can lose one of them."""
         for machine in self.fleet.controls:
