Let a grantor resume that was replaced for a moment

Change: the replaced grantor goes on with its bucket if nobody can have begun meanwhile; a grantor begins only with a confirmation of 500 ms.

--- a/packages/core/src/pistachioloft_core/process/allotment_grants.py
+++ b/packages/core/src/pistachioloft_core/process/allotment_grants.py
@@ -13,10 +13,12 @@
 )
 from .allotments import (
     GRANTOR_CONFIRMED_MS,
+    START_CONFIRMED_MS,
     TAKEOVER_MS,
     AllotmentBounds,
     InstanceRanks,
     bucket_capacity_count,
+    may_resume,
     standing_of,
 )
 
@@ -76,6 +78,9 @@
     start_ms = standing.first_since_ms + TAKEOVER_MS
     if now_ms < start_ms:
         return AllotmentGrant(name, number, NOT_READY, 0, start_ms - now_ms)
+    known = table.buckets.get(name)
+    if confirmed_age_ms > START_CONFIRMED_MS and (known is None or known.start_ms != start_ms):
+        return AllotmentGrant(name, number, NOT_READY, 0, NOT_READY_RETRY_MS)
     bucket = _bucket_of(table, now_ms, start_ms, organisation)
     level_count = _level_count(table, now_ms, bucket)
     count = min(wanted_count, math.floor(level_count + _EPSILON_COUNT))
@@ -91,13 +96,13 @@
     return AllotmentGrant(name, number, GRANTED, count, room_at_ms - now_ms)
 
 
-def forget_buckets(table: GrantTable) -> None:
+def forget_buckets(table: GrantTable, now_ms: float) -> None:
     """Forget the buckets of organisations for which another instance is the grantor now."""
     standings = table.ranks.standings
     table.buckets = {
         name: bucket
         for name, bucket in table.buckets.items()
-        if name in standings and standings[name].first_since_ms is not None
+        if standings[name].first_since_ms is not None or may_resume(standings[name], now_ms)
     }
 
 
--- a/packages/core/src/pistachioloft_core/process/allotments.py
+++ b/packages/core/src/pistachioloft_core/process/allotments.py
@@ -19,6 +19,11 @@
 VIEW_SKEW_MS = 500.0
 # An instance that becomes the grantor begins after this time, once its predecessor has stopped.
 TAKEOVER_MS = GRANTOR_CONFIRMED_MS + VIEW_SKEW_MS
+# It begins only with a confirmation of at most this age.
+START_CONFIRMED_MS = 500.0
+# A grantor that was replaced for at most this time resumes: nobody can have begun meanwhile, even
+# if the replacement hears nothing any more.
+RESUME_MS = TAKEOVER_MS - START_CONFIRMED_MS - 2.0 * VIEW_SKEW_MS
 # Spare permits may be spent for this many windows after the last confirmation.
 SPARE_CONFIRMED_WINDOW_COUNT = 2
 # Fractions of what may be admitted beyond the allotment. The rest is for instances whose views
@@ -52,7 +57,17 @@
 class Standing:
     """Hold the part of this instance in the allotment of one organisation."""
 
-    __slots__ = ('first_since_ms', 'grantor', 'holder_count', 'holder_since_ms', 'rank', 'weights')
+    __slots__ = (
+        'first_since_ms',
+        'grantor',
+        'holder_count',
+        'holder_since_ms',
+        'rank',
+        'replaced_ms',
+        'resumable_since_ms',
+        'resumed_ms',
+        'weights',
+    )
 
     def __init__(self) -> None:
         self.weights: dict[str, bytes] = {}
@@ -61,6 +76,10 @@
         # The number of advertised instances before this one.
         self.rank = math.inf
         self.first_since_ms: float | None = None
+        # When this instance was replaced as the grantor, and since when it had been the first.
+        self.replaced_ms = -math.inf
+        self.resumable_since_ms: float | None = None
+        self.resumed_ms = -math.inf
         # The number of instances that may keep a spare permit, and since when this is one of them.
         self.holder_count = 0
         self.holder_since_ms: float | None = None
@@ -116,6 +135,11 @@
     return standing
 
 
+def may_resume(standing: Standing, now_ms: float) -> bool:
+    """Return whether a replaced grantor can grant at once if it becomes the first again."""
+    return standing.resumable_since_ms is not None and now_ms - standing.replaced_ms <= RESUME_MS
+
+
 def _rank(ranks: InstanceRanks, organisation: str, standing: Standing) -> None:
     known = standing.weights
     weights = {
@@ -125,11 +149,26 @@
     standing.grantor = max(weights, key=weights.__getitem__, default='')
     own = weights.get(ranks.instance)
     standing.rank = math.inf if own is None else sum(other > own for other in weights.values())
+    _update_first(ranks, standing)
+    _update_holder(ranks, standing)
+
+
+def _update_first(ranks: InstanceRanks, standing: Standing) -> None:
+    now_ms, since_ms = ranks.changed_ms, standing.first_since_ms
     if standing.grantor != ranks.instance:
+        if since_ms is None:
+            return
         standing.first_since_ms = None
-    elif standing.first_since_ms is None:
-        standing.first_since_ms = ranks.changed_ms
-    _update_holder(ranks, standing)
+        has_begun = now_ms - since_ms >= TAKEOVER_MS
+        standing.resumable_since_ms = since_ms if has_begun else None
+        # Others may not have seen a short time as the first between two replacements.
+        if now_ms - standing.resumed_ms > 2.0 * VIEW_SKEW_MS:
+            standing.replaced_ms = now_ms
+    elif since_ms is None:
+        standing.first_since_ms = now_ms
+        if may_resume(standing, now_ms):
+            standing.first_since_ms = standing.resumable_since_ms
+            standing.resumed_ms = now_ms
 
 
 def _update_holder(ranks: InstanceRanks, standing: Standing) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/allotments.py
+++ b/packages/daemon/src/pistachioloft_daemon/allotments.py
@@ -131,7 +131,7 @@
     def forget_expired(self, now_ms: float) -> None:
         """Forget what is no longer needed."""
         forget_purses(self.purses, now_ms)
-        forget_buckets(self.grants)
+        forget_buckets(self.grants, now_ms)
 
     def on_request(self, sender: str, request: AllotmentRequest) -> None:
         """Grant permits to another instance, or to this one."""
--- a/tests/test_allotments/allotment_fleet.py
+++ b/tests/test_allotments/allotment_fleet.py
@@ -140,7 +140,7 @@
         now_ms = self._clock_of(instance)[0]
         self._apply(check_waiting(instance.purses, now_ms))
         forget_purses(instance.purses, now_ms)
-        forget_buckets(instance.grants)
+        forget_buckets(instance.grants, now_ms)
         self._ask(instance)
 
     def _ask(self, instance: Instance) -> None:
--- a/tests/test_allotments/test_allotments.py
+++ b/tests/test_allotments/test_allotments.py
@@ -153,6 +153,21 @@
     assert fleet.refusals == []
 
 
+def test_grantor_that_was_replaced_for_a_moment_resumes() -> None:
+    """Guard against an organisation without a grantor after views that change back."""
+    fleet = started_fleet(organisation(20.0, 20.0), AllotmentBounds(5_000.0, 0.0, 0.0))
+    send_anywhere(fleet)
+    fleet.advance(100.0)
+    grantor = grantor_of(fleet)
+    fleet.set_view(tuple(name for name in fleet.names if name != grantor))
+    fleet.advance(200.0)
+    fleet.set_view(tuple(fleet.names))
+    fleet.advance(700.0)
+    send_anywhere(fleet, 10)
+    fleet.advance(100.0)
+    assert fleet.refusals == []
+
+
 @pytest.mark.parametrize('is_cut_off', [True, False])
 def test_successor_grants_once_the_old_grantor_has_stopped(is_cut_off: bool) -> None:
     """Guard against two grantors, and against an organisation that stays without one."""
--- a/tests/test_allotments/test_any_order.py
+++ b/tests/test_allotments/test_any_order.py
@@ -59,9 +59,13 @@
     def set_view(self, advertised: set[int]) -> None:
         self.fleet.set_view(tuple(self.fleet.names[number] for number in sorted(advertised)))
 
-    @rule(is_cut_off=st.booleans(), time_ms=st.sampled_from([0, 300, 1_500, 3_500]))
-    def replace_grantor(self, is_cut_off: bool, time_ms: int) -> None:
-        """Advertise an instance less, which may not hear of it, between requests everywhere."""
+    @rule(
+        is_cut_off=st.booleans(),
+        time_ms=st.sampled_from([0, 300, 500, 1_500, 3_500]),
+        returns=st.booleans(),
+    )
+    def replace_grantor(self, is_cut_off: bool, time_ms: int, returns: bool) -> None:
+        """Advertise an instance less, which may not hear of it, for a while or for good."""
         grantors = {
             standing.grantor
             for instance in self.fleet.instances.values()
@@ -72,6 +76,16 @@
             self.fleet.instances[name].is_cut_off = is_cut_off
         self.fleet.set_view(tuple(name for name in names if name not in grantors) or names)
         self.send_everywhere(time_ms)
+        if returns:
+            self.fleet.set_view(names)
+            successors = {
+                standing.grantor
+                for instance in self.fleet.instances.values()
+                for standing in instance.ranks.standings.values()
+            }
+            for name in successors - grantors:
+                self.fleet.instances[name].is_cut_off = is_cut_off
+            self.send_everywhere(2_500)
 
     @rule(number=numbers, is_cut_off=st.booleans())
     def cut_off(self, number: int, is_cut_off: bool) -> None:
