--- a/tests/test_http1/test_descriptors.py
+++ b/tests/test_http1/test_descriptors.py
@@ -56,6 +56,8 @@
     assert to_endpoints <= max(shares.endpoint_count, 2 * shard_count)
     # A connection may take two descriptors, and a tenth is reserved for everything else.
     assert 2 * (shares.endpoint_count + shares.caller_count) <= 0.9 * descriptor_count
+    assert 2 * (shares.control_count + shares.caller_count) <= 0.9 * descriptor_count
+    assert 1 <= shares.readiness_count <= 0.02 * descriptor_count
 
 
 def test_ample_descriptors_do_not_limit_connections() -> None:
