--- a/packages/core/src/pistachioloft_core/messages/fleet.py
+++ b/packages/core/src/pistachioloft_core/messages/fleet.py
@@ -180,6 +180,8 @@
     # The evacuated failure domains, and the log index of their last change.
     evacuation_index: int = 0
     evacuated_domains: tuple[str, ...] = ()
+    # The sender does not hear a control instance that runs, nor the entry instances that poll it.
+    lacks_entries: bool = False
 
 
 class ReadRequest(Struct, frozen=True, array_like=True):
--- a/packages/core/src/pistachioloft_core/process/allotments.py
+++ b/packages/core/src/pistachioloft_core/process/allotments.py
@@ -16,14 +16,16 @@
 # A grantor grants while a quorum confirmed its view of the instances at most this time ago.
 GRANTOR_CONFIRMED_MS = 900.0
 # The views of instances in touch differ for at most this time.
-VIEW_SKEW_MS = 300.0
-# An instance that becomes the grantor begins after this time, once its predecessor has stopped.
-TAKEOVER_MS = GRANTOR_CONFIRMED_MS + VIEW_SKEW_MS
-# It begins only with a confirmation of at most this age.
-START_CONFIRMED_MS = 500.0
-# A grantor that was replaced for at most this time resumes: nobody can have begun meanwhile, even
-# if the replacement hears nothing any more.
-RESUME_MS = TAKEOVER_MS - START_CONFIRMED_MS - 2.0 * VIEW_SKEW_MS
+VIEW_SKEW_MS = 500.0
+# A grantor begins only with a confirmation of at most this age.
+START_CONFIRMED_MS = 400.0
+# A grantor that was replaced for at most this time resumes.
+RESUME_MS = 300.0
+# An instance that becomes the grantor begins after this time: its predecessor has stopped, and will
+# not resume, even if this instance hears nothing any more.
+TAKEOVER_MS = max(
+    GRANTOR_CONFIRMED_MS + VIEW_SKEW_MS, START_CONFIRMED_MS + RESUME_MS + 2.0 * VIEW_SKEW_MS
+)
 # Spare permits may be spent for this many windows after the last confirmation.
 SPARE_CONFIRMED_WINDOW_COUNT = 2
 # Fractions of what may be admitted beyond the allotment: for spare permits, for the grantors that
@@ -102,7 +104,9 @@
 def headroom_count(bounds: AllotmentBounds, organisation: Organisation) -> float:
     """Return how many requests beyond its allotment may be admitted in a window."""
     per_window_count = organisation.rate_per_s * bounds.window_ms / 1_000.0
-    return bounds.overage * (per_window_count + organisation.burst_count) + bounds.slack_count
+    headroom = bounds.overage * (per_window_count + organisation.burst_count) + bounds.slack_count
+    # The bucket holds one token at least.
+    return max(0.0, headroom - max(0.0, 1.0 - organisation.burst_count))
 
 
 def bucket_capacity_count(bounds: AllotmentBounds, organisation: Organisation) -> float:
@@ -144,6 +148,18 @@
     return standing
 
 
+def on_confirmed(ranks: InstanceRanks, now_ms: float, before_age_ms: float) -> None:
+    """Begin anew as a grantor if others may have granted since the confirmation before this one."""
+    # The advertised instances may be the same now as then, so a changed view does not tell.
+    if before_age_ms <= GRANTOR_CONFIRMED_MS:
+        return
+    ranks.changed_ms = now_ms
+    for standing in ranks.standings.values():
+        standing.resumable_since_ms = None
+        if standing.first_since_ms is not None:
+            standing.first_since_ms = now_ms
+
+
 def may_resume(standing: Standing, now_ms: float) -> bool:
     """Return whether a replaced grantor can grant at once if it becomes the first again."""
     return standing.resumable_since_ms is not None and now_ms - standing.replaced_ms <= RESUME_MS
--- a/packages/core/src/pistachioloft_core/process/feed.py
+++ b/packages/core/src/pistachioloft_core/process/feed.py
@@ -69,6 +69,8 @@
         self.sent: dict[int, tuple[str, float]] = {}
         self.cursors: dict[str, tuple[int, int]] = {}
         self.confirmed_ms: float | None = None
+        # The same for replies that name all entry instances.
+        self.complete_ms: float | None = None
         self.crashes: list[RequestCrash] = []
         # Identifies the helpers that the last update named.
         self.helpers_digest = 0
@@ -198,6 +200,11 @@
     return float('inf') if state.confirmed_ms is None else now_ms - state.confirmed_ms
 
 
+def complete_age_ms(state: FeedState, now_ms: float) -> float:
+    """Return the time since the last confirmed poll that named all instances, or infinity."""
+    return float('inf') if state.complete_ms is None else now_ms - state.complete_ms
+
+
 def request_poll(state: FeedState, now_ms: float) -> None:
     """Make a poll due at once."""
     state.due_ms = min(state.due_ms, now_ms)
@@ -229,6 +236,8 @@
 ) -> None:
     if reply.confirmed:
         state.confirmed_ms = max(sent_ms, state.confirmed_ms or sent_ms)
+        if not reply.lacks_entries:
+            state.complete_ms = max(sent_ms, state.complete_ms or sent_ms)
     if sender != state.target:
         return
     state.missed_count = 0
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -349,6 +349,10 @@
         crashes=_newest_crashes(state, now_ms),
         helpers=helpers if has_more_helpers else (),
         helpers_digest=locations_digest(helpers) if has_more_helpers else 0,
+        lacks_entries=any(
+            _is_live(peer, now_ms) and now_ms - peer.last_share_ms >= CONTROL_LIVE_MS
+            for peer in state.controls.values()
+        ),
         evacuation_index=evacuations.index,
         evacuated_domains=evacuations.failure_domains,
     )
--- a/packages/core/src/pistachioloft_core/request/allotment_purses.py
+++ b/packages/core/src/pistachioloft_core/request/allotment_purses.py
@@ -159,6 +159,9 @@
     if purse is None or purse.sent is None or purse.sent.number != grant.number:
         # Permits that come too late are lost: what they admitted would not count in their window.
         return []
+    if now_ms - purse.sent.sent_ms >= REPLY_LIMIT_MS:
+        # This instance was paused; the permits are of an earlier window.
+        return check_waiting(table, now_ms)
     sent, purse.sent = purse.sent, None
     admitted, others = sent.tickets[: grant.count], sent.tickets[grant.count :]
     outcomes = [Outcome(ticket, None) for ticket in admitted]
--- a/packages/daemon/src/pistachioloft_daemon/allotments.py
+++ b/packages/daemon/src/pistachioloft_daemon/allotments.py
@@ -7,7 +7,7 @@
 
 from pistachioloft_core.messages.allotments import NOT_READY
 from pistachioloft_core.process.allotment_grants import GrantTable, forget_buckets, grant_permits
-from pistachioloft_core.process.allotments import InstanceRanks, set_instances
+from pistachioloft_core.process.allotments import InstanceRanks, on_confirmed, set_instances
 from pistachioloft_core.request.allotment_purses import (
     Admission,
     PurseTable,
@@ -94,6 +94,10 @@
         """Replace the advertised instances."""
         set_instances(self.ranks, now_ms, (location.instance for location in locations))
 
+    def on_confirmed(self, now_ms: float, before_age_ms: float) -> None:
+        """Handle a confirmation, given the age that the one before it had."""
+        on_confirmed(self.ranks, now_ms, before_age_ms)
+
     def admit(
         self,
         now_ms: float,
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -121,6 +121,7 @@
         self.feed = feed.FeedState(settings.seeds, settings.failure_domain, random_source)
         self.requests.crashes.report = self._report_crashes
         self.requests.feed_age_ms = self.confirmation_age_ms
+        self.requests.view_age_ms = lambda: feed.complete_age_ms(self.feed, monotonic_ms())
         self.requests.can_serve = self.serving
         # Callers and groups are directed elsewhere once the control instances know.
         self.requests.on_reach_changed = lambda: feed.request_poll(self.feed, monotonic_ms())
@@ -364,7 +365,10 @@
 
     def _on_feed(self, sender: str, reply: FeedReply) -> None:
         now_ms = monotonic_ms()
+        before_age_ms, before_ms = feed.complete_age_ms(self.feed, now_ms), self.feed.complete_ms
         has_update = feed.on_feed(self.feed, now_ms, sender, reply)
+        if self.feed.complete_ms != before_ms:
+            self.requests.allotments.on_confirmed(now_ms, before_age_ms)
         on_crash_reports(self.requests.crashes.watch, now_ms, reply.crashes)
         self._apply_evacuations(now_ms, reply)
         if reply.document:
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -279,7 +279,7 @@
     def check_timeouts(self, now_s: float) -> None:
         """Close a connection that is idle, or whose client sends or reads too slowly."""
         limits = self.server.limits
-        if self._write_paused and not self._closed:
+        if self._write_paused:
             self._update_budget()
         receiving_time_s = now_s - self._request_start_s
         if self._has_stalled_reader(now_s, limits.answer_timeout_s):
@@ -408,6 +408,8 @@
                     self._closed = True
                 return
             request, keep_alive = self._queued.popleft()
+            # A refusal for want of room comes after its answer.
+            self._answering = True
             self._update_budget()
             self._start(request, keep_alive)
 
@@ -439,11 +441,10 @@
         if close:
             self.transport.close()
             self._closed = True
-            return
         if self._write_paused:
             self._update_budget()
-            if self._closed:
-                return
+        if self._closed:
+            return
         if len(self._queued) < PIPELINE_LIMIT_COUNT:
             self.transport.resume_reading()
         if self._queued or self._refused:
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -106,7 +106,12 @@
     if len(values) != 1:
         return None
     scheme, _, key = values[0].partition(b' ')
-    return key.strip().decode('latin-1') if scheme.lower() == CREDENTIALS_SCHEME else None
+    if scheme.lower() != CREDENTIALS_SCHEME:
+        return None
+    try:
+        return key.strip().decode()
+    except UnicodeDecodeError:
+        return None
 
 
 def encode_organisation(routed: RoutedRequest, organisation: str) -> RoutedRequest:
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -68,7 +68,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pistachioloft_core.messages.routes import Route
+    from pistachioloft_core.messages.routes import Organisation, Route
     from pistachioloft_core.request.attempts import Attempt, AttemptEnd, RoutedAction
     from pistachioloft_core.request.routed_state import RoutedState
     from pistachioloft_core.version.route_table import RouteTable
@@ -129,7 +129,7 @@
         self.reach.changed = self._on_reach_changed
         self.permits = Permits(state, peers.send, peers.reconnect)
         self.allotments = Allotments(
-            state, timers, metrics, peers.send, peers.reconnect, lambda: self.feed_age_ms()
+            state, timers, metrics, peers.send, peers.reconnect, lambda: self.view_age_ms()
         )
         self.splits = SplitState()
         self.requests: dict[int, InFlight] = {}
@@ -144,6 +144,8 @@
         self.can_serve: Callable[[], bool] = lambda: True
         # Returns the age of the quorum confirmation on which placements are based.
         self.feed_age_ms: Callable[[], float] = lambda: 0.0
+        # Returns the age of the last confirmation that named all entry instances.
+        self.view_age_ms: Callable[[], float] = lambda: 0.0
         # Called when this instance is cut off from all endpoints, and when it is not any more.
         self.on_reach_changed: Callable[[], None] = lambda: None
 
@@ -162,15 +164,48 @@
         organisation = accepted.organisation
         if organisation is None or organisation.rate_per_s <= 0:
             return self._begin(now_ms, accepted, respond)
-        return self.allotments.admit(
-            now_ms,
-            organisation,
-            accepted,
-            lambda: self._begin(now_ms, accepted, respond),
-            lambda refusal: self._refuse_at_once(
-                routed.request_id, routed.path, refusal, respond, organisation.name
-            ),
-        )
+        return self._begin_with_permit(now_ms, accepted, organisation, respond)
+
+    def _begin_with_permit(
+        self,
+        arrived_ms: float,
+        accepted: AcceptedRequest,
+        organisation: Organisation,
+        respond: Respond,
+    ) -> Cancel | None:
+        """Begin a request once its organisation has a permit for it, or refuse it."""
+        routed = accepted.routed
+        reserved_bytes = body_cost_bytes(routed.body)
+        # There was room in this turn of the event loop.
+        if reserved_bytes and not self.budget.reserve(reserved_bytes):
+            reserved_bytes = 0
+
+        def release() -> None:
+            nonlocal reserved_bytes
+            self.budget.free(reserved_bytes)
+            reserved_bytes = 0
+
+        def refuse(refusal: Refuse) -> None:
+            release()
+            name = organisation.name
+            self._refuse_at_once(routed.request_id, routed.path, refusal, respond, name)
+
+        def begin() -> Cancel | None:
+            release()
+            usable = self.usable_routes(routed.body)
+            if isinstance(usable, Refuse):
+                refuse(usable)
+                return None
+            return self._begin(arrived_ms, accepted, respond)
+
+        cancel = self.allotments.admit(arrived_ms, organisation, accepted, begin, refuse)
+
+        def leave() -> None:
+            release()
+            if cancel is not None:
+                cancel()
+
+        return leave
 
     def _begin(self, arrived_ms: float, accepted: AcceptedRequest, respond: Respond) -> Cancel:
         in_flight = self._start(arrived_ms, accepted, respond)
--- a/tests/test_allotments/allotment_fleet.py
+++ b/tests/test_allotments/allotment_fleet.py
@@ -8,7 +8,12 @@
 
 from pistachioloft_core.messages.allotments import AllotmentGrant, AllotmentRequest
 from pistachioloft_core.process.allotment_grants import GrantTable, forget_buckets, grant_permits
-from pistachioloft_core.process.allotments import AllotmentBounds, InstanceRanks, set_instances
+from pistachioloft_core.process.allotments import (
+    AllotmentBounds,
+    InstanceRanks,
+    on_confirmed,
+    set_instances,
+)
 from pistachioloft_core.request.allotment_purses import (
     Admission,
     Outcome,
@@ -132,6 +137,8 @@
         if instance.is_frozen:
             return
         if not instance.is_cut_off:
+            now_ms, before_age_ms = self._clock_of(instance)
+            on_confirmed(instance.ranks, now_ms, before_age_ms)
             instance.confirmed_ms = self.now_ms
             instance.organisation = self.organisation
             seen_ms = self.now_ms - instance.view_delay_ms
--- a/tests/test_allotments/test_allotments.py
+++ b/tests/test_allotments/test_allotments.py
@@ -6,7 +6,7 @@
 
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.messages.routes import Organisation
-from pistachioloft_core.process.allotments import AllotmentBounds
+from pistachioloft_core.process.allotments import AllotmentBounds, headroom_count
 
 from .allotment_fleet import AllotmentFleet, allowed_count, greatest_count
 
@@ -184,3 +184,74 @@
     assert greatest_count(fleet.admitted, BOUNDS.window_ms) <= allowed_count(allotment, BOUNDS)
     last = [each for each in fleet.admitted if each.admitted_ms > fleet.now_ms - 5_000.0]
     assert len(last) >= 0.95 * 20.0 * 5.0
+
+
+@pytest.mark.parametrize('absence', ['is_frozen', 'is_cut_off'])
+@pytest.mark.parametrize(
+    ('rate_per_s', 'burst_count', 'absent_ms'),
+    [(20.0, 40.0, 3_800.0), (50.0, 100.0, 4_500.0), (10.0, 100.0, 10_000.0), (2.0, 8.0, 9_000.0)],
+)
+def test_grantor_that_returns_does_not_grant_beside_its_successor(
+    absence: str, rate_per_s: float, burst_count: float, absent_ms: float
+) -> None:
+    """Guard against a grantor whose view did not change while another one granted."""
+    limited = organisation(rate_per_s, burst_count)
+    fleet = AllotmentFleet(5, limited, AllotmentBounds(), seed=3)
+    for instance in fleet.instances.values():
+        instance.view_delay_ms = 0
+    fleet.advance(START_MS)
+    for name in fleet.names:
+        fleet.send_request(name)
+    fleet.advance(2_000.0)
+    grantor = grantor_of(fleet)
+    others = tuple(name for name in fleet.names if name != grantor)
+    setattr(fleet.instances[grantor], absence, True)
+    fleet.advance(1_100.0)
+    fleet.set_view(others)
+    fleet.advance(absent_ms - 1_200.0)
+    for _ in range(int(burst_count)):
+        fleet.send_request(others[0])
+    fleet.advance(100.0)
+    setattr(fleet.instances[grantor], absence, False)
+    # Its first poll advertises it again, so it never hears of the time without it.
+    fleet.set_view(tuple(fleet.names))
+    fleet.advance(300.0)
+    for _ in range(250):
+        for name in fleet.names:
+            fleet.send_request(name)
+            fleet.send_request(name)
+        fleet.advance(20.0)
+    window_ms = fleet.bounds.window_ms
+    assert greatest_count(fleet.admitted, window_ms) <= allowed_count(limited, fleet.bounds)
+
+
+def test_grant_that_is_read_late_admits_nothing() -> None:
+    """Guard against requests that are admitted with permits of an earlier window after a pause."""
+    fleet = started_fleet(organisation(4.0, 20.0))
+    send_anywhere(fleet)
+    fleet.advance(100.0)
+    name = next(each for each in fleet.names if each != grantor_of(fleet))
+    instance = fleet.instances[name]
+    for _ in range(5):
+        fleet.send_request(name)
+    waiting_count = len(fleet.admitted)
+    fleet.message_delay_ms = 0.0
+    instance.is_frozen = True
+    fleet.advance(3_000.0)
+    instance.is_frozen = False
+    fleet.advance(10.0)
+    assert len(fleet.admitted) == waiting_count
+    assert fleet.refusals
+
+
+@pytest.mark.parametrize('burst_count', [0.0, 0.4])
+def test_burst_below_one_request_takes_its_token_from_the_headroom(burst_count: float) -> None:
+    """Guard against a bucket of one token that exceeds the bound together with spare permits."""
+    bounds = AllotmentBounds(5_000.0, 0.1, 10.0)
+    whole, part = organisation(1.0, 1.0), organisation(1.0, burst_count)
+    missing_count = 1.0 - burst_count
+    lost_overage_count = bounds.overage * missing_count
+    assert headroom_count(bounds, part) == pytest.approx(
+        headroom_count(bounds, whole) - missing_count - lost_overage_count
+    )
+    assert headroom_count(AllotmentBounds(), organisation(0.1, 0.0)) == 0.0
--- a/tests/test_http1/test_receive_budget.py
+++ b/tests/test_http1/test_receive_budget.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+from typing import TYPE_CHECKING
 
 import pytest
 
+from pistachioloft_daemon.http1.messages import Request, Response
 from pistachioloft_daemon.http1.receive_budget import (
     ReceiveBudget,
     body_cost_bytes,
     memory_budget,
 )
 from pistachioloft_daemon.http1.repeated_lines import INTERVAL_S, RepeatedLines
+from pistachioloft_daemon.http1.server import HttpServer, ServerConnection, ServerLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pistachioloft_daemon.http1.server import Respond
 
 BODY_BYTES = 262_144
 PIECE_BYTES = 32_768
@@ -149,3 +158,90 @@
         '[caller] request refused: count=9999 in 5s',
         '[caller] request refused',
     ]
+
+
+class WritingTransport(asyncio.Transport):
+    """Store what is written, and report a full buffer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.buffered_bytes = 0
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def writelines(self, parts: Iterable[bytes]) -> None:
+        self.written += b''.join(parts)
+
+    def get_write_buffer_size(self) -> int:
+        return self.buffered_bytes
+
+    def get_extra_info(self, _name: str, default: object = None) -> object:
+        return default
+
+    def close(self) -> None:
+        return
+
+    abort = pause_reading = resume_reading = close
+
+
+def post(path: bytes, size_bytes: int, extra: bytes = b'') -> bytes:
+    head = b'POST /%b HTTP/1.1\r\nHost: h\r\n%bContent-Length: %d\r\n\r\n'
+    return head % (path, extra, size_bytes) + b'x' * size_bytes
+
+
+def test_request_that_is_started_is_not_refused_as_well() -> None:
+    """Guard against a refusal that says not run, of a request that runs afterwards."""
+    ran: list[bytes] = []
+    responds: list[Respond] = []
+
+    def handle(request: Request, respond: Respond) -> None:
+        ran.append(request.target)
+        responds.append(respond)
+
+    async def main() -> None:
+        budget = ReceiveBudget(1_000_000)
+        connection = ServerConnection(HttpServer('127.0.0.1:0', handle, ServerLimits(), budget))
+        transport = WritingTransport()
+        connection.connection_made(transport)
+        connection.data_received(post(b'a', 10) + post(b'b', 300_000) + post(b'c', 600_000))
+        budget.record_held_bytes(Message(is_from_caller=False), 500_000)
+        responds[0](Response(200))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        if len(responds) > 1:
+            responds[1](Response(200))
+            for _ in range(3):
+                await asyncio.sleep(0)
+        statuses = [line[9:12] for line in transport.written.split(b'\r\n') if b'HTTP/1' in line]
+        assert statuses[: len(ran)] == [b'200'] * len(ran)
+        assert statuses[len(ran) :] in ([], [b'503'])
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize('extra', [b'', b'Connection: close\r\n'])
+def test_unread_answer_is_counted_until_it_is_read(extra: bytes) -> None:
+    """Guard against answers that fill the memory because their connections are closing."""
+
+    async def main() -> None:
+        budget = ReceiveBudget(1_000_000)
+        transport = WritingTransport()
+
+        def handle(_request: Request, respond: Respond) -> None:
+            transport.buffered_bytes = 300_000
+            connection.pause_writing()
+            respond(Response(200, (), b'x' * 300_000))
+
+        connection = ServerConnection(HttpServer('127.0.0.1:0', handle, ServerLimits(), budget))
+        connection.connection_made(transport)
+        connection.data_received(post(b'a', 10, extra))
+        assert budget.total_bytes == 300_000
+        transport.buffered_bytes = 100_000
+        connection.check_timeouts(0.0)
+        assert budget.total_bytes == 100_000
+        connection.connection_lost(None)
+        assert budget.total_bytes == 0
+
+    asyncio.run(main())
