Admit a request to an idle endpoint whatever its latency target is

Cause: where a latency target is shorter than the usual work, an overload refused every request to one endpoint until it ended. Change: the time left for waiting is at least 0, and the reason names it.

--- a/packages/core/src/pistachioloft_core/request/query_admission.py
+++ b/packages/core/src/pistachioloft_core/request/query_admission.py
@@ -227,9 +227,10 @@
         if not load.breaker.is_open(now_ms)
     ]
     wait_ms = min(waits_ms, default=0.0)
-    if wait_ms <= LATE_WAIT_RATIO * (route.latency_target_ms - service_ms):
+    left_ms = max(0.0, route.latency_target_ms - service_ms)
+    if wait_ms <= LATE_WAIT_RATIO * left_ms:
         return None
-    detail = f'{wait_ms:.0f} ms in queues and {service_ms:.0f} ms of work exceed the latency target'
+    detail = f'every endpoint has {wait_ms:.0f} ms of work waiting, and {left_ms:.0f} ms are left'
     return _refuse(state, now_ms, state.admissions[(request.service,)], detail, 'capacity')
 
 
