--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -8,8 +8,6 @@
 from msgspec.structs import replace
 
 from ..messages.fleet import (
-    ENDPOINT_DRAINING,
-    ENDPOINT_LEFT,
     ENDPOINT_READY,
     ControlRenewal,
     ControlShare,
@@ -136,7 +134,7 @@
             state.changed_endpoints.add(record.endpoint)
             state.renewed_endpoints.discard(record.endpoint)
     if merged is MergeResult.CHANGED:
-        _record_leaving(state, now_ms, record.endpoint, True)
+        record_leaving(state.leaving, now_ms, state.announced, record.endpoint, True)
     return merged
 
 
@@ -146,7 +144,7 @@
     """Record that an endpoint left and return whether its state changed."""
     changed = mark_left(state.announced, endpoint, born_ms, latest_born_ms, now_ms)
     if changed:
-        _record_leaving(state, now_ms, endpoint, True)
+        record_leaving(state.leaving, now_ms, state.announced, endpoint, True)
     return changed
 
 
@@ -154,7 +152,8 @@
     """Merge a notice of a leaving endpoint that another control instance received."""
     merged = merge(state.announced, received.record, now_ms - received.age_ms)
     if merged is MergeResult.CHANGED:
-        _record_leaving(state, now_ms, received.record.endpoint, False)
+        endpoint = received.record.endpoint
+        record_leaving(state.leaving, now_ms, state.announced, endpoint, False)
     return merged
 
 
@@ -394,15 +393,6 @@
     return 2 * count > len(voters)
 
 
-def failure_domain_of(state: FleetState, instance: str) -> str | None:
-    """Return the failure domain of an instance, or None if it is not known."""
-    control = state.controls.get(instance)
-    if control is not None:
-        return control.status.failure_domain
-    entry = state.entries.by_name.get(instance)
-    return None if entry is None else entry.status.failure_domain
-
-
 def live_members(state: FleetState, now_ms: float) -> tuple[str, ...]:
     """Return the members of the other control instances whose own shares are recent."""
     return tuple(
@@ -480,12 +470,6 @@
     return RequestCrash(*key, now_ms - crash.time_ms, crash.failure_domain)
 
 
-def _record_leaving(state: FleetState, now_ms: float, endpoint: str, from_endpoint: bool) -> None:
-    entry = state.announced.endpoints.get(endpoint)
-    if entry is not None and entry.record.endpoint_state in (ENDPOINT_DRAINING, ENDPOINT_LEFT):
-        record_leaving(state.leaving, now_ms, endpoint, from_endpoint)
-
-
 def _merge_control(state: FleetState, now_ms: float, status: ControlStatus) -> None:
     if status.instance == state.own_status.instance:
         return
--- a/packages/core/src/pistachioloft_core/process/leaving.py
+++ b/packages/core/src/pistachioloft_core/process/leaving.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+from ..messages.fleet import ENDPOINT_DRAINING, ENDPOINT_LEFT
+
+if TYPE_CHECKING:
+    from .announced import AnnouncedState
+
 # The instance that an endpoint told repeats this for four shares, in case one of them is lost.
 REPEAT_MS = 800.0
 # Later, and at the instances that received a notice of it, it is shared at this interval: for
@@ -28,11 +35,17 @@
 
 
 def record_leaving(
-    state: LeavingEndpoints, now_ms: float, endpoint: str, from_endpoint: bool
+    state: LeavingEndpoints,
+    now_ms: float,
+    announced: AnnouncedState,
+    endpoint: str,
+    from_endpoint: bool,
 ) -> None:
-    """Record that an endpoint leaves, as it said itself or as another instance did."""
-    due_ms = now_ms if from_endpoint else now_ms + RETELL_INTERVAL_MS
-    state.by_name[endpoint] = _Leaving(now_ms, due_ms)
+    """Record a changed endpoint if it leaves, as it said itself or as another instance did."""
+    entry = announced.endpoints.get(endpoint)
+    if entry is not None and entry.record.endpoint_state in (ENDPOINT_DRAINING, ENDPOINT_LEFT):
+        due_ms = now_ms if from_endpoint else now_ms + RETELL_INTERVAL_MS
+        state.by_name[endpoint] = _Leaving(now_ms, due_ms)
 
 
 def take_due(state: LeavingEndpoints, now_ms: float) -> set[str]:
--- a/packages/core/src/pistachioloft_core/request/distance.py
+++ b/packages/core/src/pistachioloft_core/request/distance.py
@@ -16,7 +16,7 @@
 DISTANT_ROUND_TRIP_MS = 5.0
 # Weight of the newest measurement in a domain's round trip, which covers about the last ten.
 ROUND_TRIP_WEIGHT = 0.1
-# It needs a new connection, mostly, and so a second round trip.
+# A distant attempt mostly needs a new connection, and so a second round trip.
 DISTANT_ROUND_TRIP_COUNT = 2
 # An attempt on a distant endpoint may take this many times the latency after which one is late, so
 # that it is in time also from an endpoint with a short queue.
@@ -45,8 +45,7 @@
 def is_near_enough(route: Route, now_ms: float, load: EndpointLoad, expected_ms: float) -> bool:
     """Return whether a near endpoint serves a shard in time although a distant one is faster."""
     return (
-        route.gather is not None
-        and expected_ms <= NEAR_TARGET_RATIO * route.latency_target_ms
+        expected_ms <= NEAR_TARGET_RATIO * route.latency_target_ms
         and load.shed_fraction(now_ms) <= NEAR_SHED_LIMIT
     )
 
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -55,9 +55,8 @@
             expected_ms == chosen_ms and chosen is not None and state.random.random() < 0.5
         ):
             chosen, chosen_ms = load, expected_ms
-    if chosen is not None and is_distant(state, chosen):
-        near = _choose_near(state, now_ms, route, service, excluded)
-        chosen = near or chosen
+    if route.gather is not None and chosen is not None and is_distant(state, chosen):
+        chosen = _choose_near(state, now_ms, route, service, excluded) or chosen
     if wanted is not None and wanted_ms < chosen_ms:
         wanted.limit.wanted_count += 1
         state.wanted_permits[wanted.record.endpoint] = wanted
--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -258,7 +258,8 @@
         return report_control(self)
 
     def _count_message(self, instance: str, name: str, byte_count: int) -> None:
-        domain = fleet.failure_domain_of(self.fleet, instance)
+        known = self.fleet.controls.get(instance) or self.fleet.entries.by_name.get(instance)
+        domain = known.status.failure_domain if known is not None else None
         self.metrics.bytes.add(name, domain, byte_count)
 
     def _log_quorum_changes(self) -> None:
