--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -383,7 +383,8 @@
     state.controls = {
         name: peer for name, peer in state.controls.items() if now_ms - peer.received_ms < FORGET_MS
     }
-    forget_numbers(state.numbers, state.announced.endpoints.keys(), state.controls)
+    born_ms = {name: entry.record.born_ms for name, entry in state.announced.endpoints.items()}
+    forget_numbers(state.numbers, born_ms, state.controls)
     state.crashes = {
         key: crash
         for key, crash in state.crashes.items()
--- a/packages/core/src/pistachioloft_core/process/renewals.py
+++ b/packages/core/src/pistachioloft_core/process/renewals.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Container, Iterable
+    from collections.abc import Container, Iterable, Mapping
 
     from ..messages.fleet import ControlShare, Renewal, ShortRenewal
 
@@ -83,15 +83,20 @@
 
 
 def forget_numbers(
-    state: RenewalNumbers, endpoints: Collection[str], controls: Container[str]
+    state: RenewalNumbers, born_ms: Mapping[str, int], controls: Container[str]
 ) -> None:
     """Forget lost control instances, and numbers of past endpoints if there are many."""
-    limit_count = len(endpoints) + SURPLUS_LIMIT_COUNT
+    limit_count = len(born_ms) + SURPLUS_LIMIT_COUNT
     if len(state.own) > limit_count:
-        state.own = {start: value for start, value in state.own.items() if start[0] in endpoints}
+        # An endpoint that restarts keeps its id, so its earlier starts are told by their times.
+        state.own = {
+            start: value for start, value in state.own.items() if born_ms.get(start[0]) == start[1]
+        }
     state.peers = {name: peer for name, peer in state.peers.items() if name in controls}
     for peer in state.peers.values():
         if len(peer.by_number) > limit_count:
             peer.by_number = {
-                number: start for number, start in peer.by_number.items() if start[0] in endpoints
+                number: start
+                for number, start in peer.by_number.items()
+                if born_ms.get(start[0]) == start[1]
             }
--- a/packages/core/src/pistachioloft_core/request/attempts.py
+++ b/packages/core/src/pistachioloft_core/request/attempts.py
@@ -263,7 +263,9 @@
     latency_ms = attempt.latency_ms(now_ms)
     if end.report is not None:
         if end.outcome is AttemptOutcome.ANSWERED and end.report.waiting_count == 0:
-            state.queue_waits.record_service_time(attempt.route, attempt.service, latency_ms)
+            state.queue_waits.record_service_time(
+                now_ms, attempt.route, attempt.service, latency_ms
+            )
         record_load_report(state.queue_waits, now_ms, attempt.route, load, end.report)
     if end.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
         usual_ms = usual_latency_ms(state, attempt.route)
--- a/packages/core/src/pistachioloft_core/request/delegation.py
+++ b/packages/core/src/pistachioloft_core/request/delegation.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from ..connection.endpoint_load import EndpointLoad
     from ..messages.fleet import InstanceLocation
@@ -197,12 +197,20 @@
 
 
 def own_shards(
-    table: HelperTable, now_ms: float, own_domain: str, shards: tuple[str, ...]
+    table: HelperTable,
+    now_ms: float,
+    own_domain: str,
+    shards: tuple[str, ...],
+    near_services: Container[str],
 ) -> frozenset[str]:
     """Return the shards of a query that this instance asks near endpoints for."""
     if not table.is_helper:
         return frozenset()
-    places = [ShardPlace(position, service) for position, service in enumerate(shards)]
+    places = [
+        ShardPlace(position, service)
+        for position, service in enumerate(shards)
+        if service in near_services
+    ]
     plan = divide_domain(table, now_ms, own_domain, places)
     return frozenset(shards if plan is None else (place.service for place in plan.own))
 
@@ -300,11 +308,16 @@
     receivers = list(delegated.values())
     if takes_part:
         receivers.insert(0, own_assignments)
+    if not receivers:
+        # None of the members that the shards belong to is available, but other helpers are.
+        delegated = {name: [] for name in sorted(by_instance)}
+        receivers = list(delegated.values())
     for number, assignment in enumerate(unassigned):
         receivers[number % len(receivers)].append(assignment)
     return own_assignments, [
         _make_group(by_instance[name], helper_assignments)
         for name, helper_assignments in sorted(delegated.items())
+        if helper_assignments
     ]
 
 
--- a/packages/core/src/pistachioloft_core/request/organisation_shares.py
+++ b/packages/core/src/pistachioloft_core/request/organisation_shares.py
@@ -38,7 +38,9 @@
     def uses_too_much(self, name: str, organisations: Mapping[str, Organisation]) -> bool:
         """Return whether an organisation uses much more than its share, by the allotments."""
         amounts = self._work_ms.amounts
-        if self._counts.amounts.get(name, 0.0) < MIN_RECENT_COUNT or len(amounts) < 2:
+        # The work of a name may be forgotten before its requests, when it is small.
+        is_known = name in amounts and len(amounts) > 1
+        if not is_known or self._counts.amounts.get(name, 0.0) < MIN_RECENT_COUNT:
             return False
         weights = {
             other: organisations[other].rate_per_s if other in organisations else 0.0
@@ -48,4 +50,6 @@
             # Where an organisation has no allotment, all have the same share.
             weights = dict.fromkeys(amounts, 1.0)
         share = weights[name] / sum(weights.values())
-        return amounts[name] > OVER_SHARE_RATIO * share * sum(amounts.values())
+        # With a share of a half or more, twice the share is more than there is.
+        limit = min(OVER_SHARE_RATIO * share, (1.0 + share) / 2.0)
+        return amounts[name] > limit * sum(amounts.values())
--- a/packages/core/src/pistachioloft_core/request/query_admission.py
+++ b/packages/core/src/pistachioloft_core/request/query_admission.py
@@ -146,9 +146,9 @@
     left_ms = request.deadline_at_ms - now_ms
     needed_ms = 0.0
     gather = request.route.gather
-    # One request may need less than the mean, but not all shards of a query.
+    # One request may need less than others, but not all shards of a query.
     if gather is not None and coverage_floor_count(gather) > 1:
-        needed_ms = state.queue_waits.route_service_ms(request.route.name)
+        needed_ms = state.queue_waits.least_route_ms(request.route.name, now_ms)
     wait_ms = admission.wait_ms if admission.overloaded_since_ms is not None else 0.0
     if gather is not None and wait_ms + needed_ms > left_ms:
         # The wait of the strictest route may be longer than that of this one.
--- a/packages/core/src/pistachioloft_core/request/queue_waits.py
+++ b/packages/core/src/pistachioloft_core/request/queue_waits.py
@@ -14,6 +14,11 @@
 SAMPLE_LIFETIME_MS = 400.0
 # Weight of the newest reply in the service time.
 SERVICE_TIME_WEIGHT = 0.05
+# The least time of a route rises by this factor with each attempt that takes longer, so that a
+# long pause of this process hardly changes it.
+LEAST_TIME_GROWTH = 1.01
+# The least time of a route says nothing once it is this old: requests must be able to measure it.
+LEAST_TIME_LIFETIME_MS = 1_000.0
 # The shards of queries are alike, so they have one mean.
 QUERIES_KEY = ''
 
@@ -21,7 +26,7 @@
 class QueueWaits:
     """Hold the last observed queue waits of each shard, and the service time without a queue."""
 
-    __slots__ = ('_holds', '_samples', '_service_ms', '_work_ms')
+    __slots__ = ('_holds', '_least_ms', '_samples', '_service_ms', '_work_ms')
 
     def __init__(self) -> None:
         # By service and source, an endpoint or a helper: the wait and its time, in ms.
@@ -32,6 +37,8 @@
         self._service_ms: dict[str, float] = {}
         # The same by route.
         self._work_ms: dict[str, float] = {}
+        # By route: the least time of recent attempts, and when the last of them ended.
+        self._least_ms: dict[str, tuple[float, float]] = {}
 
     def record(self, service: str, source: str, now_ms: float, wait_ms: float) -> None:
         """Record the queue wait of a shard that an endpoint or a helper reports."""
@@ -61,15 +68,26 @@
         """Return the mean time of a route's attempts without a queue, 0 until it is measured."""
         return self._work_ms.get(route_name, 0.0)
 
-    def record_service_time(self, route: Route, service: str, latency_ms: float) -> None:
+    def least_route_ms(self, route_name: str, now_ms: float) -> float:
+        """Return the least time that a route's attempts took lately, 0 if none ended lately."""
+        least_ms, observed_ms = self._least_ms.get(route_name, (0.0, float('-inf')))
+        return least_ms if now_ms - observed_ms < LEAST_TIME_LIFETIME_MS else 0.0
+
+    def record_service_time(
+        self, now_ms: float, route: Route, service: str, latency_ms: float
+    ) -> None:
         """Record the latency of an attempt whose endpoint reports no queue."""
         _move_mean(self._service_ms, _service_key(route, service), latency_ms)
         _move_mean(self._work_ms, route.name, latency_ms)
+        least_ms, _ = self._least_ms.get(route.name, (latency_ms, now_ms))
+        self._least_ms[route.name] = (min(latency_ms, least_ms * LEAST_TIME_GROWTH), now_ms)
 
     def forget_routes(self, current_routes: Collection[str]) -> None:
         """Drop the routes that do not exist any more."""
         for name in [name for name in self._work_ms if name not in current_routes]:
             del self._work_ms[name]
+        for name in [name for name in self._least_ms if name not in current_routes]:
+            del self._least_ms[name]
 
     def forget_services(self, current_services: frozenset[str]) -> None:
         """Drop the services that no route uses any more."""
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -483,10 +483,11 @@
         own_domain, helpers = self.settings.failure_domain, self.requests.helpers
         now_ms = monotonic_ms()
         shard_sets = {route.gather.shards for route in routes.routes.routes if route.gather}
+        near = self.state.table.services_in(own_domain)
         own = {
             shard
             for shards in shard_sets
-            for shard in own_shards(helpers, now_ms, own_domain, shards)
+            for shard in own_shards(helpers, now_ms, own_domain, shards, near)
         }
         for endpoint in endpoints:
             load = self.state.table.endpoints.get(endpoint)
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -344,13 +344,14 @@
         state.organisation = routed.organisation
         state.past_target = self._is_past_target(routed, route)
         in_flight = InFlight(number, routed, state, respond, arrived_ms, version, transit.total_ms)
-        self.add(in_flight)
+        # A request whose plan fails is not added: nothing would ever end it.
         if isinstance(state, GatherState):
             actions = gather.start_gather(self.state, now_ms, state, self.helpers)
             due_ms = state.answer_at_ms
         else:
             actions = forward.start_forward(self.state, now_ms, state, self.helpers)
             due_ms = deadline_at_ms
+        self.add(in_flight)
         plan_ms = monotonic_ms() - now_ms
         self.metrics.plan_time.add(plan_ms)
         log_placed(now_ms, in_flight, due_ms, self.feed_age_ms(), plan_ms, actions)
--- a/tests/test_fleet/test_renewals.py
+++ b/tests/test_fleet/test_renewals.py
@@ -13,6 +13,7 @@
     ControlStatus,
 )
 from pistachioloft_core.process import fleet
+from pistachioloft_core.process.renewals import SURPLUS_LIMIT_COUNT
 
 HEARTBEAT_MS = 1_200.0
 RECORDS = tuple(
@@ -140,3 +141,20 @@
     fleet.on_notice(second, 20.0, left)
     shares = [fleet.incremental_share(second, float(now_ms)) for now_ms in range(20, 4_000, 200)]
     assert 1 <= sum(bool(share.endpoints) for share in shares) <= 3
+
+
+def test_numbers_of_earlier_starts_are_dropped() -> None:
+    """Guard against memory that grows with each start of an endpoint that keeps its id."""
+    first, second = make_controls()
+    for start in range(3 * SURPLUS_LIMIT_COUNT):
+        for sequence in (1, 2):
+            now_ms = (2.0 * start + sequence) * HEARTBEAT_MS
+            record = replace(RECORDS[0], born_ms=1_000 + start, sequence=sequence)
+            fleet.on_announcement(first, now_ms, record)
+            fleet.on_share(second, now_ms, fleet.incremental_share(first, now_ms))
+            fleet.on_share(first, now_ms, fleet.incremental_share(second, now_ms))
+            fleet.tick(first, now_ms, True)
+            fleet.tick(second, now_ms, True)
+    limit_count = SURPLUS_LIMIT_COUNT + 2
+    assert len(first.numbers.own) <= limit_count
+    assert all(len(peer.by_number) <= limit_count for peer in second.numbers.peers.values())
--- a/tests/test_gather/test_query_admission.py
+++ b/tests/test_gather/test_query_admission.py
@@ -4,9 +4,15 @@
 
 import pytest
 
+from pistachioloft_core.connection.endpoint_load import LoadReport
 from pistachioloft_core.errors import ResultCode
 from pistachioloft_core.request import gather, query_admission
-from pistachioloft_core.request.attempts import DeliverMerged, Refuse
+from pistachioloft_core.request.attempts import (
+    AttemptEnd,
+    AttemptOutcome,
+    DeliverMerged,
+    Refuse,
+)
 from pistachioloft_core.request.gather_state import GatherState
 from pistachioloft_core.request.query_admission import RETRY_SPREAD, QueryAdmission
 from pistachioloft_core.request.routed_state import set_routes
@@ -291,3 +297,39 @@
     later = arrived(simulation, 2_000.0, 6_000.0)
     assert refused_share(later) <= 0.01
     assert sum(map(is_in_time, later)) >= 0.9 * len(later)
+
+
+def test_pause_of_the_process_refuses_no_later_query() -> None:
+    """Guard against a route that is refused for ever since replies waited while this paused."""
+    simulation = Simulation(SHARD_COUNT, REPLICA_COUNT, 0.75)
+    quick = AttemptEnd(AttemptOutcome.ANSWERED, reply='p', report=LoadReport(1, 0, SLOT_COUNT))
+    for name in simulation.behaviours:
+        simulation.behaviours[name] = lambda _now_ms, _attempt: (SERVICE_MS, quick)
+    state = simulation.state
+    route = simulation.gather_route
+    for shard in range(SHARD_COUNT):
+        state.queue_waits.record_service_time(0.0, route, f's{shard}', 60_000.0)
+    for number in range(100):
+        simulation.at(10.0 + 100.0 * number, lambda: simulation.query(ANSWER_AFTER_MS))
+    simulation.run(20_000.0)
+    late = arrived(simulation, 2_000.0, 20_000.0)
+    assert late
+    assert all(is_in_time(item) for item in late)
+
+
+def test_slow_shards_above_the_coverage_floor_refuse_no_query() -> None:
+    """Guard against a mean time that counts shards without which an answer is sent."""
+    simulation = Simulation(SHARD_COUNT, REPLICA_COUNT, 0.5)
+    for name in simulation.behaviours:
+        delay_ms = SERVICE_MS if name.startswith(('s0', 's1')) else 18.0 * SERVICE_MS
+        end = AttemptEnd(AttemptOutcome.ANSWERED, reply='p', report=LoadReport(1, 0, SLOT_COUNT))
+        simulation.behaviours[name] = lambda _now, _attempt, delay=delay_ms, end=end: (delay, end)
+    short_ms = 80.0
+    for number in range(100):
+        at_ms = 100.0 * number
+        simulation.at(at_ms, lambda: simulation.query(ANSWER_AFTER_MS))
+        simulation.at(at_ms + 50.0, lambda: simulation.query(short_ms - 5.0, short_ms))
+    simulation.run(20_000.0)
+    answers = [item.answer for item in arrived(simulation, 5_000.0, 20_000.0)]
+    assert answers
+    assert all(answer and isinstance(answer.action, DeliverMerged) for answer in answers)
--- a/tests/test_gather/test_value_order.py
+++ b/tests/test_gather/test_value_order.py
@@ -92,6 +92,27 @@
     assert not shares.uses_too_much('new', organisations)
 
 
+def test_organisation_with_little_work_has_a_share() -> None:
+    """Guard against an error once the small work of an organisation is forgotten."""
+    shares = OrganisationShares()
+    for number in range(2_000):
+        now_ms = 30.0 * number
+        shares.record(now_ms, 'large', 100.0)
+        shares.record(now_ms, 'small', 0.001)
+        assert not shares.uses_too_much('small', {})
+
+
+def test_one_of_two_organisations_can_use_too_much() -> None:
+    """Guard against a limit that nothing exceeds because each share is a half."""
+    shares = OrganisationShares()
+    for number in range(2_000):
+        shares.record(10.0 * number, 'hot', 10.0)
+        if number % 50 == 0:
+            shares.record(10.0 * number, 'calm', 10.0)
+    assert shares.uses_too_much('hot', {})
+    assert not shares.uses_too_much('calm', {})
+
+
 def test_recent_amounts_are_bounded_and_fade() -> None:
     """Guard against memory that grows with the number of names."""
     tally: RecentTally[int] = RecentTally(1_000.0)
--- a/tests/test_relay/test_helping.py
+++ b/tests/test_relay/test_helping.py
@@ -168,3 +168,22 @@
         assert helper.results == []
 
     run(scenario)
+
+
+def test_request_whose_plan_fails_does_not_stay_in_flight(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against requests that nothing ends and that count against the limit for ever."""
+
+    def fail(*_: Any) -> Any:
+        raise KeyError('lost')
+
+    monkeypatch.setattr('pistachioloft_core.request.gather.start_gather', fail)
+    routed = RoutedRequest('r1', b'head', b'', 'd', None)
+    accepted = AcceptedRequest(routed, ROUTE, 1)
+
+    async def scenario(helping: HelperInstance) -> None:
+        for _ in range(3):
+            with pytest.raises(KeyError):
+                helping.requests._begin(0.0, accepted, lambda _response: None)
+        assert helping.requests.in_flight_count() == 0
+
+    run(scenario)
--- a/tests/test_relay/test_plan.py
+++ b/tests/test_relay/test_plan.py
@@ -280,7 +280,7 @@
         delegation.set_helpers(
             helper_table, [InstanceLocation(*location) for location in locations], name
         )
-        owners += delegation.own_shards(helper_table, 0.0, 'a', shards)
+        owners += delegation.own_shards(helper_table, 0.0, 'a', shards, shards)
     assert sorted(owners) == sorted(shards)
     outsider = table(*locations)
     assert delegation.own_shards(outsider, 0.0, 'a', shards) == frozenset()
