Explain where an entry instance would send a request now

Cause: operators wished for a command that tells where a request or job would go now, and why, without sending it. Until now they had to guess it from the report and the log.

Change: `pistachioloft fleet explain-placement` asks GET /placement of an entry instance. request/explanation.py places the request with the same functions as gather and forward, on a copy of what these change (random source, admission, split credits, purse). For that, choose_endpoint uses a select_endpoint that records nothing, and the refusals of forward, the admitted share, the room in the budget and the division of near shards are functions of their own. A key goes in the Authorization header and is shown nowhere; a control instance refuses with a reason.

The cost of the command and of the added call in choose_endpoint was not measured.

--- a/packages/cli/src/pistachioloft_cli/fleet_commands.py
+++ b/packages/cli/src/pistachioloft_cli/fleet_commands.py
@@ -14,6 +14,7 @@
 from .exits import CommandFailure, ExitCode, FailedAttempt
 from .options import Json, check_addresses
 from .output import Output, format_table
+from .placement_command import explain_placement
 from .transport import Call, exchange_each
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
 ROLE_CONTROL = 'control'
 
 fleet_app = typer.Typer(help='Inspect a fleet whose instances discover each other from seeds.')
+fleet_app.command('explain-placement')(explain_placement)
 
 WatchAt = Annotated[
     list[str],
@@ -49,7 +51,7 @@
 
 @fleet_app.callback()
 def fleet() -> None:
-    """Make `status` a subcommand; Typer would run a single command without its name."""
+    """Group the commands on a fleet."""
 
 
 @fleet_app.command()
--- a/packages/cli/src/pistachioloft_cli/transport.py
+++ b/packages/cli/src/pistachioloft_cli/transport.py
@@ -5,7 +5,7 @@
 import contextlib
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
 import urllib3
@@ -71,6 +71,8 @@
     resend_unknown: bool = True
     changes: bool = False
     round_count: int = ROUND_COUNT
+    # They may hold a secret, so they are left out of the representation.
+    headers: tuple[tuple[str, str], ...] = field(default=(), repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,7 +203,9 @@
         raise _NotSentError('not an IP address with a port')
     deadline_s = time.monotonic() + (CONNECT_TIMEOUT_MS + call.answer_ms) / 1000
     timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_MS / 1000, read=call.answer_ms / 1000)
-    headers = {'Content-Type': 'application/json'} if call.body is not None else {}
+    headers = dict(call.headers)
+    if call.body is not None:
+        headers['Content-Type'] = 'application/json'
     with urllib3.HTTPConnectionPool(*host_and_port, timeout=timeout, retries=False) as pool:
         try:
             response = pool.request(
--- a/packages/core/src/pistachioloft_core/messages/report.py
+++ b/packages/core/src/pistachioloft_core/messages/report.py
@@ -95,3 +95,89 @@
     evacuated_domains: tuple[str, ...] = ()
     # The organisations with an allotment that sent most requests.
     organisations: tuple[OrganisationReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CandidateReport:
+    """Describe an endpoint of a service as an entry instance sees it for its next attempt."""
+
+    endpoint: str
+    failure_domain: str
+    standing: str
+    # It gets new requests; the fields below may still keep it from the next one.
+    usable: bool
+    expected_latency_ms: float
+    slowness: float
+    shed_fraction: float
+    in_flight_count: int
+    connection_limit_count: int
+    overdue_count: int = 0
+    # What it reported with its last reply, None without a report.
+    running_count: int | None = None
+    waiting_count: int | None = None
+    slot_count: int | None = None
+    report_age_ms: float | None = None
+    limit_per_s: float | None = None
+    has_permit: bool = True
+    rest_left_ms: float = 0.0
+    leaving: bool = False
+    breaker_open: bool = False
+    cold: bool = False
+    evacuated: bool = False
+    distant: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlacement:
+    """State where the attempts for a shard, or for the service of a request, would go."""
+
+    service: str
+    # The instance that would send the first attempt; another one chooses its endpoint itself.
+    via: str
+    reason: str
+    # Empty without one, and for the first attempt also where another instance chooses it.
+    first_endpoint: str = ''
+    next_endpoint: str = ''
+    # A faster endpoint that is not used for lack of a permit.
+    wanted_endpoint: str = ''
+    retries_left_count: int = 0
+    hedges_left_count: int = 0
+    candidates: tuple[CandidateReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationPlacement:
+    """Describe the organisation of a request and what is known here of its permits."""
+
+    organisation: str
+    rate_per_s: float
+    burst_count: float
+    has_spare_permit: bool = False
+    denied_for_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRefusal:
+    """State why a request would not be admitted now."""
+
+    code: int
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementReport:
+    """Explain where an entry instance would send a request now."""
+
+    instance: str
+    failure_domain: str
+    route: str
+    route_version: int
+    priority: int
+    # None if the request would be admitted.
+    refusal: PlacementRefusal | None
+    # Of the requests of this kind, while the endpoints are overloaded.
+    admitted_share: float
+    # None for a request without an organisation.
+    organisation: OrganisationPlacement | None = None
+    services: tuple[ServicePlacement, ...] = ()
--- a/packages/core/src/pistachioloft_core/process/budget.py
+++ b/packages/core/src/pistachioloft_core/process/budget.py
@@ -55,6 +55,12 @@
             slots.append([now_ms, 0, 0])
         return slots[-1]
 
+    def window_counts(self, now_ms: float) -> tuple[int, int]:
+        """Return the first and the extra attempts of the last window, without dropping slots."""
+        old = [slot for slot in self._slots if slot[0] <= now_ms - WINDOW_MS - SLOT_MS]
+        first_count = self.first_count - sum(int(first) for _, first, _ in old)
+        return first_count, self.extra_count - sum(int(extra) for _, _, extra in old)
+
 
 def record_first_attempts(state: BudgetState, now_ms: float, count: int) -> None:
     """Credit the budget for first attempts."""
@@ -80,6 +86,15 @@
     return _try_take(state, now_ms, count, state.limits.reserve_count)
 
 
+def extra_room_count(state: BudgetState, now_ms: float, reserve_count: float = 0.0) -> int:
+    """Return how many extra attempts above a reserve are allowed now, without taking any."""
+    first_count, extra_count = state.window_counts(now_ms)
+    room_count = min(
+        state.balance - reserve_count, _window_limit(state.limits, first_count) - extra_count
+    )
+    return max(0, int(room_count))
+
+
 def hedge_scarcity(state: BudgetState) -> float:
     """Return how scarce the balance for hedges is, from 0 (ample) to 1 (spent)."""
     limits = state.limits
@@ -88,13 +103,15 @@
     return min(1.0, max(0.0, 1.0 - remaining_fraction / AMPLE_FRACTION))
 
 
+def _window_limit(limits: BudgetLimits, first_count: int) -> float:
+    return max(limits.allowance_count, limits.window_fraction * first_count)
+
+
 def _try_take(state: BudgetState, now_ms: float, count: int, reserve_count: float) -> bool:
     current_slot = state.current_slot(now_ms)
     if state.balance - count < reserve_count:
         return False
-    limits = state.limits
-    limit = max(limits.allowance_count, limits.window_fraction * state.first_count)
-    if state.extra_count + count > limit:
+    if state.extra_count + count > _window_limit(state.limits, state.first_count):
         return False
     state.balance -= count
     state.extra_count += count
--- a/packages/core/src/pistachioloft_core/request/allotment_purses.py
+++ b/packages/core/src/pistachioloft_core/request/allotment_purses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import deepcopy
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -151,6 +152,22 @@
     )
 
 
+def preview_admission(
+    table: PurseTable, now_ms: float, organisation: Organisation, confirmed_age_ms: float
+) -> Admission | Refuse:
+    """Return what `admit` would do with a request now, without changing or spending anything."""
+    ranks = InstanceRanks(table.ranks.instance)
+    ranks.names, ranks.changed_ms = table.ranks.names, table.ranks.changed_ms
+    standing = table.ranks.standings.get(organisation.name)
+    if standing is not None:
+        ranks.standings[organisation.name] = deepcopy(standing)
+    preview = PurseTable(ranks, table.bounds, table.number)
+    purse = table.purses.get(organisation.name)
+    if purse is not None:
+        preview.purses[organisation.name] = deepcopy(purse)
+    return admit(preview, now_ms, organisation, confirmed_age_ms, 0)
+
+
 def on_grant(
     table: PurseTable, now_ms: float, grant: AllotmentGrant, confirmed_age_ms: float
 ) -> list[Outcome]:
--- a/packages/core/src/pistachioloft_core/request/forward.py
+++ b/packages/core/src/pistachioloft_core/request/forward.py
@@ -118,14 +118,8 @@
         request.may_have_run_count = 1
         return [PassOn(request.receiver)]
     record_first_attempts(budget_of(state, request.service), now_ms, 1)
-    served_ms = served_at_ms(state, now_ms, request.service)
-    if served_ms > now_ms:
-        request.done = True
-        wanted = '' if served_ms == float('inf') else ' that wants requests now'
-        detail = f'service {request.service} has no endpoint{wanted}'
-        retry_after_ms = unserved_retry_ms(state, now_ms, served_ms)
-        return [Refuse(ResultCode.NO_ENDPOINT, detail, retry_after_ms)]
-    refusal = refuse_if_overloaded(state, now_ms, request)
+    refusal = refuse_unserved_service(state, now_ms, request.service)
+    refusal = refusal or refuse_if_overloaded(state, now_ms, request)
     if refusal is not None:
         request.done = True
         return [refusal]
@@ -133,20 +127,40 @@
     return _send_or_wait(state, now_ms, request)
 
 
+def refuse_unserved_service(state: RoutedState, now_ms: float, service: str) -> Refuse | None:
+    """Return the refusal of a request whose service has no endpoint that wants requests."""
+    served_ms = served_at_ms(state, now_ms, service)
+    if served_ms <= now_ms:
+        return None
+    wanted = '' if served_ms == float('inf') else ' that wants requests now'
+    detail = f'service {service} has no endpoint{wanted}'
+    return Refuse(ResultCode.NO_ENDPOINT, detail, unserved_retry_ms(state, now_ms, served_ms))
+
+
+def refuse_unplaced(
+    state: RoutedState, now_ms: float, service: str, wait_until_ms: float
+) -> Refuse | None:
+    """Return the refusal of a request that no endpoint can take, None if it waits for a permit."""
+    permitted_ms = permitted_at_ms(state, now_ms, service)
+    lacks_permit = lacks_only_permits(state, now_ms, service)
+    if lacks_permit and max(permitted_ms, now_ms + PERMIT_RECHECK_MS) <= wait_until_ms:
+        return None
+    reason = 'the stated limits are reached' if lacks_permit else 'all connections are in use'
+    retry_after_ms = max(REFUSED_RETRY_MS, permitted_ms - now_ms)
+    return Refuse(ResultCode.OVERLOADED, f'service {service}: {reason}', retry_after_ms)
+
+
 def _send_or_wait(state: RoutedState, now_ms: float, request: ForwardState) -> list[RoutedAction]:
     """Send the request, wait for a permit, or refuse it if none comes in time."""
     load = _choose_next_endpoint(state, now_ms, request)
     if load is not None:
         return [_send(state, now_ms, request, load, hedge=False)]
-    permitted_ms = permitted_at_ms(state, now_ms, request.service)
-    lacks_permit = lacks_only_permits(state, now_ms, request.service)
-    if lacks_permit and max(permitted_ms, now_ms + PERMIT_RECHECK_MS) <= request.wait_until_ms:
+    refusal = refuse_unplaced(state, now_ms, request.service, request.wait_until_ms)
+    if refusal is None:
         request.wait_check_ms = now_ms + PERMIT_RECHECK_MS
         return []
     request.done = True
-    reason = 'the stated limits are reached' if lacks_permit else 'all connections are in use'
-    retry_after_ms = max(REFUSED_RETRY_MS, permitted_ms - now_ms)
-    return [Refuse(ResultCode.OVERLOADED, f'service {request.service}: {reason}', retry_after_ms)]
+    return [refusal]
 
 
 def on_declined(
--- a/packages/core/src/pistachioloft_core/request/gather.py
+++ b/packages/core/src/pistachioloft_core/request/gather.py
@@ -71,7 +71,7 @@
             return [refusal]
         _limit_time(state, query)
     query.started_ms = now_ms
-    own_shards, near_groups = _divide_near_shards(state, now_ms, query, helpers)
+    own_shards, near_groups = divide_near_shards(state, now_ms, query, helpers)
     assignments = _assign_shards(state, now_ms, query, own_shards)
     if not query.is_group:
         delegated_count = sum(len(group.services) for group in near_groups)
@@ -321,7 +321,7 @@
         query.deadline_at_ms = min(query.deadline_at_ms, usable_until_ms)
 
 
-def _divide_near_shards(
+def divide_near_shards(
     state: RoutedState, now_ms: float, query: GatherState, helpers: HelperTable | None
 ) -> tuple[list[tuple[int, ShardState]], tuple[GroupPlan, ...]]:
     """Delegate the shards of the own failure domain that other instances there are to query."""
--- a/packages/core/src/pistachioloft_core/request/placement.py
+++ b/packages/core/src/pistachioloft_core/request/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .distance import is_distant, is_near_enough
@@ -9,6 +10,7 @@
 from .routed_state import endpoint_connection_limit
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Container
 
     from ..connection.endpoint_load import EndpointLoad
@@ -31,10 +33,37 @@
 SHED_EXPONENT = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """Hold the endpoint for an attempt, and a faster one that lacks a permit; None without."""
+
+    chosen: EndpointLoad | None
+    wanted: EndpointLoad | None
+    # The chosen one is in the own failure domain and spares a query a distant one.
+    spares_distant: bool = False
+
+
 def choose_endpoint(
     state: RoutedState, now_ms: float, route: Route, service: str, excluded: Container[str] = ()
 ) -> EndpointLoad | None:
     """Return the endpoint that is expected to reply first, None if none can take an attempt."""
+    selection = select_endpoint(state, now_ms, route, service, excluded, state.random)
+    wanted = selection.wanted
+    if wanted is not None:
+        wanted.limit.wanted_count += 1
+        state.wanted_permits[wanted.record.endpoint] = wanted
+    return selection.chosen
+
+
+def select_endpoint(
+    state: RoutedState,
+    now_ms: float,
+    route: Route,
+    service: str,
+    excluded: Container[str],
+    random_source: random.Random,
+) -> Selection:
+    """Select the endpoint that is expected to reply first, without recording anything."""
     connection_limit_count = endpoint_connection_limit(state, service)
     usual_ms = usual_latency_ms(state, route)
     chosen: EndpointLoad | None = None
@@ -52,16 +81,14 @@
                 wanted, wanted_ms = load, expected_ms
             continue
         if expected_ms < chosen_ms or (
-            expected_ms == chosen_ms and chosen is not None and state.random.random() < 0.5
+            expected_ms == chosen_ms and chosen is not None and random_source.random() < 0.5
         ):
             chosen, chosen_ms = load, expected_ms
+    near: EndpointLoad | None = None
     if chosen is not None and is_distant(state, chosen):
         near = _choose_near(state, now_ms, route, service, excluded)
         chosen = near or chosen
-    if wanted is not None and wanted_ms < chosen_ms:
-        wanted.limit.wanted_count += 1
-        state.wanted_permits[wanted.record.endpoint] = wanted
-    return chosen
+    return Selection(chosen, wanted if wanted_ms < chosen_ms else None, near is not None)
 
 
 def _choose_near(
--- a/packages/core/src/pistachioloft_core/request/query_admission.py
+++ b/packages/core/src/pistachioloft_core/request/query_admission.py
@@ -117,11 +117,7 @@
     services = _services_of(request)
     admission = _admission_of(state, services, route)
     organisation = request.organisation
-    assert state.routes is not None
-    over_share = bool(organisation) and admission.organisations.uses_too_much(
-        organisation, state.routes.organisations
-    )
-    kind = RequestKind(route.name, request.priority, over_share)
+    kind = _kind_of(state, admission, request)
     admission.arrivals.add(now_ms, kind, 1.0)
     _update(state, now_ms, admission, services)
     refusal = _refuse_too_late(state, now_ms, admission, request)
@@ -132,6 +128,35 @@
     return refusal
 
 
+def admitted_share(state: RoutedState, now_ms: float, request: GatherState | ForwardState) -> float:
+    """Return the share of the requests of this kind that is admitted now."""
+    admission = state.admissions.get(_services_of(request))
+    if admission is None or not _is_limiting(admission, now_ms):
+        return 1.0
+    return _share_of(admission, _kind_of(state, admission, request), request.past_target)
+
+
+def _kind_of(
+    state: RoutedState, admission: QueryAdmission, request: GatherState | ForwardState
+) -> RequestKind:
+    assert state.routes is not None
+    over_share = bool(request.organisation) and admission.organisations.uses_too_much(
+        request.organisation, state.routes.organisations
+    )
+    return RequestKind(request.route.name, request.priority, over_share)
+
+
+def _is_limiting(admission: QueryAdmission, now_ms: float) -> bool:
+    """Return whether an overload lasts longer than the pause of an endpoint."""
+    since_ms = admission.overloaded_since_ms
+    return since_ms is not None and now_ms - since_ms >= BURST_ALLOWANCE_MS
+
+
+def _share_of(admission: QueryAdmission, kind: RequestKind, past_target: bool) -> float:
+    share = admission.shares.get(kind, 1.0 - admission.refused_fraction)
+    return share**PAST_TARGET_EXPONENT if past_target else share
+
+
 def _refuse_too_late(
     state: RoutedState,
     now_ms: float,
@@ -168,12 +193,9 @@
     past_target: bool,
 ) -> Refuse | None:
     """Refuse the fraction of a kind of request that the controller and the order of value ask."""
-    since_ms = admission.overloaded_since_ms
-    if since_ms is None or now_ms - since_ms < BURST_ALLOWANCE_MS:
+    if not _is_limiting(admission, now_ms):
         return None
-    share = admission.shares.get(kind, 1.0 - admission.refused_fraction)
-    if past_target:
-        share = share**PAST_TARGET_EXPONENT
+    share = _share_of(admission, kind, past_target)
     # Refusals are spread evenly over the requests instead of drawn at random.
     credit = admission.refusal_credits.get(kind, 0.0) + 1.0 - share
     is_refused = credit >= 1.0
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -60,7 +60,7 @@
     from pistachioloft_core.messages.routes import RouteSet
 
     from .fleet_settings import FleetSettings
-    from .http1.messages import Request
+    from .http1.messages import Request, Response
     from .http1.server import Cancel, Respond
     from .wire import ControlWire, WireFormat
 
@@ -148,7 +148,11 @@
             budget,
         )
         self.monitoring = MonitoringInterface(
-            settings.metrics_address, self.metrics, lambda: entry_gauges(self), self._report
+            settings.metrics_address,
+            self.metrics,
+            lambda: entry_gauges(self),
+            self._report,
+            self._explain,
         )
         self.was_serving = False
 
@@ -247,6 +251,11 @@
 
         return report_entry(self)
 
+    def _explain(self, request: Request) -> Response:
+        from .placement_reports import explain_request
+
+        return explain_request(self, request)
+
     def confirmation_age_ms(self) -> float:
         """Return the time since a quorum confirmed the routes."""
         return feed.confirmation_age_ms(self.feed, monotonic_ms())
--- a/packages/daemon/src/pistachioloft_daemon/platform/program.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/program.py
@@ -40,4 +40,5 @@
         traffic.encode_refusal,
         traffic.encode_organisation,
         traffic.encode_anonymous,
+        traffic.decode_key,
     )
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -95,12 +95,12 @@
         request.body,
         request,
         request_digest(request, host),
-        _decode_key(request.headers),
+        decode_key(request.headers),
         b''.join(identity_parts),
     )
 
 
-def _decode_key(headers: Headers) -> str | None:
+def decode_key(headers: Headers) -> str | None:
     """Return the caller's key, None without exactly one in the expected form."""
     values = [value for name, value in headers if name.lower() == _CREDENTIALS_KEY]
     if len(values) != 1:
--- a/packages/daemon/src/pistachioloft_daemon/wire.py
+++ b/packages/daemon/src/pistachioloft_daemon/wire.py
@@ -11,10 +11,14 @@
     from pistachioloft_core.request.attempts import AttemptEnd, Refuse
 
     from .control_calls import Call, Outcome
-    from .http1.messages import Request, Response
+    from .http1.messages import Headers, Request, Response
     from .routed_messages import EndpointReply, MergedReply, RoutedRequest, UnreadableRequest
 
 
+def _no_key(_headers: Headers) -> str | None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class ControlWire:
     """Bundle the functions that decode calls to an instance and encode their outcomes."""
@@ -37,3 +41,5 @@
     encode_organisation: Callable[[RoutedRequest, str], RoutedRequest]
     # Used where no organisations are configured.
     encode_anonymous: Callable[[RoutedRequest], RoutedRequest]
+    # Returns the caller's key.
+    decode_key: Callable[[Headers], str | None] = _no_key
--- a/tests/test_cli/fake_instance.py
+++ b/tests/test_cli/fake_instance.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import urlsplit
@@ -34,6 +34,7 @@
     method: str
     target: str
     body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 class FakeInstance:
@@ -75,7 +76,10 @@
         class Handler(BaseHTTPRequestHandler):
             def handle_any(self) -> None:
                 body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
-                fake.received_requests.append(ReceivedRequest(self.command, self.path, body))
+                headers = dict(self.headers.items())
+                fake.received_requests.append(
+                    ReceivedRequest(self.command, self.path, body, headers)
+                )
                 reply = fake._next(self.command, self.path)
                 if callable(reply) and not isinstance(reply, type):
                     reply = reply(body)
