Ignore offers of another protocol, bound load reports, notice crashes beside idle connections

Cause: the parser stops at a request that offers another protocol, which was answered and then refused with 400, and its body was not read; a load report with hundreds of digits raised OverflowError while requests were placed; after a crash no connection was tried while idle ones still counted as open.

--- a/packages/daemon/src/pistachioloft_daemon/crash_reports.py
+++ b/packages/daemon/src/pistachioloft_daemon/crash_reports.py
@@ -50,7 +50,16 @@
         elif end.outcome is AttemptOutcome.LOST:
             on_request_lost(self.watch, now_ms, attempt.load.record, digest)
             # A crashed endpoint refuses the connection; with a live one it is ready for reuse.
-            self.preconnect(attempt.load.record)
+            record = attempt.load.record
+            self.preconnect(record)
+            # The other connections to a crashed endpoint may end only after this one.
+            self.timers.at(
+                now_ms + CONFIRMATION_INTERVAL_MS, lambda _ms: self._connect_again(record)
+            )
+
+    def _connect_again(self, record: AnnouncedEndpoint) -> None:
+        if record.endpoint in self.watch.lost:
+            self.preconnect(record)
 
     def on_connection_refused(self, endpoint: str) -> None:
         """Take an endpoint for crashed unless this instance turns out to be cut off."""
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -39,6 +39,8 @@
 SILENT_S = 1.0
 # For servers whose clients send only small bodies.
 DEFAULT_RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
+# The headers that tell how long a body is.
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,9 +219,7 @@
         else:
             self._framing_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            self._parse(data)
         except httptools.HttpParserError as error:
             logger.info('%s bad request: %s', PREFIX, error)
             self._refuse(400)
@@ -234,6 +234,33 @@
         self._update_budget()
         self._start_next()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse the data; an offer of another protocol is not taken up."""
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                if self._parser.get_method() == b'CONNECT':
+                    self._refuse(400)
+                    return
+                data = data[offer.args[0] :]
+                self._renew_parser()
+
+    def _renew_parser(self) -> None:
+        """Read on after an offer, at which a parser stops, also before a body."""
+        before, self._parser = self._parser, httptools.HttpRequestParser(self)
+        if not self._receiving:
+            return
+        target, headers, start_s = self._target, self._headers, self._request_start_s
+        head = [b'%b / HTTP/1.1' % before.get_method()]
+        head += [b'%b: %b' % item for item in headers if item[0].lower() in FRAMING_HEADERS]
+        if not before.should_keep_alive():
+            head.append(b'Connection: close')
+        # Only how long the body is; the head of the request itself is kept.
+        self._parser.feed_data(b'\r\n'.join((*head, b'', b'')))
+        self._target, self._headers, self._request_start_s = target, headers, start_s
+
     def pause_writing(self) -> None:
         """Start no further request until the client has read its answers."""
         self._write_paused = True
@@ -365,6 +392,9 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
+        if self._parser.should_upgrade() and self._declares_body():
+            # The parser leaves the body of a request with an offer to the other protocol.
+            return
         self._receiving = False
         self._idle_since_s = self._loop.time()
         if self._refused or self._body_bytes > self.server.limits.body_limit_bytes:
@@ -389,6 +419,10 @@
         if len(self._queued) >= PIPELINE_LIMIT_COUNT and self.transport is not None:
             self.transport.pause_reading()
 
+    def _declares_body(self) -> bool:
+        values = [value for name, value in self._headers if name.lower() in FRAMING_HEADERS]
+        return any(value != b'0' for value in values)
+
     def _refuse(self, status: int) -> None:
         """Answer an invalid request with an error after the earlier requests, then close."""
         if not self._refused:
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -60,6 +60,8 @@
 _REPLACED_HEADERS = frozenset((TIME_LEFT.lower(), EXPECTED_ENDPOINT.lower()))
 _CREDENTIALS_KEY = CREDENTIALS.lower()
 _IDENTITY_HEADERS = frozenset((_CREDENTIALS_KEY, ORGANISATION.lower()))
+# A larger number in a load report is a mistake, and could not be calculated with.
+REPORTED_NUMBER_LIMIT = 1_000_000
 
 
 def decode_request(request: Request) -> RoutedRequest | UnreadableRequest:
@@ -250,7 +252,7 @@
         numbers = [int(field) for field in value.split(b',')]
     except ValueError:
         return None
-    if len(numbers) < 3:
+    if len(numbers) < 3 or max(numbers) > REPORTED_NUMBER_LIMIT:
         return None
     # Current duration of work on the endpoint's machine, in percent of the usual one (100).
     slowness = numbers[3] / 100.0 if len(numbers) > 3 and numbers[3] > 0 else 1.0
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -120,6 +120,56 @@
     run(handler, scenario)
 
 
+@pytest.mark.parametrize('piece_bytes', [1, 7, 10_000])
+def test_offer_of_another_protocol_is_ignored(piece_bytes: int) -> None:
+    """Guard against a caller whose next request is refused since it offered another protocol."""
+    handler = Handler()
+    offer = b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n'
+    sent = (
+        b'GET /first HTTP/1.1\r\nHost: H\r\n' + offer + b'\r\n'
+        b'POST /second HTTP/1.1\r\nHost: H\r\n' + offer + b'Content-Length: 3\r\n\r\nabc'
+        b'POST /third HTTP/1.1\r\nHost: H\r\n' + offer + b'Transfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nde\r\n0\r\n\r\n'
+        b'POST /fourth HTTP/1.1\r\nHost: H\r\n' + offer + b'Content-Length: 0\r\n\r\n'
+        b'GET /fifth HTTP/1.1\r\nHost: H\r\n\r\n'
+    )
+
+    async def scenario(
+        _server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for start in range(0, len(sent), piece_bytes):
+            writer.write(sent[start : start + piece_bytes])
+            await writer.drain()
+            await asyncio.sleep(0)
+        for _ in range(5):
+            head, _ = await read_reply(reader)
+            assert head.startswith(b'HTTP/1.1 200 OK\r\n')
+        received = [(request.target, request.body) for request in handler.requests]
+        assert received == [
+            (b'/first', b''),
+            (b'/second', b'abc'),
+            (b'/third', b'de'),
+            (b'/fourth', b''),
+            (b'/fifth', b''),
+        ]
+        assert all((b'Upgrade', b'h2c') in item.headers for item in handler.requests[:4])
+
+    run(handler, scenario)
+
+
+def test_tunnel_is_refused() -> None:
+    """Guard against bytes of a tunnel that are read as requests."""
+
+    async def scenario(
+        _server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'CONNECT h:1 HTTP/1.1\r\nHost: H\r\n\r\nGET / HTTP/1.1\r\n\r\n')
+        replies = await reader.read()
+        assert b'HTTP/1.1 400' in replies
+
+    run(Handler(), scenario)
+
+
 def test_disconnected_caller_cancels_its_request() -> None:
     """Guard against work for a caller that has disconnected."""
     handler = Handler(immediate=False)
--- a/tests/test_platform/test_traffic.py
+++ b/tests/test_platform/test_traffic.py
@@ -192,6 +192,8 @@
         (b'3,1,8,250', (3, 1, 8, 2.5)),
         (b'3,1,0,0', (3, 1, 1, 1.0)),
         (b'3,1', None),
+        (b'3,1,8,' + b'9' * 400, None),
+        (b'1,' + b'9' * 400 + b',8', None),
         (b'many', None),
         (b'', None),
     ],
