--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -12,13 +12,6 @@
 )
 from pistachioloft_core.process.suspects import FORGET_AFTER_MS, SuspicionLevel, expire_suspects
 from pistachioloft_core.request import forward, gather
-from pistachioloft_core.request.answer_timing import (
-    CallerTransit,
-    answer_due_ms,
-    answer_transmission_ms,
-    elapsed_before_sending_ms,
-    is_past_target,
-)
 from pistachioloft_core.request.attempts import (
     AbandonAttempt,
     DelegateGroup,
@@ -32,14 +25,12 @@
     record_withdrawn_attempt,
 )
 from pistachioloft_core.request.delegation import HelperTable
-from pistachioloft_core.request.forward import ForwardState
 from pistachioloft_core.request.gather_state import GatherState
-from pistachioloft_core.request.hedge_delay import usual_latency_ms
 from pistachioloft_core.request.identification import identify_caller, request_priority
 from pistachioloft_core.request.records import greatest_records
-from pistachioloft_core.request.routed_state import deadlines_of, endpoint_connection_limit
+from pistachioloft_core.request.routed_state import endpoint_connection_limit
 from pistachioloft_core.request.shard_attempts import ABANDON_DELAY_MS
-from pistachioloft_core.request.split import SplitState, choose_service
+from pistachioloft_core.request.split import SplitState
 from pistachioloft_core.request.stopping import needed_time_ms
 
 from .allotments import Allotments
@@ -63,6 +54,7 @@
     log_refused,
     log_statements,
 )
+from .request_states import make_state
 from .routed_messages import AcceptedRequest, MergedReply, RoutedRequest, UnreadableRequest
 
 if TYPE_CHECKING:
@@ -81,8 +73,6 @@
     from .peer_work import PeerHooks
     from .wire import WireFormat
 
-# An answer that is ready at the time limit must still be written.
-TIME_LIMIT_MARGIN_MS = 5.0
 # An instance has its first confirmed configuration about this long after its start.
 NO_ROUTES_RETRY_MS = 500.0
 STOPPING_RETRY_MS = 10.0
@@ -315,34 +305,13 @@
 
     def _start(self, arrived_ms: float, accepted: AcceptedRequest, respond: Respond) -> InFlight:
         now_ms = monotonic_ms()
-        routed, route = accepted.routed, accepted.route
-        number = self.next_number()
-        time_left_ms = route.time_limit_ms
-        if routed.time_left_ms is not None:
-            time_left_ms = min(time_left_ms, routed.time_left_ms)
-        deadline_at_ms = arrived_ms + max(0.0, time_left_ms - TIME_LIMIT_MARGIN_MS)
-        suspected = (
-            classify_request(self.crashes.watch, now_ms, routed.digest) is not SuspicionLevel.CLEAR
+        number, routed = self.next_number(), accepted.routed
+        level = classify_request(self.crashes.watch, now_ms, routed.digest)
+        suspected = level is not SuspicionLevel.CLEAR
+        state, transit = make_state(
+            self.state, self.splits, str(number), arrived_ms, accepted, suspected
         )
-        state: GatherState | ForwardState
-        transit = self._caller_transit(routed, route)
         version = self.state.routes.version if self.state.routes is not None else 0
-        if route.gather is not None:
-            answer_at_ms = answer_due_ms(
-                route,
-                arrived_ms,
-                transit,
-                usual_latency_ms(self.state, route),
-                answer_transmission_ms(route, self.state.limits.link_mbit_per_s),
-                self.state.answer_delay.allowance_ms,
-            )
-            state = GatherState(str(number), route, answer_at_ms, deadline_at_ms, suspected)
-        else:
-            service = choose_service(self.splits, route)
-            state = ForwardState(str(number), route, service, deadline_at_ms, suspected)
-        state.priority = accepted.priority
-        state.organisation = routed.organisation
-        state.past_target = self._is_past_target(routed, route)
         in_flight = InFlight(number, routed, state, respond, arrived_ms, version, transit.total_ms)
         # A request whose plan fails is not added: nothing would ever end it.
         if isinstance(state, GatherState):
@@ -350,7 +319,7 @@
             due_ms = state.answer_at_ms
         else:
             actions = forward.start_forward(self.state, now_ms, state, self.helpers)
-            due_ms = deadline_at_ms
+            due_ms = state.deadline_at_ms
         self.add(in_flight)
         plan_ms = monotonic_ms() - now_ms
         self.metrics.plan_time.add(plan_ms)
@@ -360,19 +329,6 @@
         self.schedule_check(now_ms, in_flight)
         return in_flight
 
-    def _caller_transit(self, routed: RoutedRequest, route: Route) -> CallerTransit:
-        request = routed.request
-        elapsed_ms = 0.0
-        if routed.time_left_ms is not None:
-            deadlines = deadlines_of(self.state, route.name)
-            elapsed_ms = elapsed_before_sending_ms(deadlines, routed.time_left_ms, route)
-        return CallerTransit(request.connecting_ms, request.return_ms, elapsed_ms)
-
-    def _is_past_target(self, routed: RoutedRequest, route: Route) -> bool:
-        if routed.time_left_ms is None:
-            return False
-        return is_past_target(deadlines_of(self.state, route.name), routed.time_left_ms, route)
-
     def _on_reach_changed(self, cut_off: bool) -> None:
         """Give up what waits for endpoints that are not reached, or use all endpoints again."""
         self.on_reach_changed()
