Add delegated and passed requests once they are planned, and name framing headers once

Cause: a request of a caller is added only once its plan is made, so that an error leaves nothing in flight; its two twins in peer_work.py still added it before. The names of the framing headers stood in client.py and again in server.py. Change: both twins are as the first; the names stand in messages.py.

--- a/packages/daemon/src/pistachioloft_daemon/http1/client.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/client.py
@@ -12,6 +12,7 @@
 
 from .messages import (
     FRAMING_BYTES_PER_BODY_BYTE,
+    FRAMING_NAMES,
     Response,
     is_final_status,
     is_interim_status,
@@ -36,8 +37,6 @@
 SURPLUS_LIMIT_COUNT = 16
 # A reason phrase is not used; this is enough to find a status line in it.
 REASON_LIMIT_BYTES = 256
-# Headers that give the length of a body.
-FRAMING_NAMES = frozenset((b'content-length', b'transfer-encoding'))
 FRAMING_NAME_LENGTHS = frozenset(map(len, FRAMING_NAMES))
 OTHER_PROTOCOL = 'another protocol that was not asked for'
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
--- a/packages/daemon/src/pistachioloft_daemon/http1/messages.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/messages.py
@@ -26,6 +26,8 @@
         b'expect',
     )
 )
+# Headers that give the length of a body.
+FRAMING_NAMES = frozenset((b'content-length', b'transfer-encoding'))
 # Bytes of framing allowed for each byte of a chunked body: a chunk of one byte takes five for its
 # size and line ends, and extensions may double that.
 FRAMING_BYTES_PER_BODY_BYTE = 10
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -14,6 +14,7 @@
 
 from .messages import (
     FRAMING_BYTES_PER_BODY_BYTE,
+    FRAMING_NAMES,
     Request,
     Response,
     encode_response,
@@ -39,8 +40,6 @@
 SILENT_S = 1.0
 # For servers whose clients send only small bodies.
 DEFAULT_RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
-# The headers that tell how long a body is.
-FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,7 +253,7 @@
             return
         target, headers, start_s = self._target, self._headers, self._request_start_s
         head = [b'%b / HTTP/1.1' % before.get_method()]
-        head += [b'%b: %b' % item for item in headers if item[0].lower() in FRAMING_HEADERS]
+        head += [b'%b: %b' % item for item in headers if item[0].lower() in FRAMING_NAMES]
         if not before.should_keep_alive():
             head.append(b'Connection: close')
         # Only how long the body is; the head of the request itself is kept.
@@ -420,7 +419,7 @@
             self.transport.pause_reading()
 
     def _declares_body(self) -> bool:
-        values = [value for name, value in self._headers if name.lower() in FRAMING_HEADERS]
+        values = [value for name, value in self._headers if name.lower() in FRAMING_NAMES]
         return any(value != b'0' for value in values)
 
     def _refuse(self, status: int) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -129,8 +129,9 @@
         state.organisation = request.organisation
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
         in_flight.passed = incoming
-        self.requests.add(in_flight)
+        # A request whose plan fails is not added: nothing would ever end it.
         actions = forward.start_forward(self.state, now_ms, state)
+        self.requests.add(in_flight)
         log_overload_changes(self.state)
         log_group_placed(in_flight, incoming.sender, self.requests.feed_age_ms(), actions)
         self.requests.apply_actions(now_ms, in_flight, actions)
@@ -180,8 +181,8 @@
             state.priority = request.priority
         in_flight = InFlight(number, _relayed_request(request), state, None, now_ms, version, 0.0)
         in_flight.group = group
-        self.requests.add(in_flight)
         actions = gather.start_gather(self.state, now_ms, state)
+        self.requests.add(in_flight)
         log_group_placed(in_flight, group.sender, self.requests.feed_age_ms(), actions)
         self.requests.apply_actions(now_ms, in_flight, actions)
         self.requests.schedule_check(now_ms, in_flight)
