--- a/packages/core/src/pistachioloft_core/messages/accepted.py
+++ b/packages/core/src/pistachioloft_core/messages/accepted.py
@@ -149,6 +149,9 @@
     failure_domains: tuple[str, ...] = ()
 
 
+NO_EVACUATIONS = AcceptedEvacuations()
+
+
 @dataclass(frozen=True, slots=True)
 class SetEvacuation:
     """Evacuate a failure domain, or withdraw that, unless changed after `base_index`."""
--- a/packages/core/src/pistachioloft_core/process/fleet.py
+++ b/packages/core/src/pistachioloft_core/process/fleet.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace
 
-from ..messages.accepted import AcceptedEvacuations
+from ..messages.accepted import NO_EVACUATIONS
 from ..messages.fleet import (
     ENDPOINT_READY,
     ControlRenewal,
@@ -48,6 +48,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from ..messages.accepted import AcceptedEvacuations
     from ..messages.fleet import AnnouncedEndpoint, ShortRenewal
 
 SHARE_INTERVAL_MS = 200.0
@@ -65,7 +66,6 @@
 CRASH_LIMIT_COUNT = 4_096
 # Newest crash reports that each update repeats, in case an update is lost.
 FEED_CRASH_COUNT = 32
-NO_EVACUATIONS = AcceptedEvacuations()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/pistachioloft_core/version/accepted.py
+++ b/packages/core/src/pistachioloft_core/version/accepted.py
@@ -10,6 +10,7 @@
 from ..codec import content_digest, decode_packed, encode_packed
 from ..errors import CodedError, ResultCode
 from ..messages.accepted import (
+    NO_EVACUATIONS,
     AcceptedCommand,
     AcceptedConfiguration,
     AcceptedEvacuations,
@@ -46,7 +47,6 @@
 EVACUATION_LIMIT_COUNT = 64
 
 NO_ROUTES = AcceptedRoutes()
-NO_EVACUATIONS = AcceptedEvacuations()
 
 _COMMAND_TYPE_BY_NAME: dict[str, type] = {
     kind.__name__: kind
