--- a/review/harness/searcher.py
+++ b/review/harness/searcher.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
 HEARTBEAT_S = 1.2
+RESTART_S = 2.0
 _stamp_numbers = itertools.count(1)
 
 
@@ -52,6 +53,10 @@
         self.slot_count = 4
         self.running_count = 0
         self.arrivals: list[Arrival] = []
+        # A request for this target crashes the searcher, which is back after some seconds.
+        self.crashing_target = ''
+        self.crash_times_s: list[float] = []
+        self._restart: asyncio.Task[None] | None = None
         self._slots = asyncio.Semaphore(self.slot_count)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -65,6 +70,30 @@
 
     async def exit(self) -> None:
         """End: close the address and all connections."""
+        if self._restart is not None:
+            await cancelled(self._restart)
+        await self._stop()
+
+    def crash(self) -> None:
+        """End at once, and start again as another boot after some seconds."""
+        self.crash_times_s.append(time.monotonic())
+        self.note(f'{self.endpoint} crashes')
+        # The end of a process closes its address and all of its connections together.
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._restart = asyncio.create_task(self._restart_later())
+
+    async def _restart_later(self) -> None:
+        await self._stop()
+        await asyncio.sleep(RESTART_S)
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.endpoint = f'{self.endpoint.split("+")[0]}+{len(self.crash_times_s)}'
+        await self.start()
+
+    async def _stop(self) -> None:
         if self._beats is not None:
             await cancelled(self._beats)
         if self._server is not None:
@@ -126,6 +155,9 @@
         if not is_mine:
             await self._write(writer, 421, {'X-Request-Id': request_id}, b'')
             return
+        if target == self.crashing_target:
+            self.crash()
+            raise EOFError
         async with self._slots:
             self.running_count += 1
             try:
