--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,64 +1,94 @@
-"""A consumer sends a HEAD request and then a GET request on one connection."""
+"""A request that crashes searchers comes from a consumer that leaves before the crash."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
+from review.harness.machines import BOUNDS
 from review.harness.site import BROKEN, HELD, HOST, route, run
-from review.harness.wire import encode, read_head
+from review.harness.wire import encode
 
 if TYPE_CHECKING:
+    from review.harness.machines import Machine
     from review.harness.site import Site
 
+TARGET = '/timi402/crash'
+TARGET_LATENCY_MS = 350
+# A consumer that gives up leaves within half of the latency target.
+LEAVES_AFTER_S = 0.1
+CRASHES_AFTER_S = 0.15
 DEADLINE_MS = 1000
-CONNECTION_COUNT = 6
+COUNT = 16
+INTERVAL_S = 4.0
+ALLOWED_COUNT = 3
 
 
 async def case(site: Site, trouble: bool) -> int:
-    """Send both requests at each machine and read the answers as HTTP defines them."""
+    """Send the request again and again, and count how often it still reaches searchers."""
     machines, record = site.machines, site.record
     machines.start_all()
-    await site.add_searchers('tally', 3)
-    await site.submit([route('/timi402/', 'tally')], ['tally'])
+    searchers = await site.add_searchers('tally', 6)
+    for searcher in searchers:
+        searcher.crashing_target = TARGET
+        searcher.crashes_after_s = CRASHES_AFTER_S
+    routes = [route('/timi402/', 'tally', targetLatencyMs=TARGET_LATENCY_MS)]
+    await site.submit(routes, ['tally'])
     await site.serving('/timi402/x')
-    await asyncio.sleep(2.0)
-    first_method = 'HEAD' if trouble else 'GET'
-    wrong_count = 0
-    for number in range(CONNECTION_COUNT):
+    stable_s = BOUNDS['stableWindowMs'] / 1000
+    await asyncio.sleep(stable_s + 2.0)
+    ordinary = asyncio.create_task(_ask_regularly(site))
+
+    for number in range(COUNT):
         front = machines.fronts[number % len(machines.fronts)]
-        host, port = machines.front_address(front).rsplit(':', 1)
-        reader, writer = await asyncio.open_connection(host, int(port))
-        for method in (first_method, 'GET'):
-            request_id = f'h{number}{method}'
-            headers = {
-                'Host': HOST,
-                'X-Request-Id': request_id,
-                'X-Deadline-Ms': str(DEADLINE_MS),
-            }
-            writer.write(encode(method, f'/timi402/{number}', headers))
-            record.note(f'consumer sends {request_id} to {front.name}')
-            try:
-                async with asyncio.timeout(DEADLINE_MS / 1000 + 1.0):
-                    line, answer_headers = await read_head(reader)
-                    body = b''
-                    if method != 'HEAD':
-                        length = int(answer_headers.get('content-length', '0'))
-                        body = await reader.readexactly(length)
-            except (OSError, EOFError, TimeoutError) as error:
-                record.say(f'{request_id}: no answer, {error!r}')
-                break
-            record.say(f'{request_id}: {line!r} {body!r}')
-            if not line.startswith('HTTP/1.1 '):
-                wrong_count += 1
-                break
-        writer.close()
-    record.say(f'{wrong_count} of {CONNECTION_COUNT} connections carried bytes that are no answer')
-    return BROKEN if wrong_count else HELD
+        await _send(site, front, f'crash{number}', leaves_early=trouble)
+        await asyncio.sleep(INTERVAL_S)
+    ordinary.cancel()
+
+    crash_times_s = sorted(at_s for searcher in searchers for at_s in searcher.crash_times_s)
+    record.say(f'{COUNT} times sent; {len(crash_times_s)} crashes of searchers')
+    late: set[str] = set()
+    if len(crash_times_s) > 2:
+        from_s = crash_times_s[2] + stable_s
+        late = {
+            arrival.request_id
+            for searcher in searchers
+            for arrival in searcher.arrivals
+            if arrival.target == TARGET and arrival.ran and arrival.at_s > from_s
+        }
+    record.say(
+        f'{len(late)} retries reached searchers later than {stable_s} s after the third crash; '
+        f'{ALLOWED_COUNT} are allowed'
+    )
+    return BROKEN if len(late) > ALLOWED_COUNT else HELD
+
+
+async def _send(site: Site, front: Machine, request_id: str, leaves_early: bool) -> None:
+    host, port = site.machines.front_address(front).rsplit(':', 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    headers = {'Host': HOST, 'X-Request-Id': request_id, 'X-Deadline-Ms': str(DEADLINE_MS)}
+    writer.write(encode('GET', TARGET, headers))
+    site.record.note(f'consumer sends {request_id} to {front.name}')
+    line = b''
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(LEAVES_AFTER_S if leaves_early else DEADLINE_MS / 1000 + 0.5):
+            line = await reader.readline()
+    site.record.note(f'consumer of {request_id} got {line.decode().strip()!r} and leaves')
+    writer.close()
+
+
+async def _ask_regularly(site: Site) -> None:
+    number = 0
+    while True:
+        number += 1
+        front = site.machines.fronts[number % len(site.machines.fronts)]
+        await site.ask(front, f'/timi402/{number}')
+        await asyncio.sleep(0.2)
 
 
 if __name__ == '__main__':
--- a/review/harness/searcher.py
+++ b/review/harness/searcher.py
@@ -55,6 +55,8 @@
         self.arrivals: list[Arrival] = []
         # A request for this target crashes the searcher, which is back after some seconds.
         self.crashing_target = ''
+        # How long such a request runs before that; an end of its connection doesn't stop it.
+        self.crashes_after_s = 0.0
         self.crash_times_s: list[float] = []
         self._restart: asyncio.Task[None] | None = None
         self._slots = asyncio.Semaphore(self.slot_count)
@@ -156,6 +158,7 @@
             await self._write(writer, 421, {'X-Request-Id': request_id}, b'')
             return
         if target == self.crashing_target:
+            await asyncio.sleep(self.crashes_after_s)
             self.crash()
             raise EOFError
         async with self._slots:
