--- a/tools/fleet/crowd.py
+++ b/tools/fleet/crowd.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -82,13 +83,18 @@
     reads: bool = True
     # Each member sends once the one before it has its answer; otherwise all send at once.
     in_turn: bool = False
+    # The size of the receive buffer of each member's socket; 0 leaves it to the kernel.
+    receive_buffer_bytes: int = 0
 
 
 class OpenCrowd:
     """Hold the connections of a crowd, which stay open until it is dispersed."""
 
-    def __init__(self, crowd: Crowd, address: str) -> None:
+    def __init__(
+        self, crowd: Crowd, address: str, encode: Callable[[int], bytes] | None = None
+    ) -> None:
         self.crowd = crowd
+        self.encode = encode or MESSAGES[crowd.message]
         self.host, port = address.rsplit(':', 1)
         self.port = int(port)
         self.writers: list[asyncio.StreamWriter] = []
@@ -96,12 +102,13 @@
 
     async def send(self) -> None:
         """Send all messages, each as far as the other side reads it."""
-        encode = MESSAGES[self.crowd.message]
         if self.crowd.in_turn:
             for number in range(self.crowd.count):
-                await self._send(encode(number))
+                await self._send(self.encode(number))
             return
-        await asyncio.gather(*(self._send(encode(number)) for number in range(self.crowd.count)))
+        await asyncio.gather(
+            *(self._send(self.encode(number)) for number in range(self.crowd.count))
+        )
 
     async def disperse(self) -> None:
         """Close all connections."""
@@ -114,7 +121,7 @@
     async def _send(self, data: bytes) -> None:
         with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
             async with asyncio.timeout(SEND_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(self.host, self.port)
+                reader, writer = await self._connect()
                 self.writers.append(writer)
                 if self.crowd.in_turn:
                     writer.write(data)
@@ -125,6 +132,16 @@
                 writer.write(data)
                 await writer.drain()
 
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        size_bytes = self.crowd.receive_buffer_bytes
+        if not size_bytes:
+            return await asyncio.open_connection(self.host, self.port)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(client, (self.host, self.port))
+        return await asyncio.open_connection(sock=client, limit=size_bytes)
+
 
 async def _read(reader: asyncio.StreamReader) -> None:
     with contextlib.suppress(OSError):
