Parse requests that are sent at once in steps, and count those that wait

Cause: a read of up to 256 KiB was parsed whole, so that 14,000 requests of 18 bytes were queued though 16 are allowed. Requests without headers and bodies counted nothing in the budget. Each start of a request added up the whole queue again, and all requests that could be answered at once were answered in one turn of the event loop.

Change: what was read is parsed in steps of 4,096 bytes while the queue has room, the bytes of the queue are a running sum with 400 bytes for each request, and four requests of a connection are started in a turn. A request that the server itself has not read on has its whole time.

Of the new tests in test_server.py, the one of the timeout was shown to fail without its rule.

--- a/packages/daemon/src/pistachioloft_daemon/http1/receive_budget.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/receive_budget.py
@@ -17,6 +17,8 @@
 BYTES_PER_MB = 1_000_000
 # Memory of a stored header beside its bytes: a tuple, two objects and their place in a list.
 HEADER_OBJECT_BYTES = 200
+# Memory of a request that waits behind others on its connection, beside its bytes and headers.
+REQUEST_OBJECT_BYTES = 400
 # A message that grew or shrank by this much has made progress; single bytes are none.
 PROGRESS_BYTES = 4_096
 # Added to the time without progress, so that the size counts among messages that just came.
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -21,7 +21,7 @@
     find_header,
     write_response,
 )
-from .receive_budget import HEADER_OBJECT_BYTES, ReceiveBudget
+from .receive_budget import HEADER_OBJECT_BYTES, REQUEST_OBJECT_BYTES, ReceiveBudget
 from .repeated_lines import RepeatedLines
 from .round_trip import read_round_trip_ms
 
@@ -30,8 +30,13 @@
 PREFIX = '[caller]'
 # Connections are checked for timeouts this often; the shortest timeout is seconds long.
 SWEEP_INTERVAL_S = 0.25
-# Pipelined requests are queued until the earlier ones are answered; reading pauses at this many.
+# Pipelined requests are queued until the earlier ones are answered; parsing pauses at this many.
 PIPELINE_LIMIT_COUNT = 16
+# Bytes that are parsed at once, after which the queue is checked: a request can have 18 bytes.
+PARSE_STEP_BYTES = 4_096
+# Requests of a connection that are started in a turn of the event loop, before other connections
+# have theirs.
+START_BATCH_COUNT = 4
 BACKLOG_COUNT = 1024
 # Connections accepted in one turn of the event loop, before those beyond the limit are closed.
 ACCEPT_BATCH_COUNT = 16
@@ -158,7 +163,14 @@
         self.transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
         self._parser: Any = httptools.HttpRequestParser(self)
-        self._queued: deque[tuple[Request, bool]] = deque()
+        # Received bytes that are parsed once the queue has room for further requests.
+        self._unparsed = b''
+        self._parsing_due = False
+        self._reading_paused = False
+        # Requests that wait for the answers before theirs, with the bytes that each holds.
+        self._queued: deque[tuple[Request, bool, int]] = deque()
+        self._queued_bytes = 0
+        self._start_due = False
         self._answering = False
         self._cancel: Cancel | None = None
         self._request_count = 0
@@ -184,7 +196,8 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received, queued or answered."""
-        return not self._answering and not self._receiving and not self._queued
+        busy = self._answering or self._receiving or self._queued or self._unparsed
+        return not busy
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or abort it if there are too many."""
@@ -199,9 +212,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress, since its client has disconnected."""
         self._closed = True
-        self._queued.clear()
+        self._discard_queued()
         self.server.budget.release(self)
         # This object is part of reference cycles, so it is freed some time later.
+        self._unparsed = b''
         self._body = bytearray()
         self._headers = []
         self.server.connections.discard(self)
@@ -211,8 +225,46 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the data and start complete requests."""
-        if self._refused:
+        if self._refused or self._closed:
+            return
+        self._unparsed += data
+        self._parse_received()
+
+    def _parse_received(self) -> None:
+        """Parse what was received as long as the queue has room, and start complete requests."""
+        self._parsing_due = False
+        data, position = self._unparsed, 0
+        while position < len(data) and not (self._refused or self._is_parsing_paused):
+            self._receive(data[position : position + PARSE_STEP_BYTES])
+            position += PARSE_STEP_BYTES
+        self._unparsed = b'' if self._refused else data[position:]
+        self._update_budget()
+        self._start_next()
+        self._continue_receiving()
+
+    @property
+    def _is_parsing_paused(self) -> bool:
+        return len(self._queued) >= PIPELINE_LIMIT_COUNT
+
+    def _continue_receiving(self) -> None:
+        """Parse the rest in another turn of the event loop, or read on once there is none."""
+        if self.transport is None or self._closed or self._refused:
             return
+        if self._is_parsing_paused:
+            self._reading_paused = True
+            self.transport.pause_reading()
+            return
+        if self._unparsed and not self._parsing_due:
+            self._parsing_due = True
+            self._loop.call_soon(self._parse_received)
+        if self._reading_paused and not self._unparsed:
+            self._reading_paused = False
+            # The client does not cause this pause.
+            self._request_start_s = self._loop.time()
+            self.transport.resume_reading()
+
+    def _receive(self, data: bytes) -> None:
+        """Parse a part of the received data and check the limits."""
         if self._in_headers or not self._receiving:
             self._header_bytes += len(data)
         else:
@@ -230,8 +282,6 @@
             self._refuse(431)
         elif self._body_bytes > limits.body_limit_bytes:
             self._refuse(413)
-        self._update_budget()
-        self._start_next()
 
     def _parse(self, data: bytes) -> None:
         """Parse the data; an offer of another protocol is not taken up."""
@@ -278,7 +328,7 @@
             self.abort()
             return
         self.server.repeated.add(f'request refused: held bytes exceed {limit_bytes}')
-        self._queued.clear()
+        self._discard_queued()
         self._refuse(503)
         self._start_next()
 
@@ -312,8 +362,9 @@
             logger.info('%s connection ended: client did not read its answers in time', PREFIX)
             assert self.transport is not None
             self.transport.abort()
-        elif (self._in_headers and receiving_time_s > limits.header_timeout_s) or (
-            self._receiving and receiving_time_s > limits.body_timeout_s
+        elif not self._reading_paused and (
+            (self._in_headers and receiving_time_s > limits.header_timeout_s)
+            or (self._receiving and receiving_time_s > limits.body_timeout_s)
         ):
             self._refuse(408)
             self._start_next()
@@ -330,10 +381,7 @@
 
     def _update_budget(self) -> None:
         """Record the bytes of requests that have not started and of answers that wait."""
-        held_bytes = sum(
-            len(request.body) + HEADER_OBJECT_BYTES * len(request.headers)
-            for request, _ in self._queued
-        )
+        held_bytes = self._queued_bytes + len(self._unparsed)
         if self._receiving and not self._refused:
             held_bytes += self._body_bytes + self._header_bytes
             held_bytes += HEADER_OBJECT_BYTES * len(self._headers)
@@ -414,9 +462,13 @@
             connecting_ms,
             round_trip_ms / 2,
         )
-        self._queued.append((request, self._parser.should_keep_alive()))
-        if len(self._queued) >= PIPELINE_LIMIT_COUNT and self.transport is not None:
-            self.transport.pause_reading()
+        held_bytes = _held_bytes(request)
+        self._queued_bytes += held_bytes
+        self._queued.append((request, self._parser.should_keep_alive(), held_bytes))
+
+    def _discard_queued(self) -> None:
+        self._queued.clear()
+        self._queued_bytes = 0
 
     def _declares_body(self) -> bool:
         values = [value for name, value in self._headers if name.lower() in FRAMING_NAMES]
@@ -429,10 +481,19 @@
             self._refusal = Response(status)
             self._body = bytearray()
             self._headers = []
+            self._unparsed = b''
             # Further data is ignored; the error is sent once the earlier requests are answered.
             self._receiving = self._in_headers = False
 
+    def _schedule_start(self) -> None:
+        """Start the next requests in another turn of the event loop."""
+        if not self._start_due:
+            self._start_due = True
+            self._loop.call_soon(self._start_next)
+
     def _start_next(self) -> None:
+        self._start_due = False
+        started_count = 0
         while not self._answering and not self._closed and not self._write_paused:
             if not self._queued:
                 if self._refused and self.transport is not None:
@@ -440,7 +501,12 @@
                     self.transport.close()
                     self._closed = True
                 return
-            request, keep_alive = self._queued.popleft()
+            if started_count == START_BATCH_COUNT:
+                self._schedule_start()
+                return
+            started_count += 1
+            request, keep_alive, held_bytes = self._queued.popleft()
+            self._queued_bytes -= held_bytes
             # A refusal for want of room comes after its answer.
             self._answering = True
             self._update_budget()
@@ -478,7 +544,14 @@
             self._update_budget()
         if self._closed:
             return
-        if len(self._queued) < PIPELINE_LIMIT_COUNT:
-            self.transport.resume_reading()
+        self._continue_receiving()
         if self._queued or self._refused:
-            self._loop.call_soon(self._start_next)
+            self._schedule_start()
+
+
+def _held_bytes(request: Request) -> int:
+    """Return the memory that a request takes while it waits to be handled."""
+    held_bytes = REQUEST_OBJECT_BYTES + len(request.target) + len(request.body)
+    for key, value in request.headers:
+        held_bytes += HEADER_OBJECT_BYTES + len(key) + len(value)
+    return held_bytes
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -9,8 +9,19 @@
 import pytest
 
 from pistachioloft_daemon.http1.messages import Request, Response, end_to_end_headers
-from pistachioloft_daemon.http1.receive_budget import HEADER_OBJECT_BYTES, ReceiveBudget
-from pistachioloft_daemon.http1.server import Cancel, HttpServer, Respond, ServerLimits
+from pistachioloft_daemon.http1.receive_budget import (
+    HEADER_OBJECT_BYTES,
+    REQUEST_OBJECT_BYTES,
+    ReceiveBudget,
+)
+from pistachioloft_daemon.http1.server import (
+    PARSE_STEP_BYTES,
+    PIPELINE_LIMIT_COUNT,
+    Cancel,
+    HttpServer,
+    Respond,
+    ServerLimits,
+)
 
 LIMITS = ServerLimits(
     header_limit_bytes=1_000,
@@ -439,3 +450,50 @@
             member.close()
 
     run(Handler(), scenario)
+
+
+def test_short_requests_at_once_are_parsed_as_they_are_answered() -> None:
+    """Guard against the objects of short requests, which take many times their bytes."""
+    handler = Handler(immediate=False)
+    request = b'GET / HTTP/1.1\r\n\r\n'
+    count = 10_000
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(request * count)
+        await asyncio.sleep(0.1)
+        (connection,) = server.connections
+        steps_bytes = PARSE_STEP_BYTES // len(request) * REQUEST_OBJECT_BYTES * 2
+        assert len(connection._queued) <= PIPELINE_LIMIT_COUNT + PARSE_STEP_BYTES // len(request)
+        assert len(request) < server.budget.total_bytes < count * len(request) + steps_bytes
+        handler.immediate = True
+        handler.respond_callbacks[0](Response(200, (), b'hello'))
+        for _ in range(count):
+            assert (await read_reply(reader))[1] == b'hello'
+        assert server.budget.total_bytes == 0
+
+    run(handler, scenario, 10_000_000)
+    assert len(handler.requests) == count
+
+
+def test_request_behind_slow_ones_has_its_whole_time() -> None:
+    """Guard against a timeout of a request that the server itself does not read yet."""
+    handler = Handler(immediate=False)
+    last = b'POST /last HTTP/1.1\r\nContent-Length: 1500\r\n\r\n' + b'x' * 1_500
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # The second step of the parser ends within the last request.
+        before = b'GET / HTTP/1.1\r\n\r\n' * ((2 * PARSE_STEP_BYTES - 700) // 18)
+        writer.write(before + last)
+        await asyncio.sleep(2 * LIMITS.body_timeout_s)
+        handler.immediate = True
+        handler.respond_callbacks[0](Response(200, (), b'hello'))
+        while handler.requests[-1].target != b'/last':
+            head, _ = await read_reply(reader)
+            assert head.startswith(b'HTTP/1.1 200 ')
+
+    run(handler, scenario)
+    assert handler.requests[-1].body == b'x' * 1_500
