Limit and count the trailers of requests

Seen: 100 callers with a trailer that does not end took an entry instance of 96 MB to 250 MB, 20 clients of the readiness address to 287 MB, and 16 clients a control instance of 120 MB to 255 and 246 MB.

Cause: trailers counted as framing, of which a body allows ten times its bytes. The parser holds the name and the value of a header until it ends, and nothing counted them.

Change: what follows the size of a chunk without a part of a body is limited like a head and counts as held.

--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -188,6 +188,10 @@
         self._header_bytes = 0
         # Bytes received with a body that are not part of it: chunk sizes, extensions, trailers.
         self._framing_bytes = 0
+        # The parser keeps an unfinished trailer, which can only follow the size of a chunk.
+        self._after_chunk_size = False
+        self._chunk_size_count = 0
+        self._trailer_bytes = 0
         self._in_headers = False
         # Chunks may be a byte long each, and an object for each would take many times their size.
         self._body = bytearray()
@@ -265,6 +269,7 @@
 
     def _receive(self, data: bytes) -> None:
         """Parse a part of the received data and check the limits."""
+        chunk_size_count = self._chunk_size_count
         if self._in_headers or not self._receiving:
             self._header_bytes += len(data)
         else:
@@ -274,11 +279,17 @@
         except httptools.HttpParserError as error:
             logger.info('%s bad request: %s', PREFIX, error)
             self._refuse(400)
+        if self._chunk_size_count != chunk_size_count:
+            self._trailer_bytes = 0
+        elif self._after_chunk_size:
+            self._trailer_bytes += len(data)
         limits = self.server.limits
         allowed_bytes = limits.header_limit_bytes + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
         if (
-            self._in_headers and self._header_bytes > limits.header_limit_bytes
-        ) or self._framing_bytes > allowed_bytes:
+            (self._in_headers and self._header_bytes > limits.header_limit_bytes)
+            or self._trailer_bytes > limits.header_limit_bytes
+            or self._framing_bytes > allowed_bytes
+        ):
             self._refuse(431)
         elif self._body_bytes > limits.body_limit_bytes:
             self._refuse(413)
@@ -383,7 +394,7 @@
         """Record the bytes of requests that have not started and of answers that wait."""
         held_bytes = self._queued_bytes + len(self._unparsed)
         if self._receiving and not self._refused:
-            held_bytes += self._body_bytes + self._header_bytes
+            held_bytes += self._body_bytes + self._header_bytes + self._trailer_bytes
             held_bytes += HEADER_OBJECT_BYTES * len(self._headers)
         if self._write_paused and self.transport is not None:
             held_bytes += self.transport.get_write_buffer_size()
@@ -406,7 +417,8 @@
         self._target = b''
         self._headers = []
         self._body = bytearray()
-        self._body_bytes = self._framing_bytes = 0
+        self._body_bytes = self._framing_bytes = self._trailer_bytes = 0
+        self._after_chunk_size = False
 
     def on_url(self, url: bytes) -> None:
         """Store a part of the target."""
@@ -430,8 +442,14 @@
         if expectation is not None and expectation.lower() == b'100-continue' and self.transport:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
+    def on_chunk_header(self) -> None:
+        """Expect a part of the body or, after the last chunk, the trailers."""
+        self._after_chunk_size = True
+        self._chunk_size_count += 1
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, up to the limit."""
+        self._after_chunk_size = False
         self._body_bytes += len(body)
         self._framing_bytes -= len(body)
         if not self._refused and self._body_bytes <= self.server.limits.body_limit_bytes:
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -497,3 +497,22 @@
 
     run(handler, scenario)
     assert handler.requests[-1].body == b'x' * 1_500
+
+
+def test_trailer_is_counted_and_limited_like_a_head() -> None:
+    """Guard against a trailer that grows with the body, since the parser holds it."""
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        writer.write(head + b'%x\r\n%b\r\n0\r\na: ' % (1_900, b'x' * 1_900))
+        await asyncio.sleep(0.1)
+        before_bytes = server.budget.total_bytes
+        writer.write(b'b' * 900)
+        await asyncio.sleep(0.1)
+        assert server.budget.total_bytes >= before_bytes + 900
+        writer.write(b'b' * 200)
+        assert (await read_reply(reader))[0].startswith(b'HTTP/1.1 431 ')
+
+    run(Handler(), scenario)
