Count unread answers below the high-water mark

Cause, from reading the code: up to 64 KiB that a client does not read were counted only once the buffer had been full. With the connections that a control instance allows that is 115 MB. No test of whole processes shows it; test_small_unread_answer_is_counted_and_not_followed_by_a_refusal fails before.

Change: the write buffer counts whenever it holds something. A connection that holds nothing else is ended past the limit, since a refusal after a whole answer would belong to no request.

--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -334,7 +334,8 @@
     def shed(self) -> None:
         """Refuse an unfinished request, or end a connection whose client reads no answers."""
         limit_bytes = self.server.budget.limit_bytes
-        if self._write_paused:
+        is_requesting = self._receiving or self._queued or self._unparsed
+        if self._write_paused or not is_requesting:
             self.server.repeated.add(f'unread answers dropped: held bytes exceed {limit_bytes}')
             self.abort()
             return
@@ -366,7 +367,7 @@
     def check_timeouts(self, now_s: float) -> None:
         """Close a connection that is idle, or whose client sends or reads too slowly."""
         limits = self.server.limits
-        if self._write_paused:
+        if self._write_paused or self._unread_since_s is not None:
             self._update_budget()
         receiving_time_s = now_s - self._request_start_s
         if self._has_stalled_reader(now_s, limits.answer_timeout_s):
@@ -396,7 +397,7 @@
         if self._receiving and not self._refused:
             held_bytes += self._body_bytes + self._header_bytes + self._trailer_bytes
             held_bytes += HEADER_OBJECT_BYTES * len(self._headers)
-        if self._write_paused and self.transport is not None:
+        if self.transport is not None:
             held_bytes += self.transport.get_write_buffer_size()
         if held_bytes:
             self.server.budget.set_held_bytes(self, held_bytes)
@@ -558,7 +559,7 @@
         if close:
             self.transport.close()
             self._closed = True
-        if self._write_paused:
+        if self.transport.get_write_buffer_size():
             self._update_budget()
         if self._closed:
             return
--- a/tests/test_http1/test_receive_budget.py
+++ b/tests/test_http1/test_receive_budget.py
@@ -245,3 +245,25 @@
         assert budget.total_bytes == 0
 
     asyncio.run(main())
+
+
+def test_small_unread_answer_is_counted_and_not_followed_by_a_refusal() -> None:
+    """Guard against unread answers below the high-water mark that add up to much memory."""
+
+    async def main() -> None:
+        budget = ReceiveBudget(1_000_000)
+        transport = WritingTransport()
+
+        def handle(_request: Request, respond: Respond) -> None:
+            transport.buffered_bytes = 60_000
+            respond(Response(200, (), b'x' * 60_000))
+
+        connection = ServerConnection(HttpServer('127.0.0.1:0', handle, ServerLimits(), budget))
+        connection.connection_made(transport)
+        connection.data_received(post(b'a', 10))
+        assert budget.total_bytes == 60_000
+        assert budget.reserve(1_000_000)
+        assert budget.total_bytes == 1_000_000
+        assert transport.written.count(b'HTTP/1.1 ') == 1
+
+    asyncio.run(main())
