Limit bodies by what a call needs

Seen: eight clients with chunked configurations of 8 MB at the directory address took a control instance of 120 MB to 600 MB; eight announcements of 15 MB took it to 132 MB; configurations of 400 kB at the directory made a log line of 2.9 million characters.

Cause: every call at the control and directory addresses had the limit of a configuration, 16 MiB, and the readiness address 1 MiB.

Change: 16 MiB for a configuration at the control address, 65,536 bytes for other calls, and 4,096 at the directory and readiness addresses, where requests have no body. Which methods and paths the directory answers is unchanged.

--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -65,6 +65,11 @@
 # Callers keep the addresses for at most this long, and leave a stopping or lost instance that much
 # later.
 ADDRESS_KEEP_LIMIT_MS = 5_000.0
+HEADER_LIMIT_BYTES = 65_536
+# The wire format sets a lower limit for most calls.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+# Callers look up addresses without a body.
+LOOKUP_LIMIT_BYTES = 4_096
 
 
 class ControlInstance:
@@ -108,24 +113,25 @@
         self.pushed_evacuation_index = 0
         self.keep_ms = min(settings.bounds.keep_ms, ADDRESS_KEEP_LIMIT_MS)
         self.next_share_ms = 0.0
+        budget = memory_budget(settings.memory_mb)
         self.interface = ControlInterface(self, wire)
         self.monitoring = MonitoringInterface(
             settings.metrics_address, self.metrics, self._gauges, self._report
         )
         self.was_confirmed = False
         self.last_leader: str | None = None
-        budget = memory_budget(settings.memory_mb)
         shares = descriptor_shares()
         self.servers = tuple(
             HttpServer(
                 address,
                 self.interface.handle,
-                ServerLimits(65_536, 16 * 1024 * 1024, connection_limit_count=limit_count),
+                ServerLimits(HEADER_LIMIT_BYTES, limit_bytes, connection_limit_count=limit_count),
                 budget,
+                wire.body_limit,
             )
-            for address, limit_count in (
-                (settings.control_address, shares.control_count),
-                (settings.directory_address, shares.caller_count),
+            for address, limit_bytes, limit_count in (
+                (settings.control_address, BODY_LIMIT_BYTES, shares.control_count),
+                (settings.directory_address, LOOKUP_LIMIT_BYTES, shares.caller_count),
             )
         )
 
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -75,6 +75,8 @@
 STOP_SERVING_FRACTION = 0.7
 STOP_EXIT_FRACTION = 0.88
 STOP_CHECK_S = 0.05
+# A check of the readiness needs no body.
+READINESS_BODY_LIMIT_BYTES = 4_096
 
 
 class EntryInstance:
@@ -145,7 +147,10 @@
         self.readiness = HttpServer(
             settings.readiness_address,
             self._on_readiness,
-            ServerLimits(connection_limit_count=shares.readiness_count),
+            ServerLimits(
+                body_limit_bytes=READINESS_BODY_LIMIT_BYTES,
+                connection_limit_count=shares.readiness_count,
+            ),
             budget,
         )
         self.monitoring = MonitoringInterface(
--- a/packages/daemon/src/pistachioloft_daemon/http1/server.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/server.py
@@ -67,6 +67,8 @@
 # Answers a request immediately or later; the returned function is called if the client
 # disconnects before that.
 Handler = Callable[[Request, Respond], Cancel | None]
+# Returns how many bytes the body of a request may have, from its method and its target.
+BodyLimit = Callable[[bytes, bytes], int]
 
 
 class HttpServer:
@@ -78,10 +80,12 @@
         handler: Handler,
         limits: ServerLimits,
         budget: ReceiveBudget | None = None,
+        body_limit: BodyLimit | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
+        self.body_limit = body_limit
         self.budget = budget or ReceiveBudget(DEFAULT_RECEIVE_LIMIT_BYTES)
         # A closing server answers requests and closes each connection after its next answer.
         self.closing = False
@@ -196,6 +200,7 @@
         # Chunks may be a byte long each, and an object for each would take many times their size.
         self._body = bytearray()
         self._body_bytes = 0
+        self._body_limit_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -291,7 +296,7 @@
             or self._framing_bytes > allowed_bytes
         ):
             self._refuse(431)
-        elif self._body_bytes > limits.body_limit_bytes:
+        elif self._body_bytes > self._body_limit_bytes:
             self._refuse(413)
 
     def _parse(self, data: bytes) -> None:
@@ -437,6 +442,10 @@
         )
         self._in_headers = False
         self._header_bytes = 0
+        self._body_limit_bytes = self.server.limits.body_limit_bytes
+        if self.server.body_limit is not None:
+            limit_bytes = self.server.body_limit(self._parser.get_method(), self._target)
+            self._body_limit_bytes = min(self._body_limit_bytes, limit_bytes)
         if header_bytes > self.server.limits.header_limit_bytes:
             self._refuse(431)
         expectation = find_header(tuple(self._headers), b'expect')
@@ -453,7 +462,7 @@
         self._after_chunk_size = False
         self._body_bytes += len(body)
         self._framing_bytes -= len(body)
-        if not self._refused and self._body_bytes <= self.server.limits.body_limit_bytes:
+        if not self._refused and self._body_bytes <= self._body_limit_bytes:
             self._body += body
 
     def on_message_complete(self) -> None:
@@ -463,7 +472,7 @@
             return
         self._receiving = False
         self._idle_since_s = self._loop.time()
-        if self._refused or self._body_bytes > self.server.limits.body_limit_bytes:
+        if self._refused or self._body_bytes > self._body_limit_bytes:
             return
         # What an idle connection keeps would not be counted.
         headers, self._headers = tuple(self._headers), []
--- a/packages/daemon/src/pistachioloft_daemon/platform/calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/calls.py
@@ -38,6 +38,9 @@
     from ..http1.messages import Request
 
 FAILURE_DOMAIN_LENGTH_MAX = 256
+# A configuration of the largest expected fleet has a few megabytes; other bodies are short.
+DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
+CALL_LIMIT_BYTES = 65_536
 _JSON_HEADERS = ((b'Content-Type', b'application/json'),)
 
 
@@ -50,6 +53,12 @@
         return UnknownCall(error.code, error.detail)
 
 
+def body_limit_bytes(method: bytes, target: bytes) -> int:
+    """Return how many bytes the body of a call may have."""
+    is_document = method == b'PUT' and target.partition(b'?')[0] == ROUTES_PATH.encode()
+    return DOCUMENT_LIMIT_BYTES if is_document else CALL_LIMIT_BYTES
+
+
 def encode_outcome(outcome: Outcome) -> Response:
     """Encode the outcome of a call."""
     if isinstance(outcome, Addresses):
--- a/packages/daemon/src/pistachioloft_daemon/wire.py
+++ b/packages/daemon/src/pistachioloft_daemon/wire.py
@@ -12,6 +12,7 @@
 
     from .control_calls import Call, Outcome
     from .http1.messages import Headers, Request, Response
+    from .http1.server import BodyLimit
     from .routed_messages import EndpointReply, MergedReply, RoutedRequest, UnreadableRequest
 
 
@@ -25,6 +26,8 @@
 
     decode_call: Callable[[Request], Call]
     encode_outcome: Callable[[Outcome], Response]
+    # Returns how many bytes the body of a call may have.
+    body_limit: BodyLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -516,3 +516,23 @@
         assert (await read_reply(reader))[0].startswith(b'HTTP/1.1 431 ')
 
     run(Handler(), scenario)
+
+
+def test_body_limit_depends_on_the_call() -> None:
+    """Guard against long bodies where calls have short ones."""
+    handler = Handler()
+
+    def limit_body(method: bytes, target: bytes) -> int:
+        return 100 if (method, target) == (b'POST', b'/short?x') else 5_000
+
+    async def scenario(
+        server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        server.body_limit = limit_body
+        framing = b'HTTP/1.1\r\nContent-Length: 101\r\n\r\n' + b'x' * 101
+        for target, status in ((b'/long', b'200'), (b'/short?x', b'413')):
+            writer.write(b'POST %b %b' % (target, framing))
+            assert (await read_reply(reader))[0].split(b' ')[1] == status
+
+    run(handler, scenario)
+    assert [request.target for request in handler.requests] == [b'/long']
--- a/tests/test_platform/test_calls.py
+++ b/tests/test_platform/test_calls.py
@@ -21,7 +21,13 @@
     UnknownCall,
 )
 from pistachioloft_daemon.http1.messages import Request, find_header
-from pistachioloft_daemon.platform.calls import decode_call, encode_outcome
+from pistachioloft_daemon.platform.calls import (
+    CALL_LIMIT_BYTES,
+    DOCUMENT_LIMIT_BYTES,
+    body_limit_bytes,
+    decode_call,
+    encode_outcome,
+)
 from tests.test_platform.test_documents import ANNOUNCEMENT, CONFIG, encoded
 
 
@@ -93,3 +99,17 @@
     fenced = encode_outcome(Done(ResultCode.FENCED, 'no quorum', retry_after_ms=250.0))
     assert fenced.status == 503
     assert find_header(fenced.headers, b'retry-after') == b'0.250'
+
+
+def test_only_calls_with_a_document_have_long_bodies() -> None:
+    """Guard against a body of megabytes in a call that needs some hundred bytes."""
+    assert body_limit_bytes(b'PUT', b'/-/config') == DOCUMENT_LIMIT_BYTES
+    assert body_limit_bytes(b'PUT', b'/-/config?x=1') == DOCUMENT_LIMIT_BYTES
+    for method, target in (
+        (b'GET', b'/-/config'),
+        (b'PUT', b'/-/config/x'),
+        (b'PUT', b'/-/instances/i-1'),
+        (b'DELETE', b'/-/instances/i-1'),
+        (b'POST', b'/-/evacuation/north'),
+    ):
+        assert body_limit_bytes(method, target) == CALL_LIMIT_BYTES
