Reserve what a document takes while it is decoded and checked

Seen: eight clients with chunked configurations of 8 MB at the operator's address took a control instance of 120 MB to 595 MB, two whole ones with one wide character in a host to 240 MB.

Cause: only the bytes of a body were counted. A value of three bytes becomes an object, and what is derived from it, of up to 180 bytes; a text with one character beyond the basic plane takes four bytes a character, and its form in lower case twelve while it is made.

Change: a call reserves an estimate of that in the budget before it is decoded: its bytes, five times with wide characters, and 200 bytes a value. What can never fit is refused with 413, what does not fit now with 503. Names have 1,024 characters at most, prefixes and keys 65,536. A packed configuration counts until its outcome is known.

A test compares the estimate with the traced memory of 13 documents.

--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -114,7 +114,7 @@
         self.keep_ms = min(settings.bounds.keep_ms, ADDRESS_KEEP_LIMIT_MS)
         self.next_share_ms = 0.0
         budget = memory_budget(settings.memory_mb)
-        self.interface = ControlInterface(self, wire)
+        self.interface = ControlInterface(self, wire, budget)
         self.monitoring = MonitoringInterface(
             settings.metrics_address, self.metrics, self._gauges, self._report
         )
--- a/packages/daemon/src/pistachioloft_daemon/control_interface.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_interface.py
@@ -41,6 +41,7 @@
 
     from .control_instance import ControlInstance
     from .http1.messages import Request
+    from .http1.receive_budget import ReceiveBudget
     from .http1.server import Cancel, Respond
     from .wire import ControlWire
 
@@ -72,9 +73,10 @@
 class ControlInterface:
     """Hold the pending calls to one control instance."""
 
-    def __init__(self, instance: ControlInstance, wire: ControlWire) -> None:
+    def __init__(self, instance: ControlInstance, wire: ControlWire, budget: ReceiveBudget) -> None:
         self.instance = instance
         self.wire = wire
+        self.budget = budget
         self.notices: dict[int, _Notice] = {}
         self.number = 0
 
@@ -84,6 +86,29 @@
         def answer(outcome: Outcome) -> None:
             respond(self.wire.encode_outcome(outcome))
 
+        cost_bytes = self.wire.estimate_call_bytes(request)
+        refusal = self._reserve(cost_bytes)
+        if refusal is not None:
+            logger.info('%s call refused: code=%s %s', PREFIX, refusal.code.name, refusal.detail)
+            answer(refusal)
+            return None
+        try:
+            self._handle(request, answer)
+        finally:
+            self.budget.free(cost_bytes)
+        return None
+
+    def _reserve(self, size_bytes: int) -> Done | None:
+        """Reserve memory for a body or a document, or return the refusal."""
+        if size_bytes > self.budget.limit_bytes:
+            detail = f'it takes {size_bytes} bytes of memory, over {self.budget.limit_bytes}'
+            return Done(ResultCode.TOO_LARGE, detail)
+        if not self.budget.reserve(size_bytes):
+            detail = 'the documents in progress take too much memory'
+            return Done(ResultCode.TOO_MANY_CONNECTIONS, detail, b'', RETRY_AFTER_MS)
+        return None
+
+    def _handle(self, request: Request, answer: Answer) -> None:
         call = self.wire.decode_call(request)
         match call:
             case Announce():
@@ -105,7 +130,6 @@
             case UnknownCall():
                 logger.info('%s call refused: code=%s %s', PREFIX, call.code.name, call.detail)
                 answer(Done(call.code, call.detail))
-        return None
 
     def _count_announcement(self, call: Announce, request: Request) -> None:
         domain = call.record.failure_domain
@@ -200,8 +224,9 @@
         version = call.routes.version
         mistakes = check_routes(call.routes)
         if mistakes:
-            logger.info('%s routes refused: version=%d %s', PREFIX, version, '; '.join(mistakes))
-            answer(Done(ResultCode.INVALID_CONFIGURATION, '; '.join(mistakes)))
+            detail = '; '.join(mistakes)
+            logger.info('%s routes refused: version=%d %s', PREFIX, version, detail)
+            answer(Done(ResultCode.INVALID_CONFIGURATION, detail))
             return
         if version <= self.instance.routes.version:
             detail = f'version {self.instance.routes.version} is accepted already'
@@ -209,7 +234,15 @@
             answer(Done(ResultCode.ACCEPTED_REPEATED, detail))
             return
 
+        document = pack_document(call.document)
+        refusal = self._reserve(len(document))
+        if refusal is not None:
+            logger.info('%s routes refused: version=%d %s', PREFIX, version, refusal.detail)
+            answer(refusal)
+            return
+
         def on_outcome(outcome: CommandOutcome | None) -> None:
+            self.budget.free(len(document))
             if outcome is None:
                 logger.warning('%s routes without outcome: version=%d', PREFIX, version)
                 answer(Done(ResultCode.SUBMIT_UNKNOWN, '', b'', RETRY_AFTER_MS))
@@ -225,7 +258,7 @@
 
         self.number += 1
         proposal_id = f'routes-{self.instance.fleet.own_status.incarnation}-{self.number}'
-        command = AcceptRoutes(version, pack_document(call.document))
+        command = AcceptRoutes(version, document)
         self.instance.proposals.propose(proposal_id, command, SUBMIT_TIMEOUT_MS, on_outcome)
 
     def _evacuate(self, call: Evacuate, answer: Answer) -> None:
--- a/packages/daemon/src/pistachioloft_daemon/platform/calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/calls.py
@@ -24,7 +24,12 @@
     UnknownCall,
 )
 from ..http1.messages import Response
-from .documents import decode_announcement, decode_departure, decode_routes
+from .documents import (
+    decode_announcement,
+    decode_departure,
+    decode_routes,
+    estimate_decoded_bytes,
+)
 from .names import (
     ADDRESSES_PATH,
     ENDPOINTS_PATH,
@@ -59,6 +64,11 @@
     return DOCUMENT_LIMIT_BYTES if is_document else CALL_LIMIT_BYTES
 
 
+def estimate_call_bytes(request: Request) -> int:
+    """Return at least the memory that a call takes while it is decoded and checked."""
+    return estimate_decoded_bytes(request.body)
+
+
 def encode_outcome(outcome: Outcome) -> Response:
     """Encode the outcome of a call."""
     if isinstance(outcome, Addresses):
--- a/packages/daemon/src/pistachioloft_daemon/platform/documents.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/documents.py
@@ -29,6 +29,15 @@
 _Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Text = Annotated[str, msgspec.Meta(max_length=256)]
+# Names of routes, hosts, services, organisations and regions.
+_Name = Annotated[str, msgspec.Meta(max_length=1_024)]
+# Paths and keys, which callers send in the heads of their requests.
+_HeadText = Annotated[str, msgspec.Meta(max_length=65_536)]
+# Most memory of a decoded value, with what is derived from it while a document is checked.
+VALUE_BYTES = 200
+# A text with a character outside of ASCII takes up to four bytes for each byte of its encoding,
+# beside the decoder's own copy.
+WIDE_FACTOR = 5
 # The id of an endpoint is sent as the value of a header.
 _ENDPOINT_ID = re.compile('[!-~]{1,256}')
 # A longer cold start makes no difference to where requests are placed.
@@ -38,42 +47,42 @@
 
 
 class _SplitEntry(msgspec.Struct, rename='camel'):
-    service: str
+    service: _Name
     weight: float = 1.0
 
 
 class _Route(msgspec.Struct, rename='camel'):
-    name: str
-    host: str
-    path_prefix: str
-    route_kind: str
+    name: _Name
+    host: _Name
+    path_prefix: _HeadText
+    route_kind: _Name
     timeout_ms: float
     target_latency_ms: float = 0.0
     priority: _Integer = 0
     attempts: _Integer = 1
-    service: str | None = None
+    service: _Name | None = None
     # The services that share the requests, with their weights.
     split: list[_SplitEntry] | None = None
     # The services that each hold one shard.
-    gather: list[str] | None = None
+    gather: list[_Name] | None = None
     top_k: _Integer = 0
     min_coverage: float = 0.0
     public: bool = False
-    allowed_regions: list[str] | None = None
+    allowed_regions: list[_Name] | None = None
 
 
 class _Tenant(msgspec.Struct, rename='camel'):
-    name: str
-    api_keys: list[str] = []
+    name: _Name
+    api_keys: list[_HeadText] = []
     priority: _Integer | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
-    allowed_regions: list[str] | None = None
+    allowed_regions: list[_Name] | None = None
 
 
 class _Service(msgspec.Struct, rename='camel'):
-    name: str
-    health_path: str = '/health'
+    name: _Name
+    health_path: _HeadText = '/health'
     max_conns: _Integer = 1
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
@@ -117,6 +126,15 @@
 _departure_decoder = msgspec.json.Decoder(_Departure)
 
 
+def estimate_decoded_bytes(document: bytes) -> int:
+    """Return at least the memory that a JSON document takes while it is decoded and checked."""
+    # Each value follows a comma or an opening bracket; those in texts only raise the estimate.
+    value_count = sum(document.count(mark) for mark in (b',', b'{', b'['))
+    is_wide = not document.isascii() or b'\\u' in document
+    text_bytes = len(document) * (WIDE_FACTOR if is_wide else 1)
+    return text_bytes + VALUE_BYTES * value_count
+
+
 def decode_routes(document: bytes) -> RouteSet:
     """Decode a configuration into a set of routes."""
     config: _Config = _decode(_config_decoder, document)
--- a/packages/daemon/src/pistachioloft_daemon/platform/program.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/program.py
@@ -8,7 +8,7 @@
 
 from ..fleet_program import make_instance, run_instance
 from ..wire import ControlWire, WireFormat
-from .calls import body_limit_bytes, decode_call, encode_outcome
+from .calls import body_limit_bytes, decode_call, encode_outcome, estimate_call_bytes
 from .documents import decode_routes
 
 # The environment variable in which the platform gives the path of the settings file.
@@ -17,7 +17,7 @@
 
 def main() -> None:
     """Run the instance that the settings file describes."""
-    control_wire = ControlWire(decode_call, encode_outcome, body_limit_bytes)
+    control_wire = ControlWire(decode_call, encode_outcome, estimate_call_bytes, body_limit_bytes)
     path = Path(os.environ.get(SETTINGS_VARIABLE, 'settings.toml'))
     sys.exit(
         run_instance(
--- a/packages/daemon/src/pistachioloft_daemon/wire.py
+++ b/packages/daemon/src/pistachioloft_daemon/wire.py
@@ -20,12 +20,18 @@
     return None
 
 
+def _no_estimate(_request: Request) -> int:
+    return 0
+
+
 @dataclass(frozen=True, slots=True)
 class ControlWire:
     """Bundle the functions that decode calls to an instance and encode their outcomes."""
 
     decode_call: Callable[[Request], Call]
     encode_outcome: Callable[[Outcome], Response]
+    # Returns at least the memory that a call takes while it is decoded and checked.
+    estimate_call_bytes: Callable[[Request], int] = _no_estimate
     # Returns how many bytes the body of a call may have.
     body_limit: BodyLimit | None = None
 
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import copy
+import gc
 import json
+import tracemalloc
 from typing import Any
 
 import pytest
@@ -14,11 +17,12 @@
 from pistachioloft_core.errors import CodedError, ResultCode
 from pistachioloft_core.messages.fleet import FeedReply, ReceivedEndpoint
 from pistachioloft_core.messages.routes import Gather, Organisation, WeightedService
-from pistachioloft_core.version.route_table import check_routes
+from pistachioloft_core.version.route_table import RouteTable, check_routes
 from pistachioloft_daemon.platform.documents import (
     decode_announcement,
     decode_departure,
     decode_routes,
+    estimate_decoded_bytes,
 )
 
 CONFIG: dict[str, Any] = {
@@ -275,3 +279,80 @@
     assert decode_departure(b'{"born": 12}') == 12
     assert decode_departure(b' ') == 0
     assert decode_departure(b'{}') == 0
+
+
+def rows(each: str, count: int = 20_000) -> str:
+    """Return a list of values that differ in a number."""
+    return ','.join(each % number for number in range(count))
+
+
+def with_lists(routes: str = '', services: str = '', tenants: str = '') -> str:
+    return (
+        f'{{"version":1,"routes":[{routes}],"services":[{services}],"tenants":[{tenants}],'
+        '"later":{"x":[1,2]}}'
+    )
+
+
+ROUTE_START = '{"name":"r","host":"h","pathPrefix":"/%x/","routeKind":"","timeoutMs":1'
+ONE_ROUTE = ROUTE_START % 0
+WIDE_TEXT = '\U0001f600' + 'a' * 1_000
+LARGE_DOCUMENTS = {
+    'tenants with one name': with_lists(tenants=rows('{"name":""%.0s}')),
+    'tenants': with_lists(tenants=rows('{"name":"%x"}')),
+    'keys': with_lists(tenants='{"name":"a","apiKeys":[' + rows('"%x"') + ']}'),
+    'shards': with_lists(ONE_ROUTE + ',"gather":[' + rows('"%x"') + ']}'),
+    'services of a split': with_lists(ONE_ROUTE + ',"split":[' + rows('{"service":"%x"}') + ']}'),
+    'services': with_lists(services=rows('{"name":"%x"}')),
+    'routes': with_lists(rows(ROUTE_START + ',"service":""}', 5_000)),
+    'empty lists': with_lists(
+        rows(ROUTE_START + ',"split":[],"gather":[],"allowedRegions":[]}', 5_000)
+    ),
+    'wide texts': with_lists(
+        services=','.join(f'{{"name":"{WIDE_TEXT}{number}"}}' for number in range(200))
+    ),
+    'escaped wide texts': with_lists(
+        services=','.join(
+            f'{{"name":{json.dumps(WIDE_TEXT)[:-1]}{number}"}}' for number in range(200)
+        )
+    ),
+    'one wide text': with_lists('{"name":"' + '\U0001f600' + 'a' * 1_000_000 + '"}'),
+    'unfinished': with_lists(tenants=rows('{"name":"%x"}'))[:-30],
+    'nested lists': '[' * 100_000,
+}
+
+
+@pytest.mark.parametrize('name', LARGE_DOCUMENTS)
+def test_estimate_covers_the_memory_of_decoding_and_checking(name: str) -> None:
+    """Guard against a document that takes more memory than was reserved for it."""
+    document = LARGE_DOCUMENTS[name].encode()
+    gc.collect()
+    tracemalloc.start()
+    try:
+        with contextlib.suppress(CodedError):
+            routes = decode_routes(document)
+            check_routes(routes)
+            RouteTable(routes)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes <= estimate_decoded_bytes(document)
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        with_lists('{"name":"%s","host":"h","pathPrefix":"/","routeKind":"","timeoutMs":1}'),
+        with_lists('{"name":"r","host":"%s","pathPrefix":"/","routeKind":"","timeoutMs":1}'),
+        with_lists(ONE_ROUTE + ',"gather":["%s"]}'),
+        with_lists(ONE_ROUTE + ',"split":[{"service":"%s"}]}'),
+        with_lists(services='{"name":"%s"}'),
+        with_lists(tenants='{"name":"%s"}'),
+        with_lists(tenants='{"name":"a","allowedRegions":["%s"]}'),
+    ],
+)
+def test_long_names_are_refused(document: str) -> None:
+    """Guard against names that take many times their length while they are compared."""
+    decode_routes((document % ('n' * 1_024)).encode())
+    with pytest.raises(CodedError) as raised:
+        decode_routes((document % ('n' * 1_025)).encode())
+    assert len(raised.value.detail) < 200
