Name at most 20 mistakes of a set of routes

Seen: configurations of 400 kB with the same organisation over and over made a log line of 2.9 million characters and a reply as long.

Cause: each mistake was a text with names as long as they were sent, all were joined, twice.

Change: the first 20 mistakes are named, with 100 characters of each name.

--- a/packages/core/src/pistachioloft_core/util/names.py
+++ b/packages/core/src/pistachioloft_core/util/names.py
@@ -9,6 +9,7 @@
 NAME_RULE = f'a name of 1 to {NAME_LENGTH_MAX} letters, digits, dots, hyphens or underscores'
 SHARD_RULE = f'{NAME_RULE}, or several of these joined by /'
 SHARD_LENGTH_MAX = 200
+SHOWN_LENGTH_MAX = 100
 ADDRESS_RULE = 'an IP address and a port from 1 to 65535, such as 10.1.0.1:7000 or [fd00::1]:7000'
 
 _NAME = re.compile(rf'[A-Za-z0-9][A-Za-z0-9._-]{{0,{NAME_LENGTH_MAX - 1}}}')
@@ -47,3 +48,8 @@
 def is_address(text: str) -> bool:
     """Return whether a text is an IP address and port that can be connected to."""
     return split_address(text) is not None
+
+
+def shorten(text: str) -> str:
+    """Return the beginning of a text that may be long, for a message to people."""
+    return text if len(text) <= SHOWN_LENGTH_MAX else f'{text[:SHOWN_LENGTH_MAX]}...'
--- a/packages/core/src/pistachioloft_core/version/route_table.py
+++ b/packages/core/src/pistachioloft_core/version/route_table.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from itertools import chain, islice
 from typing import TYPE_CHECKING
 
+from ..util.names import shorten
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from ..messages.routes import Organisation, Route, RouteSet, ServiceRule
 
+# A set of routes can have more mistakes than bytes fit into a reply or a log line.
+MISTAKE_LIMIT_COUNT = 20
+
 
 class RouteTable:
     """Index the routes of one version by host and path prefix, and its organisations by key."""
@@ -82,55 +88,56 @@
 
 
 def check_routes(routes: RouteSet) -> tuple[str, ...]:
-    """Return all mistakes of a set of routes, none if it is valid."""
+    """Return the first mistakes of a set of routes, none if it is valid."""
+    found = chain(_all_route_mistakes(routes), _organisation_mistakes(routes.organisations))
+    mistakes = tuple(islice(found, MISTAKE_LIMIT_COUNT))
+    return mistakes if next(found, None) is None else (*mistakes, 'further mistakes are left out')
+
+
+def _all_route_mistakes(routes: RouteSet) -> Iterator[str]:
     service_names = {rule.service for rule in routes.services}
     prefixes_in_use: set[tuple[str, str]] = set()
-    mistakes: list[str] = []
     for route in routes.routes:
-        mistakes += _route_mistakes(route, service_names)
+        yield from _route_mistakes(route, service_names)
         prefix = (route.host.lower(), route.path_prefix)
         if prefix in prefixes_in_use:
-            mistakes.append(f'{route.name}: another route has {route.host}{route.path_prefix}')
+            place = shorten(route.host + route.path_prefix)
+            yield f'{shorten(route.name)}: another route has {place}'
         prefixes_in_use.add(prefix)
-    return (*mistakes, *_organisation_mistakes(routes.organisations))
 
 
-def _organisation_mistakes(organisations: Iterable[Organisation]) -> list[str]:
+def _organisation_mistakes(organisations: Iterable[Organisation]) -> Iterator[str]:
     """Describe the mistakes of organisations without showing any key."""
-    mistakes: list[str] = []
     holder_by_key: dict[str, str] = {}
     names: set[str] = set()
     for organisation in organisations:
-        name = organisation.name
+        name, shown = organisation.name, shorten(organisation.name)
         if not name or not name.isprintable():
             # The name is sent to endpoints as the value of a header.
-            mistakes.append(f'organisation {name!r}: the name must be printable')
+            yield f'organisation {shown!r}: the name must be printable'
         if name in names:
-            mistakes.append(f'{name}: another organisation has the same name')
+            yield f'{shown}: another organisation has the same name'
         names.add(name)
         if not min(organisation.rate_per_s, organisation.burst_count) >= 0.0:
-            mistakes.append(f'{name}: the allotment must not be negative')
+            yield f'{shown}: the allotment must not be negative'
         for key in organisation.keys:
             holder = holder_by_key.setdefault(key, name)
             if not key:
-                mistakes.append(f'{name}: a key is empty')
+                yield f'{shown}: a key is empty'
             elif holder != name:
-                mistakes.append(f'{name}: a key is also held by {holder}')
-    return mistakes
+                yield f'{shown}: a key is also held by {shorten(holder)}'
 
 
-def _route_mistakes(route: Route, service_names: set[str]) -> list[str]:
-    mistakes = [
-        f'{route.name}: unknown service {service!r}'
-        for service in route_services(route)
-        if service not in service_names
-    ]
+def _route_mistakes(route: Route, service_names: set[str]) -> Iterator[str]:
+    shown = shorten(route.name)
+    for service in route_services(route):
+        if service not in service_names:
+            yield f'{shown}: unknown service {shorten(service)!r}'
     if not route_services(route):
-        mistakes.append(f'{route.name}: names no service')
+        yield f'{shown}: names no service'
     if route.time_limit_ms <= 0:
-        mistakes.append(f'{route.name}: the time limit must be over 0 ms')
+        yield f'{shown}: the time limit must be over 0 ms'
     if route.services:
         weights = [weighted_service.weight for weighted_service in route.services]
         if min(weights) < 0 or sum(weights) <= 0:
-            mistakes.append(f'{route.name}: the weights must not be negative and not all 0')
-    return mistakes
+            yield f'{shown}: the weights must not be negative and not all 0'
--- a/tests/test_routes/test_route_table.py
+++ b/tests/test_routes/test_route_table.py
@@ -15,7 +15,11 @@
     ServiceRule,
     WeightedService,
 )
-from pistachioloft_core.version.route_table import RouteTable, check_routes
+from pistachioloft_core.version.route_table import (
+    MISTAKE_LIMIT_COUNT,
+    RouteTable,
+    check_routes,
+)
 
 ROUTE = Route(
     'lots',
@@ -94,3 +98,14 @@
         replace(ROUTE, name='all', path_prefix='/all/', services=(), gather=gather),
     )
     assert check_routes(route_set(*routes)) == ()
+
+
+def test_many_mistakes_of_long_names_make_a_short_text() -> None:
+    """Guard against a reply and a log line many times as long as the document."""
+    routes = [replace(ROUTE, name='n' * 10_000, host='h' * 10_000) for _ in range(1_000)]
+    mistakes = check_routes(route_set(*routes))
+    assert len(mistakes) == MISTAKE_LIMIT_COUNT + 1
+    assert len('; '.join(mistakes)) < 400 * MISTAKE_LIMIT_COUNT
+    assert 'further mistakes' in mistakes[-1]
+    exact = check_routes(route_set(*routes[: MISTAKE_LIMIT_COUNT + 1]))
+    assert len(exact) == MISTAKE_LIMIT_COUNT
