Refuse departures of endpoints with unusable ids, and limit their number

Seen: 2,000 departures with ids of 60,000 characters took the control instances of 120 MB to 891, 411 and 437 MB, and the entry instance to 128 MB.

Cause: a departure of an unknown endpoint is kept for two minutes in case its announcement is late, and is shared with all instances. Unlike in an announcement, its id was not checked, and their number had no limit.

Change: the id is checked as in an announcement, and departures share the limit of 65,536 endpoints.

--- a/packages/core/src/pistachioloft_core/process/announced.py
+++ b/packages/core/src/pistachioloft_core/process/announced.py
@@ -144,6 +144,8 @@
 ) -> bool:
     """Record that a start of an endpoint has left; return whether its state changed."""
     entry = state.endpoints.get(endpoint)
+    if entry is None and len(state.endpoints) >= ENDPOINT_LIMIT_COUNT:
+        return False
     if entry is None:
         # Its announcement may still be in transit; every start until now counts as departed.
         born_ms = born_ms or latest_born_ms
--- a/packages/daemon/src/pistachioloft_daemon/platform/calls.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/calls.py
@@ -29,6 +29,7 @@
     decode_departure,
     decode_routes,
     estimate_decoded_bytes,
+    is_endpoint_id,
 )
 from .names import (
     ADDRESSES_PATH,
@@ -109,6 +110,8 @@
         if method == b'PUT':
             return Announce(decode_announcement(endpoint, request.body))
         if method == b'DELETE':
+            if not is_endpoint_id(endpoint):
+                raise CodedError(ResultCode.WRONG_TYPE, 'the id is not usable')
             return Depart(endpoint, decode_departure(request.body))
     if path.startswith(EVACUATIONS_PATH) and method in (b'POST', b'DELETE'):
         name = _decode_failure_domain(path.removeprefix(EVACUATIONS_PATH))
--- a/packages/daemon/src/pistachioloft_daemon/platform/documents.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/documents.py
@@ -169,7 +169,7 @@
     if (
         endpoint_state is None
         or not is_address(decoded.address)
-        or _ENDPOINT_ID.fullmatch(endpoint) is None
+        or not is_endpoint_id(endpoint)
         or not decoded.service
     ):
         raise CodedError(ResultCode.WRONG_TYPE, 'state, address, service or id is not usable')
@@ -187,6 +187,11 @@
     )
 
 
+def is_endpoint_id(text: str) -> bool:
+    """Return whether a text can be the id of an endpoint."""
+    return _ENDPOINT_ID.fullmatch(text) is not None
+
+
 def decode_departure(body: bytes) -> int:
     """Decode the start time of the departing endpoint process, 0 if the body names none."""
     if not body.strip():
--- a/tests/test_announced/test_announced.py
+++ b/tests/test_announced/test_announced.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec.structs import replace
@@ -13,6 +15,7 @@
     ENDPOINT_READY,
     AnnouncedEndpoint,
 )
+from pistachioloft_core.process import announced
 from pistachioloft_core.process.announced import (
     LEFT_RETENTION_MS,
     AnnouncedState,
@@ -22,6 +25,9 @@
     merge,
 )
 
+if TYPE_CHECKING:
+    import pytest
+
 RECORD = AnnouncedEndpoint(
     'i-1', 'catalogue', '10.0.0.1:80', 'a', 2, ENDPOINT_READY, sequence=5, born_ms=1_000
 )
@@ -152,3 +158,14 @@
     assert {name: each.endpoint_state for name, each in read_records.items()} == {
         name: each.endpoint_state for name, each in known.items()
     }
+
+
+def test_departures_of_unknown_endpoints_are_limited(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against departures that fill the memory, since each is kept for a while."""
+    monkeypatch.setattr(announced, 'ENDPOINT_LIMIT_COUNT', 3)
+    state = AnnouncedState()
+    assert [mark_left(state, f'i-{number}', 0, 5_000, 20.0) for number in range(5)] == [
+        *(True, True, True),
+        *(False, False),
+    ]
+    assert len(state.endpoints) == 3
--- a/tests/test_platform/test_calls.py
+++ b/tests/test_platform/test_calls.py
@@ -113,3 +113,11 @@
         (b'POST', b'/-/evacuation/north'),
     ):
         assert body_limit_bytes(method, target) == CALL_LIMIT_BYTES
+
+
+@pytest.mark.parametrize('target', [b'n' * 257, b'%20', b'', b'%F0%9F%98%80'])
+def test_departure_under_an_id_that_no_endpoint_can_have_is_refused(target: bytes) -> None:
+    """Guard against ids of departures that are kept although they are as long as a head."""
+    call = decode_call(Request(b'DELETE', b'/-/instances/' + target, ()))
+    assert isinstance(call, UnknownCall)
+    assert call.code is ResultCode.WRONG_TYPE
