Cut long messages and tracebacks in the log

Seen: lines of 15,000 characters at an entry instance and 60,101 at a control instance, with the paths of requests for unknown ones. 600 lines of a part may be queued at once.

Change: 1,000 characters of a message and 8,000 of a traceback are logged, with the number of those left out.

--- a/packages/daemon/src/pistachioloft_daemon/logs.py
+++ b/packages/daemon/src/pistachioloft_daemon/logs.py
@@ -36,6 +36,9 @@
 # Rate and burst limits of each part's lines below the warning level. An entry instance logs about
 # two lines for each request and one for each extra attempt.
 LINES_PER_S = 150.0
+# Characters of a message and of a traceback: both can contain what clients have sent.
+MESSAGE_LIMIT_COUNT = 1_000
+TRACE_LIMIT_COUNT = 8_000
 BURST_LINE_COUNT = 600.0
 
 # Parts of the modules that are not named after their part.
@@ -204,15 +207,23 @@
     def format(self, record: logging.LogRecord) -> str:
         """Format a record as one line."""
         timestamp = time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(record.created))
-        message = record.getMessage()
+        message = _cut(record.getMessage(), MESSAGE_LIMIT_COUNT)
         if record.exc_info and record.exc_info[0] is not None:
-            message = f'{message}\n{self.formatException(record.exc_info)}'
+            trace = _cut(self.formatException(record.exc_info), TRACE_LIMIT_COUNT)
+            message = f'{message}\n{trace}'
         if not message.startswith(_PREFIXES):
             message = f'[{part_of(record.name)}] {message}'
         level = logging.getLevelName(record.levelno).lower()
         return f'{timestamp}.{int(record.msecs):03d}Z {level} {message.translate(_ESCAPES)}'
 
 
+def _cut(text: str, limit_count: int) -> str:
+    """Return a text, or its beginning and how much of it is left out."""
+    if len(text) <= limit_count:
+        return text
+    return f'{text[:limit_count]}... ({len(text) - limit_count} characters left out)'
+
+
 def part_of(logger_name: str) -> str:
     """Return the part that a logger's name belongs to."""
     for segment in reversed(logger_name.split('.')):
--- a/tests/test_settings/test_logs.py
+++ b/tests/test_settings/test_logs.py
@@ -14,6 +14,7 @@
 from pistachioloft_daemon.logs import (
     BURST_LINE_COUNT,
     LINES_PER_S,
+    TRACE_LIMIT_COUNT,
     configure_logs,
     part_logger,
     part_of,
@@ -126,3 +127,19 @@
     assert part_of('cherrypy.error') == 'process'
     with pytest.raises(ValueError, match='unknown part'):
         part_logger('kitchen')
+
+
+def test_long_message_is_cut() -> None:
+    """Guard against queued lines as long as what a client has sent."""
+    stream = io.StringIO()
+    handle = configure_logs('info', stream)
+    part_logger('routing').info('Refused %s.', '\x85' * 60_000)
+    try:
+        raise ValueError('x' * 60_000)
+    except ValueError:
+        part_logger('routing').exception('Failed.')
+    handle.stop()
+    cut, failed = stream.getvalue().splitlines()
+    assert len(cut) < 4_096
+    assert '59009 characters left out' in cut
+    assert len(failed) < 2 * TRACE_LIMIT_COUNT
