Count the heads of requests in flight, and drop their header objects

Cause, from reading the code: a request in flight kept the objects of its headers beside the encoded head, up to 650 kB for a head of 16 kB, and only its body counted.

Change: the headers are dropped once the head is encoded, and head and body count together. The unit test of the cost is as strict as before; it names the head too.

--- a/packages/daemon/src/pistachioloft_daemon/http1/receive_budget.py
+++ b/packages/daemon/src/pistachioloft_daemon/http1/receive_budget.py
@@ -23,8 +23,8 @@
 PROGRESS_BYTES = 4_096
 # Added to the time without progress, so that the size counts among messages that just came.
 LEAST_AGE_S = 0.1
-# The body itself, and a part of it on its way to an endpoint or to another instance.
-BODY_COPY_COUNT = 2
+# The message itself, and a part of it on its way to an endpoint or to another instance.
+MESSAGE_COPY_COUNT = 2
 # As many of these as may be in flight take a few megabytes.
 SMALL_BODY_BYTES = 4_096
 
@@ -144,9 +144,10 @@
         self._held_bytes[receiver.is_from_caller] += size_bytes
 
 
-def body_cost_bytes(body: bytes) -> int:
-    """Return what a request in flight takes for its body; small ones do not count."""
-    return BODY_COPY_COUNT * len(body) if len(body) > SMALL_BODY_BYTES else 0
+def message_cost_bytes(head: bytes, body: bytes) -> int:
+    """Return what a request in flight takes for its message; small ones do not count."""
+    size_bytes = len(head) + len(body)
+    return MESSAGE_COPY_COUNT * size_bytes if size_bytes > SMALL_BODY_BYTES else 0
 
 
 def memory_budget(memory_mb: float) -> ReceiveBudget:
--- a/packages/daemon/src/pistachioloft_daemon/peer_work.py
+++ b/packages/daemon/src/pistachioloft_daemon/peer_work.py
@@ -91,9 +91,9 @@
             state.random.getrandbits(RELAY_NUMBER_BITS),
         )
 
-    def _helping_route(self, name: str, body: bytes) -> tuple[Route, int] | None:
+    def _helping_route(self, name: str, head: bytes, body: bytes) -> tuple[Route, int] | None:
         """Return a route and its version, None if this instance cannot help others with it."""
-        routes = self.requests.usable_routes(body)
+        routes = self.requests.usable_routes(head, body)
         if isinstance(routes, Refuse) or self.state.reach.cut_off:
             return None
         route = routes.find_by_name(name)
@@ -109,7 +109,7 @@
         """Send a request to an endpoint that another instance passed on to this one."""
         now_ms = monotonic_ms()
         request = incoming.request
-        found = self._helping_route(request.route, request.body)
+        found = self._helping_route(request.route, request.head, request.body)
         if found is None or found[0].gather is not None:
             return None
         if self.relays.stall_ms() > GIVE_UP_DELAY_MS:
@@ -166,7 +166,7 @@
         """Query the shards that another instance delegated to this one."""
         now_ms = monotonic_ms()
         request = group.request
-        found = self._helping_route(request.route, request.body)
+        found = self._helping_route(request.route, request.head, request.body)
         if found is None or found[0].gather is None:
             return None
         route, version = found
--- a/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
+++ b/packages/daemon/src/pistachioloft_daemon/platform/traffic.py
@@ -95,7 +95,8 @@
         time_left_ms,
         b''.join(parts),
         request.body,
-        request,
+        # The headers are part of the head; each of them takes many times its bytes.
+        replace(request, headers=()),
         request_digest(request, host),
         decode_key(request.headers),
         b''.join(identity_parts),
--- a/packages/daemon/src/pistachioloft_daemon/routed_requests.py
+++ b/packages/daemon/src/pistachioloft_daemon/routed_requests.py
@@ -37,7 +37,7 @@
 from .crash_reports import CrashReports
 from .endpoint_pool import EndpointPool, OutgoingAttempt, PoolHooks
 from .http1.messages import JOINED_LIMIT_BYTES
-from .http1.receive_budget import body_cost_bytes
+from .http1.receive_budget import message_cost_bytes
 from .in_flight import InFlight
 from .loop_timers import monotonic_ms
 from .peer_work import PeerWork
@@ -165,7 +165,7 @@
     ) -> Cancel | None:
         """Begin a request once its organisation has a permit for it, or refuse it."""
         routed = accepted.routed
-        reserved_bytes = body_cost_bytes(routed.body)
+        reserved_bytes = message_cost_bytes(routed.head, routed.body)
         # There was room in this turn of the event loop.
         if reserved_bytes and not self.budget.reserve(reserved_bytes):
             reserved_bytes = 0
@@ -182,7 +182,7 @@
 
         def begin() -> Cancel | None:
             release()
-            usable = self.usable_routes(routed.body)
+            usable = self.usable_routes(routed.head, routed.body)
             if isinstance(usable, Refuse):
                 refuse(usable)
                 return None
@@ -224,13 +224,13 @@
 
     def add(self, in_flight: InFlight) -> None:
         """Add a request until it has its outcome."""
-        cost_bytes = body_cost_bytes(in_flight.routed.body)
+        cost_bytes = message_cost_bytes(in_flight.routed.head, in_flight.routed.body)
         # `usable_routes` was asked in this turn of the event loop.
         if cost_bytes and self.budget.reserve(cost_bytes):
             in_flight.reserved_bytes = cost_bytes
         self.requests[in_flight.number] = in_flight
 
-    def usable_routes(self, body: bytes = b'') -> Refuse | RouteTable:
+    def usable_routes(self, head: bytes = b'', body: bytes = b'') -> Refuse | RouteTable:
         """Return the routes for a new request, or the refusal if none is accepted."""
         routes = self.state.routes
         if routes is None or self.fenced or not self.can_serve():
@@ -241,8 +241,8 @@
         if len(self.requests) >= IN_FLIGHT_LIMIT_COUNT:
             detail = 'too many requests are in flight here'
             return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
-        if not self.budget.has_room(body_cost_bytes(body)):
-            detail = 'the bodies of the requests in flight take too much memory'
+        if not self.budget.has_room(message_cost_bytes(head, body)):
+            detail = 'the messages of the requests in flight take too much memory'
             return Refuse(ResultCode.TOO_MANY_CONNECTIONS, detail, NO_ROUTES_RETRY_MS)
         return routes
 
@@ -268,7 +268,7 @@
 
     def _accept(self, now_ms: float, routed: RoutedRequest) -> Refuse | AcceptedRequest:
         """Find the route and the organisation of a request, or the reason to refuse it."""
-        routes = self.usable_routes(routed.body)
+        routes = self.usable_routes(routed.head, routed.body)
         if isinstance(routes, Refuse):
             return routes
         route = routes.find(routed.host, routed.path)
--- a/tests/test_http1/test_receive_budget.py
+++ b/tests/test_http1/test_receive_budget.py
@@ -11,8 +11,8 @@
 from pistachioloft_daemon.http1.messages import Request, Response
 from pistachioloft_daemon.http1.receive_budget import (
     ReceiveBudget,
-    body_cost_bytes,
     memory_budget,
+    message_cost_bytes,
 )
 from pistachioloft_daemon.http1.repeated_lines import INTERVAL_S, RepeatedLines
 from pistachioloft_daemon.http1.server import HttpServer, ServerConnection, ServerLimits
@@ -115,11 +115,11 @@
 
 def test_requests_of_the_usual_size_are_not_limited() -> None:
     """Guard against refusals of clients that stay inside the limits of the pages."""
-    assert body_cost_bytes(b'x' * 4_096) == 0
+    assert message_cost_bytes(b'', b'x' * 4_096) == 0
     # As many bodies of the largest size at once as a request of an ordinary caller meets.
     assert memory_budget(300).limit_bytes == 75_000_000
     assert memory_budget(192).limit_bytes == 48_000_000
-    assert memory_budget(32).limit_bytes >= body_cost_bytes(b'x' * BODY_BYTES)
+    assert memory_budget(32).limit_bytes >= message_cost_bytes(b'', b'x' * BODY_BYTES)
 
 
 def test_choice_does_not_look_at_every_caller() -> None:
--- a/tests/test_platform/test_traffic.py
+++ b/tests/test_platform/test_traffic.py
@@ -396,3 +396,13 @@
     assert end is not None
     assert end.outcome is AttemptOutcome.LOST
     assert end.reply is None
+
+
+def test_request_in_flight_keeps_no_header_objects() -> None:
+    """Guard against headers that take many times their bytes while a request is in flight."""
+    headers = ((b'Host', b'h'), (b'X-Request-Id', b'r1'), *((b'a', b'b') for _ in range(1_000)))
+    routed = decode_request(Request(b'GET', b'/x/y', headers, connecting_ms=3.0, return_ms=1.0))
+    assert isinstance(routed, RoutedRequest)
+    assert routed.request.headers == ()
+    assert (routed.request.connecting_ms, routed.request.return_ms) == (3.0, 1.0)
+    assert routed.head.count(b'a: b\r\n') == 1_000
