Let the metrics address share the memory budget of the process

Cause, from reading the code: the server for metrics and reports had a budget of 16 MiB of its own, beside the quarter of the machine's memory for all other messages.

Change: it uses the budget of the process, so that unread reports count with everything else.

--- a/packages/daemon/src/pistachioloft_daemon/control_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/control_instance.py
@@ -116,7 +116,7 @@
         budget = memory_budget(settings.memory_mb)
         self.interface = ControlInterface(self, wire, budget)
         self.monitoring = MonitoringInterface(
-            settings.metrics_address, self.metrics, self._gauges, self._report
+            settings.metrics_address, self.metrics, self._gauges, self._report, budget=budget
         )
         self.was_confirmed = False
         self.last_leader: str | None = None
--- a/packages/daemon/src/pistachioloft_daemon/entry_instance.py
+++ b/packages/daemon/src/pistachioloft_daemon/entry_instance.py
@@ -159,6 +159,7 @@
             lambda: entry_gauges(self),
             self._report,
             self._explain,
+            budget,
         )
         self.was_serving = False
 
--- a/packages/daemon/src/pistachioloft_daemon/monitoring_interface.py
+++ b/packages/daemon/src/pistachioloft_daemon/monitoring_interface.py
@@ -18,6 +18,7 @@
     from pistachioloft_core.messages.report import FleetReport
 
     from .http1.messages import Request
+    from .http1.receive_budget import ReceiveBudget
     from .http1.server import Cancel, Respond
     from .metrics import Metrics
 
@@ -56,13 +57,14 @@
         gauges: Callable[[], Iterable[GaugeValue]],
         report: Callable[[], FleetReport],
         explain: Callable[[Request], Response] | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self.metrics = metrics
         self.gauges = gauges
         self.report = report
         # Explains where an entry instance would send a request.
         self.explain = explain or _refuse_explanation
-        self.server = HttpServer(address, self.handle, LIMITS) if address else None
+        self.server = HttpServer(address, self.handle, LIMITS, budget) if address else None
 
     async def start(self) -> None:
         """Start to listen; if that fails, the instance runs without this interface."""
