--- a/tests/test_http1/test_receive_budget.py
+++ b/tests/test_http1/test_receive_budget.py
@@ -15,7 +15,8 @@
     message_cost_bytes,
 )
 from pistachioloft_daemon.http1.repeated_lines import INTERVAL_S, RepeatedLines
-from pistachioloft_daemon.http1.server import HttpServer, ServerConnection, ServerLimits
+from pistachioloft_daemon.http1.server import HttpServer, ServerLimits
+from pistachioloft_daemon.http1.server_connection import ServerConnection
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -14,14 +14,8 @@
     REQUEST_OBJECT_BYTES,
     ReceiveBudget,
 )
-from pistachioloft_daemon.http1.server import (
-    PARSE_STEP_BYTES,
-    PIPELINE_LIMIT_COUNT,
-    Cancel,
-    HttpServer,
-    Respond,
-    ServerLimits,
-)
+from pistachioloft_daemon.http1.server import Cancel, HttpServer, Respond, ServerLimits
+from pistachioloft_daemon.http1.server_connection import PARSE_STEP_BYTES, PIPELINE_LIMIT_COUNT
 
 LIMITS = ServerLimits(
     header_limit_bytes=1_000,
@@ -427,7 +421,7 @@
 
 def test_silent_connections_make_room_for_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against a crowd that takes all connections and sends nothing."""
-    monkeypatch.setattr('pistachioloft_daemon.http1.server.SILENT_S', 0.05)
+    monkeypatch.setattr('pistachioloft_daemon.http1.server_connection.SILENT_S', 0.05)
 
     async def scenario(
         server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
